--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,8 @@
 
 BUILD ?= build
 DEPLOYMENT ?= baterija-najam
+# Second number of the loopback addresses; fleets ten apart run side by side.
+NETWORK ?= 1
 SOURCES = $(shell git ls-files --cached --others --exclude-standard \
 	'*.cpp' '*.hpp' | grep -v '\.pb\.')
 
@@ -23,7 +25,7 @@
 
 demo: build
 	@$(BUILD)/bin/foxtailvale-scenario --programs $(BUILD)/bin \
-	    --work $(BUILD)/demo demo examples/$(DEPLOYMENT)/deployment.json
+	    --work $(BUILD)/demo --network $(NETWORK) demo examples/$(DEPLOYMENT)/deployment.json
 
 test: build
 	@ctest --test-dir $(BUILD) --output-on-failure --no-tests=error
--- a/cmake/foxtailvale.cmake
+++ b/cmake/foxtailvale.cmake
@@ -37,6 +37,7 @@
 function(foxtailvale_test name)
     cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
     add_executable(${name} ${ARG_SOURCES})
+    target_include_directories(${name} PRIVATE ${PROJECT_SOURCE_DIR}/testing)
     target_link_libraries(${name} PRIVATE ${ARG_DEPENDS} foxtailvale_options
         GTest::gtest_main GTest::gmock)
     set_target_properties(${name} PROPERTIES
--- a/libs/node/tests/peer_bus_tests.cpp
+++ b/libs/node/tests/peer_bus_tests.cpp
@@ -1,3 +1,5 @@
+#include "test_address.hpp"
+
 #include <node/peer_bus.hpp>
 
 #include <gtest/gtest.h>
@@ -12,7 +14,7 @@
 {
     release::node_settings settings;
     settings.name = std::move(name);
-    settings.address = "127.0.0.1";
+    settings.address = testing::own_address();
     settings.peer_port = port;
     return settings;
 }
@@ -52,7 +54,8 @@
             EXPECT_TRUE(envelope.has_leaving());
             loop.stop();
         });
-    one.connect("two", "127.0.0.1:" + std::to_string(second_port));
+    one.connect(
+        "two", testing::own_address() + ":" + std::to_string(second_port));
     loop.call_every(
         std::chrono::milliseconds(5),
         [&]
--- a/libs/release/src/release_note.cpp
+++ b/libs/release/src/release_note.cpp
@@ -192,11 +192,11 @@
         {
             if (!this->value.domains.contains(domain))
             {
-                this->root.complain(
-                    "", "model " + name +
-                            " wants replicas in the unknown "
-                            "failure domain " +
-                            domain);
+                std::string what = "wants replicas in ";
+                what += domain;
+                what += ", which is not a known failure domain: model ";
+                what += name;
+                this->root.complain("", what);
             }
         }
     }
--- a/tools/scenario/src/demo.cpp
+++ b/tools/scenario/src/demo.cpp
@@ -352,8 +352,8 @@
             run_but_denied +=
                 booking["ran"] == "no" && runs.contains(id) ? 1 : 0;
         }
-        auto const origin =
-            this->running.page(store_address, origin_port, "/counters");
+        auto const origin = this->running.page(
+            store_address(this->running.layout()), origin_port, "/counters");
         std::uint64_t drawn = 0;
         for (auto const& [digest, version] : origin["versions"].items())
         {
--- a/tools/scenario/src/deployment.cpp
+++ b/tools/scenario/src/deployment.cpp
@@ -12,7 +12,12 @@
 
 constexpr std::uint64_t most_vms = 200;
 constexpr std::uint64_t most_rate = 1ULL << 40U;
-constexpr std::string_view own_network = "127.1.";
+
+// "127.1.", the network of a fleet's VMs.
+std::string own_network(deployment const& from)
+{
+    return "127." + std::to_string(from.network) + ".";
+}
 
 domain read_domain(release::object_reader reader)
 {
@@ -91,8 +96,7 @@
                     {place.name + "-" + kind_name(kind) + "-" +
                          std::to_string(made),
                      kind, index,
-                     std::string(own_network) + std::to_string(index + 1) +
-                         "." + std::to_string(number)});
+                     domain_network(from, index) + std::to_string(number)});
             }
         };
         add(vm_kind::entry, place.entries);
@@ -103,10 +107,27 @@
     return vms;
 }
 
-std::string through_link(std::size_t from_region, std::string const& address)
+std::string store_address(deployment const& from)
+{
+    return own_network(from) + "200.1";
+}
+
+std::string link_control_address(deployment const& from)
+{
+    return own_network(from) + "200.2";
+}
+
+std::string domain_network(deployment const& from, std::size_t domain)
+{
+    return own_network(from) + std::to_string(domain + 1) + ".";
+}
+
+std::string through_link(
+    deployment const& from, std::size_t from_region, std::string const& address)
 {
-    return "127." + std::to_string(10 + from_region) + "." +
-           address.substr(own_network.size());
+    auto const network = from.network + 1 + from_region;
+    return "127." + std::to_string(network) + "." +
+           address.substr(own_network(from).size());
 }
 
 std::vector<std::string> regions_of(deployment const& from)
--- a/tools/scenario/src/deployment.hpp
+++ b/tools/scenario/src/deployment.hpp
@@ -35,6 +35,9 @@
     std::uint64_t region_latency_us = 0;
     std::uint64_t region_bits_per_second = 0;
     nlohmann::json workspaces;
+    // Second number of the loopback addresses of the VMs; the links' addresses
+    // follow on it. Two fleets can run side by side with numbers ten apart.
+    unsigned network = 1;
 };
 
 // Reads a deployment and adds all faults to the document.
@@ -73,11 +76,20 @@
 inline constexpr std::uint16_t link_control_port = 8100;
 
 // Address of the platform and the origin in the store's region.
-inline constexpr char const* store_address = "127.1.200.1";
+std::string store_address(deployment const& from);
+
+// Address of the links' switchboards.
+std::string link_control_address(deployment const& from);
+
+// First numbers of the addresses of a domain's VMs, "127.1.2.".
+std::string domain_network(deployment const& from, std::size_t domain);
 
 // The address under which a VM of the region with this index (from 0) reaches
 // an address of another region: through the link.
-std::string through_link(std::size_t from_region, std::string const& address);
+std::string through_link(
+    deployment const& from,
+    std::size_t from_region,
+    std::string const& address);
 
 // Regions in the order in which the domains name them.
 std::vector<std::string> regions_of(deployment const& from);
--- a/tools/scenario/src/fleet.cpp
+++ b/tools/scenario/src/fleet.cpp
@@ -37,7 +37,8 @@
         standin_settings(this->from, this->machines, versions));
     for (int poll = 0; poll < most_start_polls; ++poll)
     {
-        if (!this->page(store_address, origin_port, "/counters").is_null())
+        if (!this->page(store_address(this->from), origin_port, "/counters")
+                 .is_null())
         {
             break;
         }
@@ -83,7 +84,7 @@
 {
     auto const path =
         this->write("note-" + std::to_string(++this->notes), note);
-    auto const platform = std::string("http://") + store_address + ":" +
+    auto const platform = "http://" + store_address(this->from) + ":" +
                           std::to_string(platform_port);
     child_process ctl(
         {this->paths.programs + "/foxtailvalectl", "--platform", platform,
--- a/tools/scenario/src/main.cpp
+++ b/tools/scenario/src/main.cpp
@@ -8,18 +8,21 @@
 namespace
 {
 
-int run(std::string const& path, foxtailvale::scenario::fleet_paths const& to)
+int run(
+    std::string const& path,
+    unsigned network,
+    foxtailvale::scenario::fleet_paths const& to)
 {
     using namespace foxtailvale;
     auto source = release::load_document(path);
-    auto const deployment = source.faults.empty()
-                                ? scenario::read_deployment(source)
-                                : scenario::deployment{};
+    auto deployment = source.faults.empty() ? scenario::read_deployment(source)
+                                            : scenario::deployment{};
     if (!source.faults.empty())
     {
         std::cerr << describe(source, source.faults);
         return cli::exit_bad_input;
     }
+    deployment.network = network;
     std::cout << "demo of " << deployment.name << "\n";
     return scenario::run_demo(to, deployment);
 }
@@ -40,6 +43,9 @@
         TCLAP::ValueArg<std::string> const work(
             "w", "work", "folder for settings, logs and the report", false,
             "build/demo", "FOLDER", line);
+        TCLAP::ValueArg<unsigned> const network(
+            "n", "network", "second number of the loopback addresses, 1 to 180",
+            false, 1, "NUMBER", line);
         TCLAP::UnlabeledValueArg<std::string> const command(
             "command", "what to do", true, "", "COMMAND", line);
         TCLAP::UnlabeledValueArg<std::string> const deployment(
@@ -52,7 +58,8 @@
             return foxtailvale::cli::exit_usage;
         }
         return run(
-            deployment.getValue(), {programs.getValue(), work.getValue()});
+            deployment.getValue(), network.getValue(),
+            {programs.getValue(), work.getValue()});
     }
     catch (TCLAP::ExitException const& fault)
     {
--- a/tools/scenario/src/settings_writer.cpp
+++ b/tools/scenario/src/settings_writer.cpp
@@ -9,15 +9,14 @@
 using nlohmann::json;
 
 constexpr std::uint32_t engine_memory_mib = 256;
-constexpr char const* link_control_address = "127.1.200.2";
 
 std::string
 store_url(deployment const& from, std::string const& region, std::uint16_t port)
 {
-    std::string address = store_address;
+    auto address = store_address(from);
     if (region != from.store_region)
     {
-        address = through_link(region_index(from, region), address);
+        address = through_link(from, region_index(from, region), address);
     }
     return "http://" + address + ":" + std::to_string(port);
 }
@@ -31,10 +30,10 @@
         {
             continue;
         }
-        auto const network = "127.1." + std::to_string(index + 1) + ".";
+        auto const network = domain_network(from, index);
         list.push_back(
             {{"from", network},
-             {"to", through_link(region_index(from, region), network)}});
+             {"to", through_link(from, region_index(from, region), network)}});
     }
     return list;
 }
@@ -59,14 +58,14 @@
 
 void add_route(
     json& routes,
-    std::string const& from,
+    deployment const& layout,
     std::size_t from_index,
     std::string const& address,
     std::uint16_t port)
 {
     routes.push_back(
-        {{"from", from},
-         {"listen_address", through_link(from_index, address)},
+        {{"from", regions_of(layout)[from_index]},
+         {"listen_address", through_link(layout, from_index, address)},
          {"listen_port", port},
          {"target_address", address},
          {"target_port", port}});
@@ -87,23 +86,19 @@
         {
             if (from.domains[machine.domain].region == regions[target])
             {
-                add_route(
-                    routes, regions[source], source, machine.address,
-                    peer_port);
+                add_route(routes, from, source, machine.address, peer_port);
             }
         }
         if (regions[target] == from.store_region)
         {
-            add_route(
-                routes, regions[source], source, store_address, platform_port);
-            add_route(
-                routes, regions[source], source, store_address, origin_port);
+            add_route(routes, from, source, store_address(from), platform_port);
+            add_route(routes, from, source, store_address(from), origin_port);
         }
     };
     add_way(first, second);
     add_way(second, first);
     return {
-        {"address", link_control_address},
+        {"address", link_control_address(from)},
         {"port", control_port},
         {"first", regions[first]},
         {"second", regions[second]},
@@ -170,11 +165,11 @@
 {
     json settings;
     settings["platform"] = {
-        {"address", store_address},
+        {"address", store_address(from)},
         {"port", platform_port},
         {"vms", listed_vms(from, vms)}};
     settings["origin"] = {
-        {"address", store_address},
+        {"address", store_address(from)},
         {"port", origin_port},
         {"versions", json::array()}};
     for (auto const& version : versions)
