Chunks flow down the tree as they arrive; the origin comes last, in turn

Cause: a parent without a chunk answered not_found and the child asked it again every 20 ms; a timeout or an unfinished connection moved a child on towards the origin, by chance; importers drew all at once.

Now a parent keeps a bounded list of who waits and pushes on arrival; twice a second it says what it holds, so that silence means death. Sources are chosen in one order that all compute alike (parent, ancestors, known holders, others before it, importers of domains before its own, origin). Importers draw each chunk in its own time slot at the link's rate less a reserve of 8% for live requests, and only while few earlier chunks are missing. Unsent frames on a connection that is being made no longer count as failures. The stride shares no factor with the ring, so all agents import.

--- a/libs/agent_core/include/agent_core/agent_core.hpp
+++ b/libs/agent_core/include/agent_core/agent_core.hpp
@@ -7,6 +7,9 @@
 #include <request/gate.hpp>
 #include <weights/chunk_store.hpp>
 #include <weights/forest.hpp>
+#include <weights/origin_pace.hpp>
+#include <weights/source_book.hpp>
+#include <weights/upload_queue.hpp>
 
 #include <map>
 #include <set>
@@ -51,6 +54,8 @@
     // Empty for the origin.
     std::string agent;
     base::time_point asked;
+    // Since when the source is known to hold it.
+    std::optional<base::time_point> held_since;
 };
 
 // One version on its way to this agent.
@@ -58,11 +63,31 @@
 {
     std::string digest;
     base::time_point started;
-    bool manifest_asked = false;
-    base::time_point manifest_time;
+    // When the manifest came and when it was last asked for.
+    base::time_point described;
+    base::time_point manifest_asked;
+    bool manifest_drawn = false;
+    // When a chunk came last, from anywhere.
+    base::time_point last_chunk;
     std::map<std::uint32_t, pending_chunk> pending;
-    // How often each chunk has been asked for in vain.
-    std::map<std::uint32_t, std::uint32_t> failures;
+    // Sources that will not give a chunk, and until when.
+    std::map<std::uint32_t, std::map<std::string, base::time_point>> declined;
+    // Chunks that other agents said they hold, by agent.
+    std::map<std::string, std::vector<bool>> holders;
+    // How often the origin sent other bytes than a chunk's.
+    std::map<std::uint32_t, std::uint32_t> corrupt_draws;
+    // Agents that refuse the version because the origin's bytes are wrong.
+    std::set<std::string> refusals;
+    bool refused = false;
+};
+
+// How chunks are distributed; all but the forest are baselines to measure it
+// against.
+enum class distribution
+{
+    forest,
+    swarm,
+    origin,
 };
 
 // An order that the engine has not answered.
@@ -75,6 +100,13 @@
 struct weights_state
 {
     weights::chunk_store store;
+    distribution how = distribution::forest;
+    weights::source_book book;
+    weights::origin_pace origin;
+    weights::upload_queue uploads;
+    base::time_point last_progress_note;
+    // Agents that asked for a manifest before it was there, by digest.
+    std::map<std::string, std::set<std::string>> manifest_waiters;
     std::map<std::string, transfer> transfers;
     // Digest that serves, by model; as the engine reported it.
     std::map<std::string, std::string> serving;
--- a/libs/agent_core/src/agent_core.cpp
+++ b/libs/agent_core/src/agent_core.cpp
@@ -14,6 +14,7 @@
 {
     auto const& peer = message.peer;
     auto const& envelope = message.envelope;
+    weights::note_heard(state.weights.book, peer, now);
     using body = wire::Envelope;
     switch (envelope.body_case())
     {
@@ -28,14 +29,18 @@
     case body::kConfigurationDigest:
         return on_configuration_digest(state, peer, now, out);
     case body::kChunkRequest:
-        return on_chunk_request(state, peer, envelope.chunk_request(), out);
+        return on_chunk_request(
+            state, peer, envelope.chunk_request(), now, out);
     case body::kChunkReply:
         return on_chunk_reply(state, peer, envelope.chunk_reply(), now, out);
     case body::kManifestRequest:
         return on_manifest_request(
             state, peer, envelope.manifest_request(), out);
     case body::kManifestReply:
-        return on_manifest_reply(state, envelope.manifest_reply(), now, out);
+        return on_manifest_reply(
+            state, peer, envelope.manifest_reply(), now, out);
+    case body::kChunkHave:
+        return on_chunk_have(state, peer, envelope.chunk_have(), now);
     default:
         out.push_back(core::report_error{
             {base::error_kind::bad_frame, "no use for this message"},
@@ -59,13 +64,15 @@
 
     void operator()(core::send_failed const& event)
     {
-        on_weights_send_failed(this->core, event, this->out);
+        on_weights_send_failed(this->core, event, this->now);
     }
 
     void operator()(core::tick const& /*event*/)
     {
         on_control_tick(this->core, this->now, this->out);
-        on_weights_tick(this->core, this->now, this->out);
+        on_transfer_tick(this->core, this->now, this->out);
+        on_upload_tick(this->core, this->now, this->out);
+        on_activation_tick(this->core, this->now, this->out);
         check_drained(this->core, this->out);
     }
 
--- a/libs/agent_core/src/flows.hpp
+++ b/libs/agent_core/src/flows.hpp
@@ -18,19 +18,29 @@
 void on_release_changed(state& state);
 void check_drained(state& state, actions& out);
 
-// weights_flow.cpp
+// transfer_flow.cpp
 void on_plan_changed(state& state, base::time_point now, actions& out);
-void on_chunk_request(
+void on_chunk_reply(
     state& state,
     std::string const& peer,
-    wire::ChunkRequest const& request,
+    wire::ChunkReply const& reply,
+    base::time_point now,
     actions& out);
-void on_chunk_reply(
+void on_chunk_have(
     state& state,
     std::string const& peer,
-    wire::ChunkReply const& reply,
+    wire::ChunkHave const& have,
+    base::time_point now);
+void on_origin_chunk(
+    state& state,
+    origin_chunk const& reply,
     base::time_point now,
     actions& out);
+void on_transfer_tick(state& state, base::time_point now, actions& out);
+void on_weights_send_failed(
+    state& state, core::send_failed const& failed, base::time_point now);
+
+// manifest_flow.cpp
 void on_manifest_request(
     state& state,
     std::string const& peer,
@@ -38,6 +48,7 @@
     actions& out);
 void on_manifest_reply(
     state& state,
+    std::string const& peer,
     wire::ManifestReply const& reply,
     base::time_point now,
     actions& out);
@@ -46,16 +57,20 @@
     origin_manifest const& reply,
     base::time_point now,
     actions& out);
-void on_origin_chunk(
+
+// upload_flow.cpp
+void on_chunk_request(
     state& state,
-    origin_chunk const& reply,
+    std::string const& peer,
+    wire::ChunkRequest const& request,
     base::time_point now,
     actions& out);
+void on_upload_tick(state& state, base::time_point now, actions& out);
+
+// activation_flow.cpp
 void on_order_answered(
     state& state, order_answered const& answer, actions& out);
-void on_weights_tick(state& state, base::time_point now, actions& out);
-void on_weights_send_failed(
-    state& state, core::send_failed const& failed, actions& out);
+void on_activation_tick(state& state, base::time_point now, actions& out);
 
 // control_flow.cpp
 void on_configuration_push(
--- a/libs/node/src/agent_node.cpp
+++ b/libs/node/src/agent_node.cpp
@@ -18,6 +18,22 @@
 constexpr std::chrono::milliseconds tick_interval{20};
 constexpr std::chrono::milliseconds poll_interval{200};
 constexpr std::uint16_t server_threads = 4;
+constexpr double bytes_per_second_in_mbit = 1'000'000.0 / 8;
+
+// How fast weights may move, as set.
+void set_pace(
+    agent_core::weights_state& weights, release::agent_settings const& settings)
+{
+    using agent_core::distribution;
+    weights.how = settings.distribution == "swarm"    ? distribution::swarm
+                  : settings.distribution == "origin" ? distribution::origin
+                                                      : distribution::forest;
+    weights.uploads.bytes_per_second =
+        settings.upload_mbit * bytes_per_second_in_mbit;
+    auto const share = (100.0 - settings.live_reserve_percent) / 100.0;
+    weights.origin.bytes_per_second =
+        settings.origin_link_mbit * bytes_per_second_in_mbit * share;
+}
 
 // The agent's core between its adapters. All of it lives on the loop's thread.
 class agent_driver
@@ -42,6 +58,7 @@
             settings.node.region, settings.service};
         this->core.random.value = base::entropy_seed();
         this->core.weights.store.capacity_bytes = settings.spool_bytes;
+        set_pace(this->core.weights, settings);
     }
 
     void attach(
--- a/libs/release/include/release/settings.hpp
+++ b/libs/release/include/release/settings.hpp
@@ -63,6 +63,15 @@
     std::uint16_t weights_port = 0;
     // Most bytes of chunks that the agent keeps.
     std::uint64_t spool_bytes = 0;
+    // Most that the agent uploads to others, in Mbit/s; zero is no cap.
+    std::uint32_t upload_mbit = 0;
+    // Rate of the narrow link between this region and the origin, in Mbit/s;
+    // zero where there is none.
+    std::uint32_t origin_link_mbit = 0;
+    // Part of that link that weights leave to live requests.
+    std::uint32_t live_reserve_percent = 0;
+    // "forest", or for measurements "swarm" or "origin".
+    std::string distribution;
     // Memory of the endpoint for models, in MiB.
     std::uint32_t memory_mib = 0;
 };
--- a/libs/release/src/settings.cpp
+++ b/libs/release/src/settings.cpp
@@ -11,6 +11,7 @@
 
 constexpr std::uint64_t lowest_port = 1;
 constexpr std::uint64_t highest_port = 65535;
+constexpr std::uint64_t highest_mbit = 1'000'000;
 constexpr std::uint64_t mebibyte = 1024U * 1024U;
 
 std::uint16_t read_port(object_reader& reader, std::string_view key)
@@ -83,6 +84,18 @@
     settings.weights_port = read_port(reader, "weights_port");
     settings.spool_bytes =
         mebibyte * reader.number_or("spool_mib", 512, 1, 1024U * 1024U);
+    settings.upload_mbit = static_cast<std::uint32_t>(
+        reader.number_or("upload_mbit", 0, 0, highest_mbit));
+    settings.origin_link_mbit = static_cast<std::uint32_t>(
+        reader.number_or("origin_link_mbit", 0, 0, highest_mbit));
+    settings.live_reserve_percent = static_cast<std::uint32_t>(
+        reader.number_or("live_reserve_percent", 8, 0, 90));
+    settings.distribution = reader.text_or("distribution", "forest");
+    if (settings.distribution != "forest" && settings.distribution != "swarm" &&
+        settings.distribution != "origin")
+    {
+        reader.complain("distribution", "must be forest, swarm or origin");
+    }
     settings.memory_mib = static_cast<std::uint32_t>(
         reader.number_or("memory_mib", 1024, 1, 16U * 1024U * 1024U));
     reader.finish();
--- /dev/null
+++ b/libs/weights/include/weights/source_book.hpp
@@ -0,0 +1,85 @@
+#ifndef FOXTAILVALE_WEIGHTS_SOURCE_BOOK_HPP
+#define FOXTAILVALE_WEIGHTS_SOURCE_BOOK_HPP
+
+#include <base/ids.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace foxtailvale::weights
+{
+
+// What an agent has learned about another as a source of chunks.
+struct source_record
+{
+    // Chunks asked for and neither come nor given up.
+    std::uint32_t outstanding = 0;
+    base::time_point last_heard;
+    // Not asked before then.
+    base::time_point avoid_until;
+    // Since when every frame to it failed; unset while they pass.
+    base::time_point unreachable_since;
+    bool unreachable = false;
+    // Failures since its last good chunk.
+    std::uint32_t strikes = 0;
+    // Smoothed rate at which its chunks came; zero before the first.
+    double bytes_per_second = 0;
+};
+
+// All sources by agent name, shared by all transfers of one agent.
+using source_book = std::map<std::string, source_record>;
+
+// Chunks that may be outstanding at one source: enough to keep a link busy
+// over a round trip, few enough that a source that dies takes few with it.
+inline constexpr std::uint32_t most_outstanding = 8;
+
+// Whether the source may be asked for one more chunk.
+bool has_room(source_book const& book, std::string const& agent);
+
+// Whether the source is not being avoided.
+bool is_usable(
+    source_book const& book, std::string const& agent, base::time_point now);
+
+void note_asked(
+    source_book& book, std::string const& agent, base::time_point now);
+
+// A frame of any kind came from the source.
+void note_heard(
+    source_book& book, std::string const& agent, base::time_point now);
+
+// A chunk that was asked for is no longer awaited there.
+void note_dropped(source_book& book, std::string const& agent);
+
+// A good chunk of this size came after this time.
+void note_delivered(
+    source_book& book,
+    std::string const& agent,
+    std::uint32_t bytes,
+    std::chrono::nanoseconds took);
+
+// A frame could not be sent; true when the source is to be given up. A
+// connection that is only being made fails for a moment too.
+bool note_unreachable(
+    source_book& book, std::string const& agent, base::time_point now);
+
+// The source failed: avoided for a time that doubles with each failure.
+void strike(source_book& book, std::string const& agent, base::time_point now);
+
+// The source sent bytes that are not the chunk: avoided for minutes.
+void blame(source_book& book, std::string const& agent, base::time_point now);
+
+// Chunks are outstanding and nothing at all has come for too long. A live
+// source that still waits for a chunk itself says so twice a second.
+bool is_silent(
+    source_book const& book, std::string const& agent, base::time_point now);
+
+// How long a chunk that the source holds may take, from its measured rate and
+// what else is outstanding there.
+std::chrono::milliseconds delivery_limit(
+    source_book const& book, std::string const& agent, std::uint32_t bytes);
+
+} // namespace foxtailvale::weights
+
+#endif
--- a/libs/weights/src/forest.cpp
+++ b/libs/weights/src/forest.cpp
@@ -1,7 +1,7 @@
 #include <weights/forest.hpp>
 
 #include <algorithm>
-#include <optional>
+#include <numeric>
 
 namespace foxtailvale::weights
 {
@@ -15,8 +15,30 @@
 // upload link carries two copies of a chunk at the most.
 constexpr std::size_t fan_out = 2;
 
-// Agents of one domain in the chunk's order. The stride is the number of
-// inner places: each chunk's inner agents follow on the last chunk's.
+// Standbys looked at beside the ancestors. When half of a domain's agents die
+// at once, that all of them and the ancestors are among the dead is rarer than
+// one chunk in two hundred, and each such chunk costs one draw more.
+constexpr std::size_t most_standbys = 8;
+
+// Agents of another domain that its importer's place may fall to.
+constexpr std::size_t most_outside = 3;
+
+constexpr std::size_t neighbour_count = 2;
+
+// Half the ring, moved up until it shares no factor with the ring's size:
+// each chunk's inner agents follow on the last chunk's, and over the chunks
+// every agent comes to every place.
+std::size_t stride_of(std::size_t size)
+{
+    auto stride = std::max<std::size_t>(1, size / fan_out);
+    while (std::gcd(stride, size) != 1)
+    {
+        ++stride;
+    }
+    return stride;
+}
+
+// Agents of one domain in the chunk's order.
 ring chunk_order(
     control::domain_plan const& plan,
     std::string const& digest,
@@ -27,8 +49,7 @@
     {
         return order;
     }
-    auto const stride = std::max<std::size_t>(1, order.size() / fan_out);
-    auto const shift = (stride * chunk) % order.size();
+    auto const shift = (stride_of(order.size()) * chunk) % order.size();
     auto const middle = order.begin() + static_cast<std::ptrdiff_t>(shift);
     std::rotate(order.begin(), middle, order.end());
     return order;
@@ -39,8 +60,8 @@
     return {endpoint.agent, endpoint.address};
 }
 
-// The domain of the region whose importer draws the chunk from outside.
-control::domain_plan const* importing_domain(
+// Domains of a region that want the version, in the chunk's order.
+std::vector<control::domain_plan const*> domain_order(
     plan_set const& plans,
     std::string const& region,
     std::string const& digest,
@@ -54,58 +75,145 @@
             domains.push_back(&plan);
         }
     }
-    return domains.empty() ? nullptr : domains[chunk % domains.size()];
+    if (!domains.empty())
+    {
+        auto const shift = chunk % domains.size();
+        auto const middle =
+            domains.begin() + static_cast<std::ptrdiff_t>(shift);
+        std::rotate(domains.begin(), middle, domains.end());
+    }
+    return domains;
+}
+
+void add_ancestors(chunk_sources& sources, ring const& order)
+{
+    for (auto place = sources.place; place > 0;)
+    {
+        place = (place - 1) / fan_out;
+        sources.ancestors.push_back(source_for(*order[place]));
+    }
+}
+
+void add_standbys(chunk_sources& sources, ring const& order)
+{
+    for (std::size_t place = 0;
+         place < sources.place && sources.standbys.size() < most_standbys;
+         ++place)
+    {
+        auto const standby = source_for(*order[place]);
+        if (std::ranges::find(sources.ancestors, standby) ==
+            sources.ancestors.end())
+        {
+            sources.standbys.push_back(standby);
+        }
+    }
 }
 
-// Sources of a domain's importer: the region's importer, if another, then the
-// origin.
-void add_import_sources(
-    std::vector<chunk_source>& sources,
+void add_outside(
+    chunk_sources& sources,
     plan_set const& plans,
     control::domain_plan const& own,
     std::string const& digest,
     std::uint32_t chunk)
 {
-    auto const* const importing =
-        importing_domain(plans, own.region, digest, chunk);
-    if (importing != nullptr && importing->failure_domain != own.failure_domain)
+    for (auto const* const domain :
+         domain_order(plans, own.region, digest, chunk))
     {
-        sources.push_back(
-            source_for(*chunk_order(*importing, digest, chunk).front()));
+        if (domain->failure_domain == own.failure_domain)
+        {
+            return;
+        }
+        auto const order = chunk_order(*domain, digest, chunk);
+        auto const count = std::min(order.size(), most_outside);
+        for (std::size_t place = 0; place < count; ++place)
+        {
+            sources.outside.push_back(source_for(*order[place]));
+        }
     }
-    sources.push_back({});
+}
+
+chunk_source const*
+first_usable(std::vector<chunk_source> const& list, source_view const& view)
+{
+    auto const found = std::ranges::find_if(
+        list,
+        [&view](chunk_source const& source)
+        {
+            return view.is_usable(source.agent);
+        });
+    return found == list.end() ? nullptr : &*found;
 }
 
 } // namespace
 
-std::vector<chunk_source> sources_of(
+std::optional<chunk_sources> sources_of(
     plan_set const& plans,
     std::string const& failure_domain,
     std::string const& agent,
     std::string const& digest,
     std::uint32_t chunk)
 {
-    std::vector<chunk_source> sources;
     auto const own = plans.find(failure_domain);
     if (own == plans.end())
     {
-        return sources;
+        return std::nullopt;
     }
     auto const order = chunk_order(own->second, digest, chunk);
     auto const self =
         std::ranges::find(order, agent, &control::plan_endpoint::agent);
     if (self == order.end())
     {
-        return sources;
+        return std::nullopt;
     }
-    auto place = static_cast<std::size_t>(self - order.begin());
-    while (place > 0)
+    chunk_sources sources;
+    sources.place = static_cast<std::size_t>(self - order.begin());
+    add_ancestors(sources, order);
+    add_standbys(sources, order);
+    add_outside(sources, plans, own->second, digest, chunk);
+    return sources;
+}
+
+chunk_source
+choose_source(chunk_sources const& sources, source_view const& view)
+{
+    for (auto const* const list :
+         {&sources.ancestors, &view.known_holders, &sources.standbys,
+          &sources.outside})
     {
-        place = (place - 1) / fan_out;
-        sources.push_back(source_for(*order[place]));
+        if (auto const* const found = first_usable(*list, view))
+        {
+            return *found;
+        }
     }
-    add_import_sources(sources, plans, own->second, digest, chunk);
-    return sources;
+    return {};
+}
+
+std::vector<chunk_source> neighbours_of(
+    plan_set const& plans,
+    std::string const& failure_domain,
+    std::string const& agent,
+    std::string const& digest)
+{
+    std::vector<chunk_source> neighbours;
+    auto const own = plans.find(failure_domain);
+    if (own == plans.end())
+    {
+        return neighbours;
+    }
+    auto order = control::holders(own->second, digest);
+    auto const self =
+        std::ranges::find(order, agent, &control::plan_endpoint::agent);
+    if (self == order.end())
+    {
+        return neighbours;
+    }
+    std::rotate(order.begin(), self, order.end());
+    auto const end = std::min(order.size(), neighbour_count + 1);
+    for (std::size_t place = 1; place < end; ++place)
+    {
+        neighbours.push_back(source_for(*order[place]));
+    }
+    return neighbours;
 }
 
 } // namespace foxtailvale::weights
--- /dev/null
+++ b/libs/weights/src/source_book.cpp
@@ -0,0 +1,149 @@
+#include <weights/source_book.hpp>
+
+#include <algorithm>
+
+namespace foxtailvale::weights
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+// Three missed notes of a source that sends two a second, with room for a
+// process that is held up for a second.
+constexpr milliseconds silence_limit{3000};
+
+// A connection takes a few round trips; a VM that is gone takes for ever.
+constexpr milliseconds connect_limit{1000};
+
+constexpr milliseconds first_avoidance{2000};
+constexpr std::uint32_t most_doublings = 4;
+constexpr milliseconds blame_time{300'000};
+
+// A chunk may take four times what the measured rate says: traffic that
+// shares the link may take three quarters of it for a while.
+constexpr double delivery_slack = 4;
+constexpr milliseconds shortest_delivery{1500};
+constexpr milliseconds longest_delivery{30'000};
+// Assumed before the first chunk: 20 Mbit/s, the narrowest link, by ten.
+constexpr double first_bytes_per_second = 250'000;
+constexpr double smoothing = 0.3;
+
+source_record const* find(source_book const& book, std::string const& agent)
+{
+    auto const found = book.find(agent);
+    return found == book.end() ? nullptr : &found->second;
+}
+
+} // namespace
+
+bool has_room(source_book const& book, std::string const& agent)
+{
+    auto const* const record = find(book, agent);
+    return record == nullptr || record->outstanding < most_outstanding;
+}
+
+bool is_usable(
+    source_book const& book, std::string const& agent, base::time_point now)
+{
+    auto const* const record = find(book, agent);
+    return record == nullptr || record->avoid_until <= now;
+}
+
+void note_asked(
+    source_book& book, std::string const& agent, base::time_point now)
+{
+    auto& record = book[agent];
+    if (record.outstanding++ == 0)
+    {
+        record.last_heard = now;
+    }
+}
+
+void note_heard(
+    source_book& book, std::string const& agent, base::time_point now)
+{
+    auto const found = book.find(agent);
+    if (found != book.end())
+    {
+        found->second.last_heard = now;
+        found->second.unreachable = false;
+    }
+}
+
+void note_dropped(source_book& book, std::string const& agent)
+{
+    auto& record = book[agent];
+    record.outstanding -= record.outstanding > 0 ? 1 : 0;
+}
+
+void note_delivered(
+    source_book& book,
+    std::string const& agent,
+    std::uint32_t bytes,
+    std::chrono::nanoseconds took)
+{
+    auto& record = book[agent];
+    record.strikes = 0;
+    auto const seconds =
+        std::max(std::chrono::duration<double>(took).count(), 0.001);
+    auto const rate = bytes / seconds;
+    record.bytes_per_second =
+        record.bytes_per_second == 0
+            ? rate
+            : smoothing * rate + (1 - smoothing) * record.bytes_per_second;
+}
+
+bool note_unreachable(
+    source_book& book, std::string const& agent, base::time_point now)
+{
+    auto& record = book[agent];
+    if (!record.unreachable)
+    {
+        record.unreachable = true;
+        record.unreachable_since = now;
+    }
+    return now - record.unreachable_since > connect_limit;
+}
+
+void strike(source_book& book, std::string const& agent, base::time_point now)
+{
+    auto& record = book[agent];
+    auto const doublings = std::min(record.strikes, most_doublings);
+    ++record.strikes;
+    record.avoid_until = now + first_avoidance * (1U << doublings);
+    record.unreachable = false;
+}
+
+void blame(source_book& book, std::string const& agent, base::time_point now)
+{
+    auto& record = book[agent];
+    ++record.strikes;
+    record.avoid_until = now + blame_time;
+}
+
+bool is_silent(
+    source_book const& book, std::string const& agent, base::time_point now)
+{
+    auto const* const record = find(book, agent);
+    return record != nullptr && record->outstanding > 0 &&
+           now - record->last_heard > silence_limit;
+}
+
+milliseconds delivery_limit(
+    source_book const& book, std::string const& agent, std::uint32_t bytes)
+{
+    auto const* const record = find(book, agent);
+    auto const known = record != nullptr && record->bytes_per_second > 0;
+    auto const rate = known ? record->bytes_per_second : first_bytes_per_second;
+    auto const outstanding =
+        record == nullptr ? 1U : std::max(record->outstanding, 1U);
+    std::chrono::duration<double> const expected(
+        static_cast<double>(bytes) * outstanding / rate);
+    auto const limit =
+        std::chrono::duration_cast<milliseconds>(delivery_slack * expected);
+    return std::clamp(limit, shortest_delivery, longest_delivery);
+}
+
+} // namespace foxtailvale::weights
--- a/tools/scenario/src/settings_writer.cpp
+++ b/tools/scenario/src/settings_writer.cpp
@@ -145,6 +145,10 @@
     settings["endpoint"] =
         "http://" + machine.address + ":" + std::to_string(endpoint_port);
     settings["origin"] = store_url(from, place.region, origin_port);
+    if (place.region != from.store_region)
+    {
+        settings["origin_link_mbit"] = from.region_bits_per_second / 1'000'000;
+    }
     settings["weights_port"] = weights_port;
     settings["memory_mib"] = engine_memory_mib;
     if (machine.kind == vm_kind::booking)
