Bursts under fault, in virtual time; an outage no longer multiplies draws

After an outage of the origin all agents had been handed all chunks and drew them: 5.8 to 7.4 copies. An importer whose own way to the origin is closed never learned that another held its chunks by now, and its burst did not end.

Who was handed a chunk and finds the origin down itself now waits for those before it again, and an importer that the origin fails asks its neighbours every 3 s what they hold. Ruled out: longer pauses alone, since the number of importers and not their pace made the copies.

--- a/libs/agent_core/src/manifest_flow.cpp
+++ b/libs/agent_core/src/manifest_flow.cpp
@@ -12,6 +12,10 @@
 // has the manifest itself.
 constexpr std::chrono::milliseconds ask_interval{1000};
 
+// What neighbours hold changes with the speed of a burst, and asking costs a
+// manifest's size.
+constexpr std::chrono::milliseconds holdings_interval{3000};
+
 // An agent turns to the origin for the manifest only when it should have come
 // by now: the later, the further back it stands in the first chunk's order.
 constexpr std::chrono::milliseconds origin_patience{2000};
@@ -28,6 +32,16 @@
     out.push_back(std::move(message));
 }
 
+void ask_neighbours(state& state, transfer const& transfer, actions& out)
+{
+    for (auto const& neighbour : weights::neighbours_of(
+             state.control.plans, state.self.failure_domain, state.self.name,
+             transfer.digest))
+    {
+        ask_neighbour(state, transfer.digest, neighbour, out);
+    }
+}
+
 void draw_manifest(
     state& state,
     transfer& transfer,
@@ -112,12 +126,7 @@
         return;
     }
     transfer.manifest_asked = now;
-    for (auto const& neighbour : weights::neighbours_of(
-             state.control.plans, state.self.failure_domain, state.self.name,
-             transfer.digest))
-    {
-        ask_neighbour(state, transfer.digest, neighbour, out);
-    }
+    ask_neighbours(state, transfer, out);
     for (auto const* const list : {&sources->ancestors, &sources->outside})
     {
         for (auto const& source : *list)
@@ -127,6 +136,16 @@
     }
 }
 
+void ask_for_holdings(
+    state& state, transfer& transfer, base::time_point now, actions& out)
+{
+    if (now - transfer.manifest_asked >= holdings_interval)
+    {
+        transfer.manifest_asked = now;
+        ask_neighbours(state, transfer, out);
+    }
+}
+
 void on_manifest_request(
     state& state,
     std::string const& peer,
--- a/libs/agent_core/src/transfer_flow.cpp
+++ b/libs/agent_core/src/transfer_flow.cpp
@@ -392,6 +392,20 @@
                !is_declined(transfer, index, agent, now);
     };
     view.known_holders = known_holders(state, transfer, index);
+    auto const best = weights::choose_source(*sources, view);
+    // Failure: the origin is down, so every importer hands its chunks on and
+    // in the end all agents wait to draw all chunks; once it is back its link
+    // would carry dozens of copies. Who was handed a chunk and finds the
+    // origin down itself goes back to waiting for those before it.
+    if (!best.agent.empty() ||
+        !weights::suspects_origin(state.weights.origin, now))
+    {
+        return best;
+    }
+    view.is_usable = [&](std::string const& agent)
+    {
+        return weights::is_usable(state.weights.book, agent, now);
+    };
     return weights::choose_source(*sources, view);
 }
 
@@ -563,6 +577,12 @@
             ask_for_manifest(state, transfer, now, out);
             continue;
         }
+        // An importer that the origin fails may be the only one: another may
+        // hold by now what was handed on to it.
+        if (weights::suspects_origin(state.weights.origin, now))
+        {
+            ask_for_holdings(state, transfer, now, out);
+        }
         expire(state, transfer, now, out);
         ask_for_more(state, transfer, now, out);
     }
--- a/libs/agent_core/src/weights_parts.cpp
+++ b/libs/agent_core/src/weights_parts.cpp
@@ -63,7 +63,9 @@
         if (chunks[index])
         {
             auto& byte = bits[index / bits_per_byte];
-            byte = static_cast<char>(byte | (1U << (index % bits_per_byte)));
+            byte = static_cast<char>(
+                static_cast<unsigned char>(byte) |
+                (1U << (index % bits_per_byte)));
         }
     }
     return bits;
--- a/libs/agent_core/src/weights_parts.hpp
+++ b/libs/agent_core/src/weights_parts.hpp
@@ -30,6 +30,10 @@
 void ask_for_manifest(
     state& state, transfer& transfer, base::time_point now, actions& out);
 
+// Asks neighbours what they hold of a version whose manifest is there.
+void ask_for_holdings(
+    state& state, transfer& transfer, base::time_point now, actions& out);
+
 // The manifest is there: asks for the first chunks.
 void begin_chunks(
     state& state, transfer& transfer, base::time_point now, actions& out);
--- a/libs/weights/include/weights/origin_pace.hpp
+++ b/libs/weights/include/weights/origin_pace.hpp
@@ -18,6 +18,7 @@
     double bytes_per_second = 0;
     std::uint32_t running = 0;
     std::uint32_t failures_in_a_row = 0;
+    base::time_point last_failure;
     base::time_point not_before;
 };
 
@@ -58,6 +59,10 @@
     base::random_state& random,
     base::time_point now);
 
+// Whether the origin failed this agent lately and has given nothing since: it
+// is taken to be down for others too, and nobody draws in another's place.
+bool suspects_origin(origin_pace const& pace, base::time_point now);
+
 // Whether the origin has failed this agent for so long that another should
 // try in its place.
 bool should_decline(origin_pace const& pace);
--- a/libs/weights/src/origin_pace.cpp
+++ b/libs/weights/src/origin_pace.cpp
@@ -26,6 +26,9 @@
 constexpr std::uint32_t most_doublings = 6;
 constexpr std::uint32_t most_failures = 5;
 
+// An agent that draws in another's place tries the origin again after this.
+constexpr milliseconds suspicion_time{30'000};
+
 } // namespace
 
 bool may_draw(
@@ -75,12 +78,19 @@
     }
     auto const doublings = std::min(pace.failures_in_a_row, most_doublings);
     ++pace.failures_in_a_row;
+    pace.last_failure = now;
     auto const longest = static_cast<std::uint64_t>(first_pause.count())
                          << doublings;
     auto const pause = longest / 2 + base::random_below(random, longest / 2);
     pace.not_before = now + milliseconds(pause);
 }
 
+bool suspects_origin(origin_pace const& pace, base::time_point now)
+{
+    return pace.failures_in_a_row > 0 &&
+           now - pace.last_failure < suspicion_time;
+}
+
 bool should_decline(origin_pace const& pace)
 {
     return pace.failures_in_a_row >= most_failures;
