Measure how control grows with the fleet: make capacity

The target's figures had no measurement. foxtailvale-capacity drives the cores in virtual time at 10 to 1,500 endpoints with entries in proportion, and real entries and agents at 7, 28 and 70 agents, and rewrites the tables of docs/CAPACITY.md from docs/measurements/capacity.csv.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 SOURCES = $(shell git ls-files --cached --others --exclude-standard \
 	'*.cpp' '*.hpp' | grep -v '\.pb\.')
 
-.PHONY: all deps configure build demo test lint lint-changed format tidy proto \
+.PHONY: all deps configure build demo capacity test lint lint-changed format tidy proto \
 	test-sanitize test-thread
 
 all: build
@@ -27,6 +27,12 @@
 	@$(BUILD)/bin/foxtailvale-scenario --programs $(BUILD)/bin \
 	    --work $(BUILD)/demo --network $(NETWORK) demo examples/$(DEPLOYMENT)/deployment.json
 
+# Measures how things grow with the fleet and rewrites docs/CAPACITY.md's
+# tables; about two minutes.
+capacity: build
+	@$(BUILD)/bin/foxtailvale-capacity --programs $(BUILD)/bin \
+	    --work $(BUILD)/capacity --network $(NETWORK)
+
 test: build
 	@ctest --test-dir $(BUILD) --output-on-failure --no-tests=error
 
--- a/tools/scenario/src/fleet.cpp
+++ b/tools/scenario/src/fleet.cpp
@@ -119,6 +119,22 @@
     static_cast<void>(http::call(ask));
 }
 
+bool fleet::signal(std::string const& name, int number)
+{
+    auto const found = this->processes.find(name);
+    if (found == this->processes.end())
+    {
+        return false;
+    }
+    found->second.send(number);
+    return true;
+}
+
+pid_t fleet::process_id(std::string const& name) const
+{
+    return this->processes.at(name).process_id();
+}
+
 bool fleet::stop()
 {
     for (auto const& [name, process] : this->processes)
--- a/tools/scenario/src/fleet.hpp
+++ b/tools/scenario/src/fleet.hpp
@@ -49,6 +49,12 @@
         std::uint16_t port,
         nlohmann::json const& value);
 
+    // Sends a signal to the process of this name; false when there is none.
+    bool signal(std::string const& name, int number);
+
+    // The system's number for the process on a VM.
+    pid_t process_id(std::string const& name) const;
+
     // Stops all processes of the system in an orderly way; true when each
     // ended with 0.
     bool stop();
