Engines move to a new version a few at a time, drained, with the gate closed

Cause: an agent ordered its engine as soon as no request ran, but its gate went on admitting requests for the old version until the engine's next report: an answer could begin on one version and end on another, and a model under steady load would never have been free. All replicas of a domain moved at once; a lost answer to an order blocked the next for 15 s.

Now the model's gate closes first (entries hear at once: it leaves the heartbeat), its requests end, the engine is ordered, and the gate opens when a report after the order shows what serves. A third of a domain's replicas may move at once, fewer where the release declares a floor: each agent waits for the one that many places before it, passes over the dead after 5 s, and lets others go first while its own chunks are late. A refused order is repeated once a second. A replaced agent beside a serving engine lets plans settle 2.5 s before it orders anything.

request_flow.cpp: serving_digest is empty while a model's gate is closed.

--- a/libs/agent_core/include/agent_core/agent_core.hpp
+++ b/libs/agent_core/include/agent_core/agent_core.hpp
@@ -90,11 +90,26 @@
     origin,
 };
 
-// An order that the engine has not answered.
+// An order that is under way.
 struct pending_order
 {
     order_engine order;
     base::time_point sent;
+    bool answered = false;
+    // Reports to come before the engine's state is taken as known: one may
+    // have been read before the order took effect.
+    int reports_awaited = 0;
+};
+
+// Whose move a move to another version waits for.
+struct activation_wait
+{
+    base::time_point asked;
+    // When the agent waited for was first asked, or was heard last.
+    base::time_point heard;
+    // Agents further up that were passed over because they were silent.
+    std::size_t skipped = 0;
+    bool predecessor_done = false;
 };
 
 struct weights_state
@@ -111,6 +126,15 @@
     // Digest that serves, by model; as the engine reported it.
     std::map<std::string, std::string> serving;
     std::optional<pending_order> order;
+    base::time_point order_not_before;
+    // When the first plan came.
+    std::optional<base::time_point> first_plan;
+    // Models whose gate is closed: they are drained or their engine is ordered.
+    std::set<std::string> switching;
+    // By digest.
+    std::map<std::string, activation_wait> waits;
+    // Agents that moved before this one, which was not ready, by digest.
+    std::map<std::string, std::set<std::string>> passed;
     std::uint64_t last_order = 0;
     // Peers that we have connected to for chunks.
     std::set<std::string> connected;
--- a/libs/agent_core/src/activation_flow.cpp
+++ b/libs/agent_core/src/activation_flow.cpp
@@ -1,4 +1,3 @@
-#include "flows.hpp"
 #include "weights_parts.hpp"
 
 #include <algorithm>
@@ -9,7 +8,17 @@
 namespace
 {
 
-constexpr std::chrono::milliseconds order_timeout{15'000};
+using std::chrono::milliseconds;
+
+constexpr milliseconds order_timeout{15'000};
+
+// After a refused order: the engine knows a newer fencing number or is busy,
+// and a newer plan is on its way.
+constexpr milliseconds refusal_pause{1000};
+
+// A new agent's first plan may be an old one from an entry that lags; entries
+// compare plans once a second.
+constexpr milliseconds plan_settle_time{2500};
 
 std::uint64_t fencing(state const& state)
 {
@@ -17,6 +26,23 @@
     return found == state.control.plans.end() ? 0 : found->second.version;
 }
 
+// Entries hear at once that the model's gate closed or opened.
+void close_gate(state& state, std::string const& model)
+{
+    if (state.weights.switching.insert(model).second)
+    {
+        state.control.last_heartbeat = {};
+    }
+}
+
+void open_gate(state& state, std::string const& model)
+{
+    if (state.weights.switching.erase(model) > 0)
+    {
+        state.control.last_heartbeat = {};
+    }
+}
+
 void send_order(
     state& state,
     order_kind kind,
@@ -24,6 +50,7 @@
     base::time_point now,
     actions& out)
 {
+    close_gate(state, model.model);
     order_engine const order{
         ++state.weights.last_order, kind, model.model, model.digest,
         fencing(state)};
@@ -47,28 +74,65 @@
         });
 }
 
+// Failure: the agent was replaced and its first plan is an old one. An engine
+// that ignores fencing numbers would be ordered back to old weights.
+bool is_settled(state const& state, base::time_point now)
+{
+    return state.weights.serving.empty() ||
+           (state.weights.first_plan &&
+            now - *state.weights.first_plan >= plan_settle_time);
+}
+
+// Brings one model to the version that the plan wants; true when an order went
+// out. A model that serves is drained first: its gate closes, its running
+// requests end on the old version, and only then the engine is ordered.
+bool bring_to(
+    state& state,
+    control::assigned_model const& wanted,
+    base::time_point now,
+    actions& out)
+{
+    auto const& model = wanted.model;
+    auto const serving = state.weights.serving.find(model);
+    auto const there = serving != state.weights.serving.end();
+    if (there && serving->second == wanted.digest)
+    {
+        open_gate(state, model);
+        return false;
+    }
+    if (!weights::is_whole(state.weights.store, wanted.digest))
+    {
+        open_gate(state, model);
+        return false;
+    }
+    if (there && !state.weights.switching.contains(model) &&
+        !may_move(state, wanted, now, out))
+    {
+        return false;
+    }
+    close_gate(state, model);
+    if (runs_model(state, model))
+    {
+        return false;
+    }
+    send_order(state, order_kind::load, wanted, now, out);
+    return true;
+}
+
 // One order at a time: load what is assigned and whole, unload what is no
-// longer assigned. A model moves to another digest only between requests, so
-// that no answer comes from two versions.
+// longer assigned.
 void order_difference(state& state, base::time_point now, actions& out)
 {
     auto const* const part = own_part(state);
-    if (part == nullptr || state.weights.order || !state.self.service.empty())
+    if (part == nullptr || state.weights.order || !state.self.service.empty() ||
+        now < state.weights.order_not_before || !is_settled(state, now))
     {
         return;
     }
     for (auto const& wanted : part->models)
     {
-        auto const serving = state.weights.serving.find(wanted.model);
-        auto const there = serving != state.weights.serving.end();
-        if (there && serving->second == wanted.digest)
+        if (bring_to(state, wanted, now, out))
         {
-            continue;
-        }
-        if (weights::is_whole(state.weights.store, wanted.digest) &&
-            !(there && runs_model(state, wanted.model)))
-        {
-            send_order(state, order_kind::load, wanted, now, out);
             return;
         }
     }
@@ -76,7 +140,12 @@
     {
         auto const assigned = std::ranges::find(
             part->models, model, &control::assigned_model::model);
-        if (assigned == part->models.end() && !runs_model(state, model))
+        if (assigned != part->models.end())
+        {
+            continue;
+        }
+        close_gate(state, model);
+        if (!runs_model(state, model))
         {
             send_order(state, order_kind::unload, {model, digest}, now, out);
             return;
@@ -94,12 +163,18 @@
         });
 }
 
+bool is_ordered(state const& state, std::string const& digest)
+{
+    return state.weights.order && state.weights.order->order.digest == digest;
+}
+
 void release_unused(state& state, actions& out)
 {
     std::vector<std::string> unused;
     for (auto const& [digest, version] : state.weights.store.versions)
     {
-        if (!is_assigned(state, digest) && !is_serving(state, digest))
+        if (!is_assigned(state, digest) && !is_serving(state, digest) &&
+            !is_ordered(state, digest))
         {
             unused.push_back(digest);
         }
@@ -107,34 +182,74 @@
     for (auto const& digest : unused)
     {
         weights::remove_version(state.weights.store, digest);
+        state.weights.waits.erase(digest);
+        state.weights.passed.erase(digest);
         out.push_back(core::write_log{
             kernel::event_id::weights_released, {{"digest", digest}}});
     }
 }
 
+// Whether the engine's report shows the order's effect.
+bool took_effect(state const& state, order_engine const& order)
+{
+    auto const found = state.weights.serving.find(order.model);
+    auto const there = found != state.weights.serving.end();
+    return order.kind == order_kind::load
+               ? there && found->second == order.digest
+               : !there;
+}
+
 } // namespace
 
-void on_order_answered(state& state, order_answered const& answer, actions& out)
+void on_order_answered(
+    state& state,
+    order_answered const& answer,
+    base::time_point now,
+    actions& out)
 {
-    if (!state.weights.order ||
-        state.weights.order->order.order != answer.order)
+    auto& order = state.weights.order;
+    if (!order || order->order.order != answer.order)
     {
         return;
     }
-    // Whether it took effect is read from the engine's next report, so that a
-    // lost answer and a refusal end the same way.
-    state.weights.order.reset();
+    // Whether it took effect is read from the engine's reports, so that a lost
+    // answer and a refusal end the same way. The report that is on its way
+    // may be older than the effect; the one after it is not.
+    constexpr int reports_until_known = 2;
+    order->answered = true;
+    order->reports_awaited = reports_until_known;
     if (answer.failure)
     {
+        state.weights.order_not_before = now + refusal_pause;
         out.push_back(core::report_error{*answer.failure, {}});
     }
 }
 
+void on_engine_reported(state& state, endpoint_report const& report)
+{
+    auto& order = state.weights.order;
+    if (!order || !report.reachable)
+    {
+        return;
+    }
+    auto const settled = order->answered && --order->reports_awaited <= 0;
+    if (took_effect(state, order->order) || settled)
+    {
+        auto const model = order->order.model;
+        order.reset();
+        open_gate(state, model);
+    }
+}
+
 void on_activation_tick(state& state, base::time_point now, actions& out)
 {
+    // Failure: the order's answer is lost and so may be the order. The gate
+    // stays closed while it is not known which version will answer; the order
+    // is given again, and once more is harmless.
     auto& order = state.weights.order;
-    if (order && now - order->sent > order_timeout)
+    if (order && !order->answered && now - order->sent > order_timeout)
     {
+        out.push_back(core::count_retry{base::error_kind::endpoint_lost});
         order.reset();
     }
     order_difference(state, now, out);
--- a/libs/agent_core/src/agent_core.cpp
+++ b/libs/agent_core/src/agent_core.cpp
@@ -41,6 +41,12 @@
             state, peer, envelope.manifest_reply(), now, out);
     case body::kChunkHave:
         return on_chunk_have(state, peer, envelope.chunk_have(), now);
+    case body::kActivationQuery:
+        return on_activation_query(
+            state, peer, envelope.activation_query(), out);
+    case body::kActivationReply:
+        return on_activation_reply(
+            state, peer, envelope.activation_reply(), now);
     default:
         out.push_back(core::report_error{
             {base::error_kind::bad_frame, "no use for this message"},
@@ -91,11 +97,12 @@
     void operator()(endpoint_report const& event)
     {
         on_endpoint_report(this->core, event, this->out);
+        on_engine_reported(this->core, event);
     }
 
     void operator()(order_answered const& event)
     {
-        on_order_answered(this->core, event, this->out);
+        on_order_answered(this->core, event, this->now, this->out);
     }
 
     void operator()(origin_manifest const& event)
--- a/libs/agent_core/src/control_flow.cpp
+++ b/libs/agent_core/src/control_flow.cpp
@@ -27,6 +27,10 @@
     beat.set_engine_instance(gate.instance);
     for (auto const& [model, digest] : state.weights.serving)
     {
+        if (state.weights.switching.contains(model))
+        {
+            continue;
+        }
         auto* const loaded = beat.add_loaded();
         loaded->set_model(model);
         loaded->set_digest(digest);
--- a/libs/agent_core/src/flows.hpp
+++ b/libs/agent_core/src/flows.hpp
@@ -69,9 +69,25 @@
 
 // activation_flow.cpp
 void on_order_answered(
-    state& state, order_answered const& answer, actions& out);
+    state& state,
+    order_answered const& answer,
+    base::time_point now,
+    actions& out);
+void on_engine_reported(state& state, endpoint_report const& report);
 void on_activation_tick(state& state, base::time_point now, actions& out);
 
+// rollout_flow.cpp
+void on_activation_query(
+    state& state,
+    std::string const& peer,
+    wire::ActivationQuery const& query,
+    actions& out);
+void on_activation_reply(
+    state& state,
+    std::string const& peer,
+    wire::ActivationReply const& reply,
+    base::time_point now);
+
 // control_flow.cpp
 void on_configuration_push(
     state& state, wire::ConfigurationPush const& push, actions& out);
--- a/libs/agent_core/src/request_flow.cpp
+++ b/libs/agent_core/src/request_flow.cpp
@@ -40,6 +40,13 @@
 
 std::string serving_digest(state const& state, std::string const& model)
 {
+    // Failure: a request begins while the engine is ordered to another version
+    // and its answer comes from both. The gate stays closed from before the
+    // order until the engine has reported what it serves since.
+    if (state.weights.switching.contains(model))
+    {
+        return "";
+    }
     auto const found = state.weights.serving.find(model);
     return found == state.weights.serving.end() ? "" : found->second;
 }
--- a/libs/agent_core/src/transfer_flow.cpp
+++ b/libs/agent_core/src/transfer_flow.cpp
@@ -439,6 +439,10 @@
 
 void on_plan_changed(state& state, base::time_point now, actions& out)
 {
+    if (!state.weights.first_plan)
+    {
+        state.weights.first_plan = now;
+    }
     stop_unwanted_transfers(state, out);
     auto const* const part = own_part(state);
     if (part == nullptr || !state.self.service.empty())
--- a/libs/agent_core/src/weights_parts.hpp
+++ b/libs/agent_core/src/weights_parts.hpp
@@ -42,6 +42,14 @@
 // wait for it.
 void refuse_version(state& state, transfer& transfer, actions& out);
 
+// Whether this agent's engine may leave the version that it serves for the
+// wanted one now; asks those whose move it waits for.
+bool may_move(
+    state& state,
+    control::assigned_model const& wanted,
+    base::time_point now,
+    actions& out);
+
 // Sends what may be sent.
 void send_uploads(state& state, base::time_point now, actions& out);
 
--- a/libs/agent_core/tests/fake_fleet.cpp
+++ b/libs/agent_core/tests/fake_fleet.cpp
@@ -14,6 +14,7 @@
 
 constexpr std::uint32_t chunk_bytes = 64;
 constexpr milliseconds tick_time{20};
+constexpr milliseconds poll_time{200};
 constexpr milliseconds shortest_way{1};
 constexpr std::uint64_t jitter_ms = 3;
 
@@ -57,6 +58,7 @@
     machine.core.weights.store.capacity_bytes = 1U << 20U;
     machine.core.control.endpoint_reachable = true;
     this->tick(name);
+    this->poll(name);
 }
 
 void fake_fleet::offer(fake_version const& version)
@@ -84,24 +86,52 @@
 {
     for (auto const& domain : this->layout)
     {
-        control::domain_plan plan;
-        plan.failure_domain = domain.name;
-        plan.region = domain.region;
-        plan.version = this->plan_version;
-        for (auto const& [other, machine] : this->machines)
+        this->push_plan(name, domain, this->plan_version, this->assigned);
+    }
+}
+
+void fake_fleet::push_plan(
+    std::string const& name,
+    fake_domain const& domain,
+    std::uint64_t version,
+    std::vector<control::assigned_model> const& models)
+{
+    control::domain_plan plan;
+    plan.failure_domain = domain.name;
+    plan.region = domain.region;
+    plan.version = version;
+    for (auto const& [other, place] : this->machines)
+    {
+        if (place.core.self.failure_domain == domain.name)
         {
-            if (machine.core.self.failure_domain == domain.name)
-            {
-                plan.endpoints.push_back({other, other, this->assigned});
-            }
+            plan.endpoints.push_back({other, other, models});
         }
-        core::message_received message{"entry", {}};
-        auto* const push = message.envelope.mutable_plan_push();
-        push->set_failure_domain(domain.name);
-        push->set_version(plan.version);
-        push->set_document(to_text(plan));
-        this->handle(name, message);
     }
+    core::message_received message{"entry", {}};
+    auto* const push = message.envelope.mutable_plan_push();
+    push->set_failure_domain(domain.name);
+    push->set_version(plan.version);
+    push->set_document(to_text(plan));
+    this->handle(name, message);
+}
+
+std::vector<action>
+fake_fleet::give(std::string const& name, event const& input)
+{
+    return step(this->machines[name].core, input, this->now);
+}
+
+void fake_fleet::replace_agent(
+    std::string const& name,
+    std::string const& digest,
+    std::uint64_t old_version)
+{
+    auto const domain = std::ranges::find(
+        this->layout, this->machines[name].core.self.failure_domain,
+        &fake_domain::name);
+    this->add(name, *domain);
+    this->report(name);
+    this->push_plan(name, *domain, old_version, {{"m", digest}});
 }
 
 void fake_fleet::later(
@@ -123,6 +153,18 @@
         });
 }
 
+// Engines are asked for their state all the time.
+void fake_fleet::poll(std::string const& name)
+{
+    this->later(
+        name, poll_time,
+        [this, name]
+        {
+            this->report(name);
+            this->poll(name);
+        });
+}
+
 bool fake_fleet::run(milliseconds most, condition const& done)
 {
     auto const end = this->now + most;
--- a/libs/agent_core/tests/fake_fleet.hpp
+++ b/libs/agent_core/tests/fake_fleet.hpp
@@ -56,6 +56,18 @@
     // Gives every agent of every domain these models, at once.
     void assign(std::vector<control::assigned_model> const& models);
 
+    // Gives one agent an event now and returns what it did.
+    std::vector<action> give(std::string const& name, event const& input);
+
+    // Replaces the agent but not its engine; its first plan is this one.
+    void replace_agent(
+        std::string const& name,
+        std::string const& digest,
+        std::uint64_t old_version);
+
+    // Tells an agent the plans as they are.
+    void push_plans(std::string const& name);
+
     // Runs until the condition holds; false when the time is up first.
     bool run(std::chrono::milliseconds most, condition const& done = {});
 
@@ -125,13 +137,18 @@
     };
 
     void add(std::string const& name, fake_domain const& domain);
-    void push_plans(std::string const& name);
+    void push_plan(
+        std::string const& name,
+        fake_domain const& domain,
+        std::uint64_t version,
+        std::vector<control::assigned_model> const& models);
     void handle(std::string const& name, event const& input);
     void later(
         std::string const& name,
         std::chrono::milliseconds delay,
         std::function<void()> work);
     void tick(std::string const& name);
+    void poll(std::string const& name);
     void act(std::string const& name, core::send_message const& ordered);
     void act(std::string const& name, fetch_manifest const& ordered);
     void act(std::string const& name, fetch_chunk const& ordered);
