Let the entry's watch wait for the object, not the generation

Cause: the watch on release/current asked for versions above the configuration's generation; the platform counts versions over all objects, so the object's version is far above it and each watch returned at once and was asked again in the next tick. Seen in make capacity; ruled out: the stand-in (it answers as the object API's contract says) and failures (no answer failed).

A slope below zero is no longer extended on the page.

--- a/benchmarks/capacity/src/page.cpp
+++ b/benchmarks/capacity/src/page.cpp
@@ -2,6 +2,7 @@
 
 #include "fleet_shape.hpp"
 
+#include <algorithm>
 #include <cmath>
 #include <cstdio>
 #include <limits>
@@ -22,7 +23,6 @@
 constexpr double platform_writes_limit = 300;
 constexpr double target_requests = 1200;
 constexpr double target_tokens = 480'000;
-// Share of the target's size above which a trial of the size has been run.
 constexpr double no_limit = std::numeric_limits<double>::infinity();
 
 std::string format(double value)
@@ -169,6 +169,22 @@
     std::string source;
 };
 
+// Sum of the highest figures of the parts, at whatever size.
+double highest(samples const& all, quantity const& of)
+{
+    double sum = 0;
+    for (auto const& part : of.parts)
+    {
+        double most = 0;
+        for (auto const& next : all)
+        {
+            most = next.name == part ? std::max(most, next.value) : most;
+        }
+        sum += most;
+    }
+    return sum;
+}
+
 target_value value_of(samples const& all, quantity const& of, slope const& line)
 {
     target_value found;
@@ -182,11 +198,17 @@
         sum += measured(all, part, target_endpoints);
     }
     found.source = "measured at this size";
-    if (std::isnan(sum))
+    if (std::isnan(sum) && line.each > 0)
     {
         sum = value_at(line, target_endpoints);
         found.source = "extended along the slope";
     }
+    else if (std::isnan(sum))
+    {
+        // A slope below zero is noise: extended it would end below nothing.
+        sum = highest(all, of);
+        found.source = "highest measured; does not grow";
+    }
     found.value = sum * of.times;
     return found;
 }
--- a/libs/entry_core/include/entry_core/entry_core.hpp
+++ b/libs/entry_core/include/entry_core/entry_core.hpp
@@ -90,6 +90,8 @@
 struct control_state
 {
     release::configuration configuration;
+    // Version of the release's object that was last answered.
+    std::uint64_t release_object_version = 0;
     control::membership members;
     std::map<std::string, endpoint_view> endpoints;
     // Plans by failure domain, and the object version of our own.
--- a/libs/entry_core/src/control_flow.cpp
+++ b/libs/entry_core/src/control_flow.cpp
@@ -118,6 +118,7 @@
         return;
     }
     next = now;
+    state.control.release_object_version = answer.version;
     auto parsed = release::parse_configuration(answer.value);
     if (!parsed)
     {
@@ -364,7 +365,7 @@
         state, call_purpose::release_watch,
         {.method = core::platform_method::watch,
          .path = core::release_path,
-         .expected = state.control.configuration.generation,
+         .expected = state.control.release_object_version,
          .wait = watch_length},
         now, out);
     call_when_due(
