Refuse and count what cannot be read before the core sees it

Cause: faults found in the caller server (wrong JSON, too large, no such path) were answered but not counted, and a head that could not be read got POCO's empty 400, unseen by anybody. A server that ended cut off busy connections, and one that closed with bytes unread was reset before its refusal was read (seen in the new test as 'Connection reset by peer').

The HTTP server now has its own connection class on POCO's session: it hands bad heads to the owner, knows busy connections from waiting ones, and can drain. Ruled out: POCO's HTTPServerConnection, whose error answer cannot be replaced.

--- a/libs/http/include/http/http_server.hpp
+++ b/libs/http/include/http/http_server.hpp
@@ -4,6 +4,7 @@
 #include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/Net/HTTPServerResponse.h>
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -16,8 +17,9 @@
 
 namespace Poco::Net
 {
-class HTTPServer;
-}
+class ServerSocket;
+class TCPServer;
+} // namespace Poco::Net
 
 namespace foxtailvale::http
 {
@@ -25,6 +27,15 @@
 using server_handler = std::function<void(
     Poco::Net::HTTPServerRequest&, Poco::Net::HTTPServerResponse&)>;
 
+// Answers a head that cannot be read: what is wrong with it and the caller's
+// IP. The connection ends after it.
+using bad_head_handler = std::function<void(
+    std::string const& what,
+    std::string const& caller,
+    Poco::Net::HTTPServerResponse&)>;
+
+class connection_table;
+
 // Where a server listens and how many connections it works on at once.
 struct server_options
 {
@@ -38,14 +49,25 @@
 class server
 {
 public:
-    server(server_options const& options, server_handler handler);
+    // Throws std::runtime_error with the address when it cannot listen there.
+    server(
+        server_options const& options,
+        server_handler handler,
+        bad_head_handler bad_head = {});
+    // Ends all connections, also busy ones.
     ~server();
     server(server const&) = delete;
     server& operator=(server const&) = delete;
 
+    // Stops listening, ends waiting connections and waits until the busy ones
+    // are answered; false when the time is over first.
+    bool drain(std::chrono::milliseconds most);
+
 private:
+    std::shared_ptr<connection_table> table;
     std::unique_ptr<Poco::ThreadPool> threads;
-    std::unique_ptr<Poco::Net::HTTPServer> listener;
+    std::unique_ptr<Poco::Net::ServerSocket> socket;
+    std::unique_ptr<Poco::Net::TCPServer> listener;
 };
 
 // Reads a request's body up to the limit; false when it is longer.
--- /dev/null
+++ b/libs/http/src/connection.hpp
@@ -0,0 +1,113 @@
+#ifndef FOXTAILVALE_HTTP_CONNECTION_HPP
+#define FOXTAILVALE_HTTP_CONNECTION_HPP
+
+#include <Poco/Net/HTTPServerParams.h>
+#include <Poco/Net/StreamSocket.h>
+#include <Poco/Net/TCPServerConnection.h>
+#include <Poco/Net/TCPServerConnectionFactory.h>
+#include <http/http_server.hpp>
+
+#include <chrono>
+#include <condition_variable>
+#include <map>
+#include <memory>
+#include <mutex>
+
+namespace Poco::Net
+{
+class HTTPServerSession;
+}
+
+namespace foxtailvale::http
+{
+
+class connection;
+
+// The open connections of one server, so that a stop can tell those that wait
+// for a request from those that are being answered. Safe from any thread.
+class connection_table
+{
+public:
+    void add(connection const& owner, Poco::Net::StreamSocket const& socket);
+    void remove(connection const& owner);
+
+    // Marks the connection as answering a request, or as waiting for one.
+    void set_busy(connection const& owner, bool busy);
+
+    // Whether the server is stopping: an answer then ends its connection.
+    bool is_stopping();
+
+    // Ends the connections that wait; those that are busy go on.
+    void stop();
+
+    // Waits until no connection is busy; false when the time is over first.
+    bool wait_idle(std::chrono::milliseconds most);
+
+    // Ends all connections, also busy ones.
+    void abort();
+
+private:
+    struct entry
+    {
+        Poco::Net::StreamSocket socket;
+        bool busy = false;
+    };
+
+    bool has_busy() const;
+
+    std::mutex mutex;
+    std::condition_variable changed;
+    std::map<connection const*, entry> open;
+    bool stopping = false;
+};
+
+// What all connections of a server share.
+struct connection_context
+{
+    server_handler handler;
+    bad_head_handler bad_head;
+    Poco::Net::HTTPServerParams::Ptr params;
+    std::shared_ptr<connection_table> table;
+};
+
+// One HTTP connection: reads requests and answers them one after another.
+// POCO's own connection class answers a head that it cannot read with an empty
+// page and nobody counts it; this one hands it to the server's owner.
+class connection : public Poco::Net::TCPServerConnection
+{
+public:
+    connection(
+        Poco::Net::StreamSocket const& socket,
+        std::shared_ptr<connection_context const> shared);
+    ~connection() override;
+    connection(connection const&) = delete;
+    connection& operator=(connection const&) = delete;
+
+    void run() override;
+
+private:
+    // False when there is no further request to read.
+    bool answer_one(Poco::Net::HTTPServerSession& session);
+    void
+    answer_bad_head(Poco::Net::HTTPServerSession& session, std::string what);
+
+    std::shared_ptr<connection_context const> shared;
+};
+
+// Makes connections for POCO's TCP server.
+class connection_factory : public Poco::Net::TCPServerConnectionFactory
+{
+public:
+    explicit connection_factory(
+        std::shared_ptr<connection_context const> shared);
+
+    Poco::Net::TCPServerConnection*
+    createConnection(Poco::Net::StreamSocket const& socket) override;
+
+private:
+    std::shared_ptr<connection_context const> shared;
+};
+
+} // namespace foxtailvale::http
+
+#endif
--- a/libs/http/src/http_server.cpp
+++ b/libs/http/src/http_server.cpp
@@ -1,9 +1,8 @@
-#include <Poco/Net/HTTPRequestHandler.h>
-#include <Poco/Net/HTTPRequestHandlerFactory.h>
-#include <Poco/Net/HTTPServer.h>
-#include <Poco/Net/HTTPServerParams.h>
+#include "connection.hpp"
+
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/TCPServer.h>
 #include <Poco/ThreadPool.h>
 #include <http/http_server.hpp>
 
@@ -11,6 +10,7 @@
 #include <array>
 #include <istream>
 #include <ostream>
+#include <stdexcept>
 
 namespace foxtailvale::http
 {
@@ -25,67 +25,60 @@
 constexpr int most_waiting_connections = 1024;
 constexpr int idle_thread_seconds = 60;
 
-class function_handler : public Poco::Net::HTTPRequestHandler
+Poco::Net::ServerSocket listen_at(server_options const& options)
 {
-public:
-    explicit function_handler(server_handler const& target) : handler(target)
-    {
-    }
-
-    void handleRequest(
-        Poco::Net::HTTPServerRequest& request,
-        Poco::Net::HTTPServerResponse& response) override
+    Poco::Net::SocketAddress const address(options.address, options.port);
+    try
     {
-        this->handler(request, response);
+        return {address, most_waiting_connections};
     }
-
-private:
-    server_handler const& handler;
-};
-
-class function_factory : public Poco::Net::HTTPRequestHandlerFactory
-{
-public:
-    explicit function_factory(server_handler target)
-        : handler(std::move(target))
+    catch (Poco::Exception const& fault)
     {
+        throw std::runtime_error(
+            "cannot listen at " + address.toString() + ": " +
+            fault.displayText());
     }
-
-    Poco::Net::HTTPRequestHandler* createRequestHandler(
-        Poco::Net::HTTPServerRequest const& /*request*/) override
-    {
-        return new function_handler(this->handler);
-    }
-
-private:
-    server_handler handler;
-};
+}
 
 } // namespace
 
-server::server(server_options const& options, server_handler handler)
-    : threads(std::make_unique<Poco::ThreadPool>(
+server::server(
+    server_options const& options,
+    server_handler handler,
+    bad_head_handler bad_head)
+    : table(std::make_shared<connection_table>()),
+      threads(std::make_unique<Poco::ThreadPool>(
           1, options.most_threads, idle_thread_seconds, stack_bytes))
 {
     Poco::Net::HTTPServerParams::Ptr params = new Poco::Net::HTTPServerParams;
     params->setMaxThreads(options.most_threads);
     params->setMaxQueued(most_waiting_connections);
     params->setKeepAlive(true);
-    Poco::Net::ServerSocket const socket(
-        Poco::Net::SocketAddress(options.address, options.port),
-        most_waiting_connections);
-    this->listener = std::make_unique<Poco::Net::HTTPServer>(
-        new function_factory(std::move(handler)), *this->threads, socket,
-        params);
+    auto const shared = std::make_shared<connection_context>(connection_context{
+        std::move(handler), std::move(bad_head), params, this->table});
+    this->socket =
+        std::make_unique<Poco::Net::ServerSocket>(listen_at(options));
+    this->listener = std::make_unique<Poco::Net::TCPServer>(
+        new connection_factory(shared), *this->threads, *this->socket, params);
     this->listener->start();
 }
 
 server::~server()
 {
-    this->listener->stopAll(true);
+    this->listener->stop();
+    this->table->abort();
     this->threads->joinAll();
 }
 
+bool server::drain(std::chrono::milliseconds most)
+{
+    this->listener->stop();
+    // POCO leaves it open; callers would be let in and never answered.
+    this->socket->close();
+    this->table->stop();
+    return this->table->wait_idle(most);
+}
+
 bool read_body(
     Poco::Net::HTTPServerRequest& request,
     std::uint64_t most_bytes,
--- a/libs/node/src/caller_server.cpp
+++ b/libs/node/src/caller_server.cpp
@@ -186,9 +186,10 @@
     event_loop& owner,
     release::entry_settings const& options,
     handler receive,
+    fault_handler report,
     model_list list)
     : loop(owner), settings(options), receiver(std::move(receive)),
-      models(std::move(list))
+      reporter(std::move(report)), models(std::move(list))
 {
     this->listener = std::make_unique<http::server>(
         http::server_options{
@@ -198,10 +199,41 @@
             Poco::Net::HTTPServerResponse& response)
         {
             this->answer(request, response);
+        },
+        [this](
+            std::string const& what, std::string const& caller,
+            Poco::Net::HTTPServerResponse& response)
+        {
+            this->refuse(
+                response,
+                {base::error_kind::malformed_request, "HTTP head: " + what},
+                caller);
         });
 }
 
-caller_server::~caller_server() = default;
+// The listener's threads use the other members.
+caller_server::~caller_server()
+{
+    this->listener.reset();
+}
+
+bool caller_server::drain(std::chrono::milliseconds most)
+{
+    return this->listener->drain(most);
+}
+
+void caller_server::refuse(
+    Poco::Net::HTTPServerResponse& response,
+    base::error error,
+    std::string const& caller)
+{
+    send_problem(response, error);
+    this->loop.post(
+        [this, error = std::move(error), caller]
+        {
+            this->reporter(error, caller);
+        });
+}
 
 void caller_server::answer(
     Poco::Net::HTTPServerRequest& request,
@@ -212,21 +244,23 @@
         this->answer_models(response);
         return;
     }
+    auto const caller = request.clientAddress().host().toString();
     auto raw = read_raw(request);
     if (!http::read_body(request, this->settings.most_body_bytes, raw.body))
     {
         response.setKeepAlive(false);
-        send_problem(
+        auto const limit = std::to_string(this->settings.most_body_bytes);
+        this->refuse(
             response,
             {base::error_kind::request_too_large,
-             "at most " + std::to_string(this->settings.most_body_bytes) +
-                 " bytes"});
+             "at most " + limit + " bytes"},
+            caller);
         return;
     }
     auto read = read_caller_request(std::move(raw), this->settings);
     if (!read)
     {
-        send_problem(response, read.error());
+        this->refuse(response, read.error(), caller);
         return;
     }
     this->run_session(std::move(read.value()), response);
--- a/libs/node/src/entry_node.cpp
+++ b/libs/node/src/entry_node.cpp
@@ -162,6 +162,10 @@
         std::make_shared<platform_client>(loop, node.platform, handle);
     auto const callers = std::make_shared<caller_server>(
         loop, settings, handle,
+        [&driver](base::error const& error, std::string const& caller)
+        {
+            driver->report_fault(error, "caller " + caller);
+        },
         [&driver]
         {
             return driver->models();
--- /dev/null
+++ b/libs/node/tests/caller_server_tests.cpp
@@ -0,0 +1,281 @@
+#include "test_address.hpp"
+
+#include <node/caller_server.hpp>
+
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
+#include <gtest/gtest.h>
+#include <http/http_client.hpp>
+#include <nlohmann/json.hpp>
+
+#include <array>
+#include <atomic>
+#include <thread>
+
+namespace foxtailvale::node
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+constexpr std::uint16_t port = 46110;
+constexpr std::size_t most_body = 4096;
+
+release::entry_settings settings()
+{
+    release::entry_settings made;
+    made.node.address = testing::own_address();
+    made.caller_port = port;
+    made.most_body_bytes = most_body;
+    made.default_deadline = std::chrono::milliseconds(5000);
+    made.longest_deadline = std::chrono::milliseconds(5000);
+    return made;
+}
+
+// A caller server with its loop. A request for the service "slow" is held
+// after its first piece; any other is answered at once.
+class served : public ::testing::Test
+{
+protected:
+    served()
+        : server(
+              this->loop,
+              settings(),
+              [this](entry_core::event event)
+              {
+                  this->take(event);
+              },
+              [this](base::error const& error, std::string const& caller)
+              {
+                  EXPECT_FALSE(caller.empty());
+                  this->faults.push_back(error.kind);
+              },
+              []
+              {
+                  return std::string("{}");
+              }),
+          runner(
+              [this]
+              {
+                  this->loop.run();
+              })
+    {
+    }
+
+    ~served() override
+    {
+        this->stop();
+    }
+
+    // After this the test may read what the loop's thread wrote.
+    void stop()
+    {
+        if (this->runner.joinable())
+        {
+            this->loop.stop();
+            this->runner.join();
+        }
+    }
+
+    void take(entry_core::event const& event)
+    {
+        auto const* const request =
+            std::get_if<entry_core::caller_request>(&event);
+        if (request == nullptr)
+        {
+            return;
+        }
+        if (request->service == "slow")
+        {
+            this->deliver(request->caller, "data: one\n\n", false);
+            this->held = request->caller;
+            return;
+        }
+        this->deliver(request->caller, "whole", true);
+    }
+
+    void deliver(entry_core::caller_handle caller, std::string body, bool last)
+    {
+        entry_core::reply piece;
+        piece.caller = caller;
+        piece.status = 200;
+        piece.content_type = last ? "text/plain" : "text/event-stream";
+        piece.body = std::move(body);
+        piece.last = last;
+        this->server.deliver(std::move(piece));
+    }
+
+    http::request ask(std::string path, std::string body) const
+    {
+        http::request made;
+        made.base =
+            "http://" + testing::own_address() + ":" + std::to_string(port);
+        made.method = "POST";
+        made.path = std::move(path);
+        made.body = std::move(body);
+        made.headers["X-Workspace"] = "split";
+        made.timeout = std::chrono::milliseconds(5000);
+        return made;
+    }
+
+    // Sends bytes as they are and reads until the server closes.
+    std::string exchange(std::string const& bytes) const
+    {
+        Poco::Net::StreamSocket socket(
+            Poco::Net::SocketAddress(testing::own_address(), port));
+        socket.setReceiveTimeout(Poco::Timespan(5, 0));
+        socket.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+        std::string text;
+        std::array<char, 1024> piece{};
+        while (true)
+        {
+            auto const count = socket.receiveBytes(
+                piece.data(), static_cast<int>(piece.size()));
+            if (count <= 0)
+            {
+                return text;
+            }
+            text.append(piece.data(), static_cast<std::size_t>(count));
+        }
+    }
+
+    void expect_refused(http::request const& request, char const* name)
+    {
+        auto const answer = http::call(request);
+        ASSERT_TRUE(answer.has_value()) << name;
+        EXPECT_EQ(answer.value().content_type, "application/problem+json");
+        auto const problem = json::parse(answer.value().body);
+        auto const& row = base::row_of(base::kind_named(name));
+        EXPECT_EQ(
+            problem["type"], "urn:foxtailvale:problem:" + std::string(name));
+        EXPECT_EQ(problem["ran"], "no");
+        EXPECT_FALSE(problem["detail"].get<std::string>().empty());
+        EXPECT_EQ(static_cast<int>(answer.value().status), row.status);
+        EXPECT_GE(answer.value().status, 400U);
+        EXPECT_LT(answer.value().status, 500U);
+    }
+
+    event_loop loop;
+    // The caller whose answer was begun and not ended.
+    std::atomic<entry_core::caller_handle> held{0};
+    std::vector<base::error_kind> faults;
+    caller_server server;
+    std::thread runner;
+};
+
+constexpr char const* chat_path = "/v1/chat/completions";
+
+} // namespace
+
+// A caller's program is wrong: the body is no JSON, lacks a field, is too
+// large, or goes to a path that is none. Each is told which of these it was and
+// that nothing ran; each is counted, and the next good request is served.
+TEST_F(served, faults_before_the_core_are_named_and_counted)
+{
+    using base::error_kind;
+    this->expect_refused(this->ask(chat_path, "{"), "malformed_request");
+    this->expect_refused(this->ask(chat_path, "[]"), "malformed_request");
+    this->expect_refused(
+        this->ask(chat_path, R"({"model": 3, "messages": []})"),
+        "malformed_request");
+    this->expect_refused(
+        this->ask(chat_path, R"({"model": "a", "messages": "b"})"),
+        "malformed_request");
+    this->expect_refused(
+        this->ask(chat_path, std::string(most_body + 1, 'x')),
+        "request_too_large");
+    this->expect_refused(this->ask("/nowhere", ""), "unknown_service");
+    auto late = this->ask("/services/booking/", "");
+    late.headers["X-Deadline-Ms"] = "soon";
+    this->expect_refused(late, "malformed_request");
+    auto const good = http::call(this->ask("/services/booking/", "{}"));
+    EXPECT_EQ(good.value().body, "whole");
+    this->stop();
+    std::vector<error_kind> const wanted{
+        error_kind::malformed_request, error_kind::malformed_request,
+        error_kind::malformed_request, error_kind::malformed_request,
+        error_kind::request_too_large, error_kind::unknown_service,
+        error_kind::malformed_request};
+    EXPECT_EQ(this->faults, wanted);
+}
+
+// Something that does not speak HTTP, or sends a head without end, connects to
+// the callers' port. It gets a clear refusal instead of an empty page, and the
+// process goes on.
+TEST_F(served, heads_that_cannot_be_read_are_refused)
+{
+    auto const huge = std::string(20'000, 'a');
+    std::vector<std::string> const heads{
+        std::string("\x16\x03\x01\x02\r\n\r\n"),
+        "GET /" + huge + " HTTP/1.1\r\n\r\n",
+        "POST /services/a/ HTTP/1.1\r\nX-Long: " + huge + "\r\n\r\n"};
+    for (auto const& head : heads)
+    {
+        auto const text = this->exchange(head);
+        EXPECT_TRUE(text.starts_with("HTTP/1.1 400")) << text;
+        EXPECT_NE(text.find("application/problem+json"), std::string::npos);
+        EXPECT_NE(text.find("\"ran\":\"no\""), std::string::npos) << text;
+    }
+    auto const good = http::call(this->ask("/services/booking/", "{}"));
+    EXPECT_EQ(good.value().body, "whole");
+    this->stop();
+    EXPECT_EQ(this->faults.size(), heads.size());
+}
+
+// An entry is stopped while a caller reads a long answer. Until the last byte
+// is written the connection must stay; a fresh one is not accepted any more.
+TEST_F(served, a_drain_waits_for_the_last_byte)
+{
+    std::thread stopper;
+    std::string text;
+    auto drained = false;
+    auto const answer = http::stream(
+        this->ask("/services/slow/", ""),
+        [&](http::response const& /*head*/, std::string const& piece)
+        {
+            text += piece;
+            if (stopper.joinable())
+            {
+                return true;
+            }
+            stopper = std::thread(
+                [&]
+                {
+                    drained =
+                        this->server.drain(std::chrono::milliseconds(5000));
+                });
+            // The drain has begun when nobody listens any more.
+            while (http::call(this->ask("/services/booking/", "{}")))
+            {
+                std::this_thread::yield();
+            }
+            this->deliver(this->held, "data: two\n\n", true);
+            return true;
+        });
+    stopper.join();
+    EXPECT_TRUE(answer.has_value());
+    EXPECT_EQ(text, "data: one\n\ndata: two\n\n");
+    EXPECT_TRUE(drained);
+}
+
+// A caller stops reading, or the core never answers. The drain of a stopping
+// entry says so in time instead of waiting for ever.
+TEST_F(served, a_drain_gives_up_in_time)
+{
+    std::thread caller(
+        [this]
+        {
+            static_cast<void>(http::call(this->ask("/services/slow/", "")));
+        });
+    while (this->held == 0)
+    {
+        std::this_thread::yield();
+    }
+    EXPECT_FALSE(this->server.drain(std::chrono::milliseconds(20)));
+    this->deliver(this->held, "", true);
+    caller.join();
+}
+
+} // namespace foxtailvale::node
