A stopping process serves through the balancer's lag and loses no last answer

Cause: on SIGTERM an entry refused at once what the balancer still sent, and cut off answers that were being written; an agent could end with its last answer in ZeroMQ's queue (linger 0), or before a frame on its way to it was refused.

Now both cores share one drain decision (core/drain.hpp): readiness and the leaving heartbeat go first, new work is taken through a grace (stop_grace_ms), then refused as not run, and the process ends after a quiet time without work. The entry then writes its last bytes off the loop's thread before it ends.

--- a/libs/agent_core/include/agent_core/agent_core.hpp
+++ b/libs/agent_core/include/agent_core/agent_core.hpp
@@ -11,6 +11,8 @@
 #include <weights/source_book.hpp>
 #include <weights/upload_queue.hpp>
 
+#include <core/drain.hpp>
+
 #include <map>
 #include <set>
 #include <string>
@@ -30,6 +32,7 @@
     std::string region;
     // Name of the plain service behind it; empty for an engine.
     std::string service;
+    core::drain_limits drain_limits;
 };
 
 // An attempt that the endpoint runs.
@@ -129,6 +132,7 @@
     std::map<std::string, listener> listeners;
     base::time_point last_heartbeat;
     bool stopping = false;
+    core::drain drain;
     bool endpoint_reachable = false;
     bool endpoint_cold = true;
 };
--- a/libs/agent_core/src/agent_core.cpp
+++ b/libs/agent_core/src/agent_core.cpp
@@ -73,19 +73,17 @@
         on_transfer_tick(this->core, this->now, this->out);
         on_upload_tick(this->core, this->now, this->out);
         on_activation_tick(this->core, this->now, this->out);
-        check_drained(this->core, this->out);
+        check_drained(this->core, this->now, this->out);
     }
 
     void operator()(core::stop_requested const& /*event*/)
     {
         on_stop(this->core, this->now, this->out);
-        check_drained(this->core, this->out);
     }
 
     void operator()(work_output const& event)
     {
         on_work_output(this->core, event, this->out);
-        check_drained(this->core, this->out);
     }
 
     void operator()(endpoint_report const& event)
--- a/libs/agent_core/src/control_flow.cpp
+++ b/libs/agent_core/src/control_flow.cpp
@@ -219,6 +219,7 @@
 void on_stop(state& state, base::time_point now, actions& out)
 {
     state.control.stopping = true;
+    core::begin_drain(state.control.drain, now);
     state.requests.gate.leaving = true;
     out.push_back(core::write_log{kernel::event_id::process_stopping, {}});
     send_heartbeats(state, now, out);
--- a/libs/agent_core/src/flows.hpp
+++ b/libs/agent_core/src/flows.hpp
@@ -16,7 +16,7 @@
 void on_cancel(state& state, wire::Cancel const& cancel, actions& out);
 void on_work_output(state& state, work_output const& output, actions& out);
 void on_release_changed(state& state);
-void check_drained(state& state, actions& out);
+void check_drained(state& state, base::time_point now, actions& out);
 
 // transfer_flow.cpp
 void on_plan_changed(state& state, base::time_point now, actions& out);
--- a/libs/agent_core/src/request_flow.cpp
+++ b/libs/agent_core/src/request_flow.cpp
@@ -154,9 +154,11 @@
     }
 }
 
-void check_drained(state& state, actions& out)
+void check_drained(state& state, base::time_point now, actions& out)
 {
-    if (state.control.stopping && state.requests.running.empty())
+    auto const busy = !state.requests.running.empty();
+    if (core::advance_drain(
+            state.control.drain, state.self.drain_limits, busy, now))
     {
         out.push_back(core::stop_finished{});
     }
--- a/libs/entry_core/include/entry_core/entry_core.hpp
+++ b/libs/entry_core/include/entry_core/entry_core.hpp
@@ -8,6 +8,8 @@
 #include <entry_core/events.hpp>
 #include <release/configuration.hpp>
 
+#include <core/drain.hpp>
+
 #include <map>
 #include <optional>
 #include <set>
@@ -27,6 +29,7 @@
     std::string failure_domain;
     std::string region;
     std::uint32_t most_requests = 2048;
+    core::drain_limits drain_limits;
 };
 
 // An endpoint as its agent last reported it.
@@ -105,6 +108,7 @@
     std::set<std::string> connected;
     base::time_point last_hello;
     bool stopping = false;
+    core::drain drain;
 };
 
 struct state
--- a/libs/entry_core/src/entry_core.cpp
+++ b/libs/entry_core/src/entry_core.cpp
@@ -43,7 +43,6 @@
     void operator()(core::message_received const& event)
     {
         on_message(this->core, event, this->now, this->out);
-        check_drained(this->core, this->out);
     }
 
     void operator()(core::send_failed const& event)
@@ -56,15 +55,15 @@
         on_control_tick(this->core, this->now, this->out);
         on_planner_tick(this->core, this->now, this->out);
         on_request_tick(this->core, this->now, this->out);
-        check_drained(this->core, this->out);
+        check_drained(this->core, this->now, this->out);
     }
 
     void operator()(core::stop_requested const& /*event*/)
     {
         this->core.control.stopping = true;
+        core::begin_drain(this->core.control.drain, this->now);
         this->out.push_back(
             core::write_log{kernel::event_id::process_stopping, {}});
-        check_drained(this->core, this->out);
     }
 
     void operator()(core::platform_answer const& event)
--- a/libs/entry_core/src/flows.hpp
+++ b/libs/entry_core/src/flows.hpp
@@ -32,7 +32,7 @@
 void on_endpoint_lost(
     state& state, std::string const& agent, base::time_point now, actions& out);
 void on_request_tick(state& state, base::time_point now, actions& out);
-void check_drained(state& state, actions& out);
+void check_drained(state& state, base::time_point now, actions& out);
 
 // control_flow.cpp
 void on_heartbeat(
--- a/libs/entry_core/src/request_flow.cpp
+++ b/libs/entry_core/src/request_flow.cpp
@@ -32,7 +32,7 @@
 {
     using base::error_kind;
     auto const& configuration = state.control.configuration;
-    if (state.control.stopping)
+    if (state.control.drain.refuses)
     {
         return base::error{error_kind::entry_stopping, {}};
     }
@@ -405,9 +405,11 @@
     }
 }
 
-void check_drained(state& state, actions& out)
+void check_drained(state& state, base::time_point now, actions& out)
 {
-    if (state.control.stopping && state.requests.open.empty())
+    auto const busy = !state.requests.open.empty();
+    if (core::advance_drain(
+            state.control.drain, state.self.drain_limits, busy, now))
     {
         out.push_back(core::stop_finished{});
     }
--- a/libs/node/include/node/peer_bus.hpp
+++ b/libs/node/include/node/peer_bus.hpp
@@ -44,6 +44,11 @@
     // leave and never will.
     base::result<void> send(std::string const& peer, wire::Envelope envelope);
 
+    // From now on the end of the bus waits a moment for frames that are on
+    // their way. Failure: an agent ends right after its last answer; dropped in
+    // the transport's queue, that answer would be lost to its caller.
+    void flush_on_close();
+
 private:
     void receive_all(zmq::socket_t& socket);
     void receive_one(std::string peer, zmq::message_t const& frame);
--- a/libs/node/src/agent_node.cpp
+++ b/libs/node/src/agent_node.cpp
@@ -56,6 +56,7 @@
         this->core.self = {
             settings.node.name, settings.node.failure_domain,
             settings.node.region, settings.service};
+        this->core.self.drain_limits.grace = settings.node.stop_grace;
         this->core.random.value = base::entropy_seed();
         this->core.weights.store.capacity_bytes = settings.spool_bytes;
         set_pace(this->core.weights, settings);
@@ -230,6 +231,7 @@
     }
     kernel::log_event(kernel::event_id::process_started);
     loop.run();
+    bus->flush_on_close();
     services.stop_all();
     kernel::log_event(kernel::event_id::process_stopped);
     driver->attach(nullptr, nullptr, nullptr);
--- a/libs/node/src/entry_node.cpp
+++ b/libs/node/src/entry_node.cpp
@@ -18,6 +18,8 @@
 {
 
 constexpr std::chrono::milliseconds tick_interval{20};
+// For how long a stopping entry waits for callers that read slowly.
+constexpr std::chrono::milliseconds last_answers_limit{30'000};
 constexpr std::uint16_t operator_threads = 4;
 
 // The entry's core between its adapters. All of it lives on the loop's thread.
@@ -41,6 +43,7 @@
         this->core.self = {
             settings.node.name, settings.node.failure_domain,
             settings.node.region, settings.most_requests};
+        this->core.self.drain_limits.grace = settings.node.stop_grace;
         this->core.random.value = base::entropy_seed();
     }
 
@@ -99,7 +102,17 @@
 
     void operator()(core::stop_finished& /*action*/)
     {
-        this->loop.stop();
+        if (this->closing)
+        {
+            return;
+        }
+        this->closing = true;
+        this->closer.run(
+            [this, server = this->callers]
+            {
+                server->drain(last_answers_limit);
+                this->loop.stop();
+            });
     }
 
     void operator()(core::platform_call& action)
@@ -124,6 +137,9 @@
     std::shared_ptr<platform_client> platform;
     std::shared_ptr<caller_server> callers;
     std::shared_ptr<operator_server> operator_port;
+    // Waits for the last bytes to callers, which the loop must not do.
+    bool closing = false;
+    worker_pool closer{1};
 };
 
 } // namespace
--- a/libs/node/src/peer_bus.cpp
+++ b/libs/node/src/peer_bus.cpp
@@ -17,6 +17,9 @@
 // way per peer well below it; past it a send fails rather than waits.
 constexpr int queue_length = 10'000;
 
+// How long the end of a process may wait for its last frames.
+constexpr int flush_milliseconds = 1000;
+
 void configure(zmq::socket_t& socket, std::string const& name)
 {
     socket.set(zmq::sockopt::routing_id, name);
@@ -152,6 +155,12 @@
     return base::fail(base::error_kind::peer_unreachable, peer);
 }
 
+void peer_bus::flush_on_close()
+{
+    this->inbound.set(zmq::sockopt::linger, flush_milliseconds);
+    this->outbound.set(zmq::sockopt::linger, flush_milliseconds);
+}
+
 void peer_bus::receive_all(zmq::socket_t& socket)
 {
     while (true)
--- a/libs/release/include/release/settings.hpp
+++ b/libs/release/include/release/settings.hpp
@@ -34,6 +34,8 @@
     std::string platform;
     std::string log_level = "INFO";
     std::vector<address_rewrite> rewrites;
+    // For how long a stopping process still takes new work.
+    std::chrono::milliseconds stop_grace{0};
 };
 
 struct entry_settings
--- a/libs/release/src/settings.cpp
+++ b/libs/release/src/settings.cpp
@@ -12,6 +12,11 @@
 constexpr std::uint64_t lowest_port = 1;
 constexpr std::uint64_t highest_port = 65535;
 constexpr std::uint64_t highest_mbit = 1'000'000;
+// The balancer polls readiness every second or so; entries hear of a leaving
+// agent by its next heartbeat.
+constexpr milliseconds entry_stop_grace{2000};
+constexpr milliseconds agent_stop_grace{1000};
+constexpr milliseconds longest_grace{60'000};
 constexpr std::uint64_t mebibyte = 1024U * 1024U;
 
 std::uint16_t read_port(object_reader& reader, std::string_view key)
@@ -30,7 +35,7 @@
     return text;
 }
 
-node_settings read_node(object_reader& reader)
+node_settings read_node(object_reader& reader, milliseconds stop_grace)
 {
     node_settings node;
     node.name = reader.text("name");
@@ -40,6 +45,8 @@
     node.peer_port = read_port(reader, "peer_port");
     node.operator_port = read_port(reader, "operator_port");
     node.platform = read_base_address(reader, "platform");
+    node.stop_grace = reader.milliseconds_or(
+        "stop_grace_ms", stop_grace, milliseconds(0), longest_grace);
     node.log_level = reader.text_or("log_level", node.log_level);
     for (std::size_t index = 0; index < reader.size("address_rewrites");
          ++index)
@@ -57,7 +64,7 @@
 {
     object_reader reader(source, "", source.faults);
     entry_settings settings;
-    settings.node = read_node(reader);
+    settings.node = read_node(reader, entry_stop_grace);
     settings.caller_port = read_port(reader, "caller_port");
     settings.most_requests = static_cast<std::uint32_t>(
         reader.number_or("most_requests", settings.most_requests, 1, 100'000));
@@ -77,7 +84,7 @@
 {
     object_reader reader(source, "", source.faults);
     agent_settings settings;
-    settings.node = read_node(reader);
+    settings.node = read_node(reader, agent_stop_grace);
     settings.endpoint = read_base_address(reader, "endpoint");
     settings.service = reader.text_or("service", "");
     settings.origin = read_base_address(reader, "origin");
