Refuse requests that crash endpoints, without condemning the common ones

Cause: one prompt that kills its engine went to three endpoints per send, and its caller's next send to three more. A request that ends well is struck off; one that lost an endpoint goes next where fewest others run, and no request loses more than two. Ruled out: condemning on broken streams alone (slow readers and timeouts look the same).

--- a/libs/agent_core/include/agent_core/agent_core.hpp
+++ b/libs/agent_core/include/agent_core/agent_core.hpp
@@ -42,6 +42,14 @@
     std::uint32_t next_sequence = 0;
     // Set when it came with a token: its outcome is remembered.
     bool remembered = false;
+    std::uint64_t fingerprint = 0;
+};
+
+// An attempt that the endpoint broke off.
+struct lost_attempt
+{
+    std::uint64_t fingerprint = 0;
+    base::time_point time;
 };
 
 // A slot that waits for the body of a non-idempotent request.
@@ -69,6 +77,7 @@
     // Oldest first, for forgetting.
     std::deque<base::attempt_id> outcome_order;
     std::size_t outcome_bytes = 0;
+    std::deque<lost_attempt> losses;
 };
 
 // A chunk that was asked for and has not come.
--- a/libs/agent_core/src/agent_core.cpp
+++ b/libs/agent_core/src/agent_core.cpp
@@ -30,6 +30,8 @@
             state, peer, envelope.confirm_not_run(), now, out);
     case body::kOutcomeQuery:
         return on_outcome_query(state, peer, envelope.outcome_query(), out);
+    case body::kSuspectNotice:
+        return on_suspect_notice(state, peer, envelope.suspect_notice(), out);
     case body::kCancel:
         return on_cancel(state, envelope.cancel(), out);
     case body::kConfigurationPush:
@@ -106,7 +108,7 @@
 
     void operator()(endpoint_report const& event)
     {
-        on_endpoint_report(this->core, event, this->out);
+        on_endpoint_report(this->core, event, this->now, this->out);
     }
 
     void operator()(order_answered const& event)
--- a/libs/agent_core/src/control_flow.cpp
+++ b/libs/agent_core/src/control_flow.cpp
@@ -175,7 +175,10 @@
 }
 
 void on_endpoint_report(
-    state& state, endpoint_report const& report, actions& out)
+    state& state,
+    endpoint_report const& report,
+    base::time_point now,
+    actions& out)
 {
     auto& control = state.control;
     control.endpoint_reachable = report.reachable;
@@ -184,6 +187,10 @@
         return;
     }
     auto& gate = state.requests.gate;
+    if (!gate.instance.empty() && report.instance != gate.instance)
+    {
+        report_crash(state, now, out);
+    }
     auto const turned = report.instance != gate.instance ||
                         (report.cold && !control.endpoint_cold);
     control.endpoint_cold = report.cold;
--- a/libs/agent_core/src/flows.hpp
+++ b/libs/agent_core/src/flows.hpp
@@ -119,6 +119,17 @@
     actions& out);
 void on_upload_tick(state& state, base::time_point now, actions& out);
 
+// suspect_flow.cpp
+// The endpoint broke an attempt off.
+void note_loss(state& state, std::uint64_t fingerprint, base::time_point now);
+// The endpoint crashed: tells the entries what ran on it.
+void report_crash(state& state, base::time_point now, actions& out);
+void on_suspect_notice(
+    state const& state,
+    std::string const& peer,
+    wire::SuspectNotice const& notice,
+    actions& out);
+
 // activation_flow.cpp
 void on_order_answered(
     state& state,
@@ -138,7 +149,10 @@
 void on_configuration_digest(
     state& state, std::string const& peer, base::time_point now, actions& out);
 void on_endpoint_report(
-    state& state, endpoint_report const& report, actions& out);
+    state& state,
+    endpoint_report const& report,
+    base::time_point now,
+    actions& out);
 void on_control_tick(state& state, base::time_point now, actions& out);
 void on_stop(state& state, base::time_point now, actions& out);
 // Tells every listening entry at once how this agent stands.
--- a/libs/agent_core/src/request_flow.cpp
+++ b/libs/agent_core/src/request_flow.cpp
@@ -147,8 +147,9 @@
     }
     auto const& target = run.target();
     state.requests.running.emplace(
-        attempt,
-        running_attempt{peer, target.model(), target.digest(), 0, has_token});
+        attempt, running_attempt{
+                     peer, target.model(), target.digest(), 0, has_token,
+                     run.fingerprint()});
     out.push_back(start_work{attempt, run});
 }
 
@@ -187,6 +188,10 @@
     auto const entry = attempt.entry;
     if (output.last)
     {
+        if (failure && failure->kind == base::error_kind::endpoint_lost)
+        {
+            note_loss(state, attempt.fingerprint, now);
+        }
         request::finish(state.requests.gate, output.attempt, !failure);
         if (attempt.remembered)
         {
--- a/libs/agent_core/tests/request_flow_tests.cpp
+++ b/libs/agent_core/tests/request_flow_tests.cpp
@@ -90,4 +90,34 @@
     EXPECT_TRUE(std::holds_alternative<core::stop_finished>(end.back()));
 }
 
+// The engine dies under a prompt and comes back as another instance. The
+// entries must learn what ran on it, or the prompt goes from engine to engine.
+TEST(agent_requests, a_crash_names_what_ran)
+{
+    auto agent = make_agent();
+    agent.control.listeners["entry-1"] = {};
+    step(
+        agent, endpoint_report{true, "i1", false, {{"assistant", "d1"}}, {}},
+        {});
+    auto run = run_message(1, "d1");
+    run.envelope.mutable_run()->set_fingerprint(77);
+    step(agent, run, {});
+    base::error const lost{base::error_kind::endpoint_lost, {}};
+    step(agent, work_output{{1, 0}, 0, "", "", true, lost}, {});
+    auto const actions = step(
+        agent, endpoint_report{true, "i2", true, {{"assistant", "d1"}}, {}},
+        {});
+    auto told = 0;
+    for (auto const& ordered : actions)
+    {
+        auto const* const sent = std::get_if<core::send_message>(&ordered);
+        if (sent != nullptr && sent->envelope.has_suspect_notice())
+        {
+            EXPECT_EQ(sent->envelope.suspect_notice().fingerprint(), 77U);
+            ++told;
+        }
+    }
+    EXPECT_EQ(told, 1);
+}
+
 } // namespace foxtailvale::agent_core
--- a/libs/entry_core/include/entry_core/entry_core.hpp
+++ b/libs/entry_core/include/entry_core/entry_core.hpp
@@ -9,6 +9,7 @@
 #include <release/configuration.hpp>
 #include <request/admission.hpp>
 #include <request/claim.hpp>
+#include <request/suspects.hpp>
 
 #include <map>
 #include <optional>
@@ -91,6 +92,9 @@
     base::time_point attempt_start;
     // Attempts that failed for another reason than a full gate.
     std::uint32_t failures = 0;
+    // Of these the ones that lost their endpoint while it ran the request.
+    std::uint32_t losses = 0;
+    request::fingerprint fingerprint = 0;
     // Events of a stream that the caller has.
     std::uint32_t relayed = 0;
     // The caller is gone or was told that the deadline passed; the outcome is
@@ -134,6 +138,7 @@
     std::map<base::attempt_id, caller_handle> attempts;
     std::map<std::string, request_pool> pools;
     request::retry_budget retries;
+    request::suspect_list suspects;
     std::map<std::uint64_t, closing_claim> closing;
     std::uint64_t last_closing = 0;
     // Incarnation that each agent last spoke with.
--- a/libs/entry_core/include/entry_core/events.hpp
+++ b/libs/entry_core/include/entry_core/events.hpp
@@ -48,6 +48,12 @@
     caller_handle caller = 0;
 };
 
+// An operator lets a suspect request run again.
+struct release_suspect
+{
+    std::uint64_t fingerprint = 0;
+};
+
 using event = std::variant<
     core::message_received,
     core::send_failed,
@@ -55,7 +61,8 @@
     core::stop_requested,
     core::platform_answer,
     caller_request,
-    caller_left>;
+    caller_left,
+    release_suspect>;
 
 // A piece of the answer for a caller, or its end.
 struct reply
--- a/libs/entry_core/src/attempt_flow.cpp
+++ b/libs/entry_core/src/attempt_flow.cpp
@@ -1,6 +1,5 @@
 #include "flows.hpp"
 
-#include <base/digest.hpp>
 #include <request/placement.hpp>
 
 #include <core/wire_ids.hpp>
@@ -21,6 +20,10 @@
 // endpoints would go round them all.
 constexpr std::uint32_t most_failures = 3;
 
+// Lost endpoints that one request may leave behind: with two, it may be the
+// cause.
+constexpr std::uint32_t most_losses = 2;
+
 // A gate answers a reservation at once; silence means that it is not there.
 constexpr milliseconds reserve_timeout{500};
 
@@ -204,6 +207,12 @@
         readmit(state, open, now, out);
         return true;
     }
+    open.losses += error.kind == base::error_kind::endpoint_lost ? 1 : 0;
+    if (open.losses >= most_losses ||
+        request::is_suspect(state.requests.suspects, open.fingerprint))
+    {
+        return false;
+    }
     if (++open.failures >= most_failures ||
         !request::spend(state.requests.retries))
     {
@@ -260,6 +269,7 @@
     auto const told = open.detached;
     if (output.last())
     {
+        request::note_answered(state.requests.suspects, open.fingerprint);
         request::note(
             pool_of(state, open).queue.service,
             std::chrono::duration_cast<std::chrono::microseconds>(
@@ -319,7 +329,7 @@
     run->set_stream(open.request.stream);
     run->set_priority(open.request.priority);
     run->set_request_id(open.request.request_id);
-    run->set_fingerprint(base::stable_hash(open.request.body));
+    run->set_fingerprint(open.fingerprint);
     run->set_time_left_ms(time_left(open, now));
     run->set_token(open.token);
     run->set_resume_from(open.relayed);
@@ -334,7 +344,13 @@
 {
     auto const options = candidates(state, open);
     auto const* const chosen = request::choose(
-        options, {state.self.failure_domain, open.request.prefix, open.tried},
+        options,
+        {.own_domain = state.self.failure_domain,
+         .prefix = open.request.prefix,
+         .tried = open.tried,
+         .emptiest =
+             open.losses > 0 ||
+             request::has_crashed(state.requests.suspects, open.fingerprint)},
         state.random);
     if (chosen == nullptr)
     {
--- a/libs/entry_core/src/entry_core.cpp
+++ b/libs/entry_core/src/entry_core.cpp
@@ -31,6 +31,8 @@
     case body::kNotRunConfirmed:
         // Said in reply to a slot that was given back; nobody waits for it.
         return;
+    case body::kSuspectNotice:
+        return on_suspect_notice(state, envelope.suspect_notice(), now, out);
     case body::kHeartbeat:
         return on_heartbeat(state, peer, envelope.heartbeat(), now, out);
     case body::kConfigurationDigest:
@@ -105,6 +107,11 @@
         on_caller_left(this->core, event, this->now, this->out);
     }
 
+    void operator()(release_suspect const& event)
+    {
+        on_release_suspect(this->core, event, this->out);
+    }
+
 private:
     state& core;
     base::time_point now;
--- a/libs/entry_core/src/flows.hpp
+++ b/libs/entry_core/src/flows.hpp
@@ -100,6 +100,16 @@
     base::time_point now,
     actions& out);
 
+// suspect_flow.cpp
+request::fingerprint fingerprint_of(caller_request const& request);
+void on_suspect_notice(
+    state& state,
+    wire::SuspectNotice const& notice,
+    base::time_point now,
+    actions& out);
+void on_release_suspect(
+    state& state, release_suspect const& order, actions& out);
+
 // claim_flow.cpp
 bool needs_claim(caller_request const& request);
 void read_claim(
--- a/libs/entry_core/src/request_flow.cpp
+++ b/libs/entry_core/src/request_flow.cpp
@@ -143,7 +143,14 @@
         return;
     }
     request::earn(state.requests.retries);
+    auto const fingerprint = fingerprint_of(request);
+    if (request::is_suspect(state.requests.suspects, fingerprint))
+    {
+        refuse_caller(request, {base::error_kind::suspect_request, {}}, out);
+        return;
+    }
     open_request open;
+    open.fingerprint = fingerprint;
     open.request = request;
     open.request.idempotent = may_repeat(state, request);
     open.generation = state.control.configuration.generation;
@@ -217,6 +224,7 @@
             end_stage(state, open->second, now, out);
         }
     }
+    request::expire(state.requests.suspects, now);
     refuse_late(state, now, out);
     serve_waiting(state, now, out);
     on_closing_tick(state, now, out);
--- /dev/null
+++ b/libs/entry_core/src/suspect_flow.cpp
@@ -0,0 +1,94 @@
+#include "flows.hpp"
+
+#include <base/digest.hpp>
+
+// Requests that crash endpoints: learnt from the agents, refused here.
+namespace foxtailvale::entry_core
+{
+
+namespace
+{
+
+nlohmann::json fields(request::fingerprint suspect)
+{
+    return {{"fingerprint", suspect}};
+}
+
+void refuse_waiting_suspect(
+    state& state,
+    request::fingerprint suspect,
+    base::time_point now,
+    actions& out)
+{
+    std::vector<caller_handle> waiting;
+    for (auto const& [caller, open] : state.requests.open)
+    {
+        if (open.stage == request_stage::waiting && open.fingerprint == suspect)
+        {
+            waiting.push_back(caller);
+        }
+    }
+    for (auto const caller : waiting)
+    {
+        end_with_error(
+            state, state.requests.open.at(caller),
+            {base::error_kind::suspect_request, {}}, now, out);
+    }
+}
+
+void release_here(state& state, request::fingerprint suspect, actions& out)
+{
+    if (request::release(state.requests.suspects, suspect))
+    {
+        out.push_back(core::write_log{
+            kernel::event_id::suspect_released, fields(suspect)});
+    }
+}
+
+} // namespace
+
+request::fingerprint fingerprint_of(caller_request const& request)
+{
+    return base::stable_hash(request.body, base::stable_hash(request.path));
+}
+
+void on_suspect_notice(
+    state& state,
+    wire::SuspectNotice const& notice,
+    base::time_point now,
+    actions& out)
+{
+    if (notice.released())
+    {
+        release_here(state, notice.fingerprint(), out);
+        return;
+    }
+    auto const turned = request::note_crash(
+        state.requests.suspects, notice.fingerprint(), notice.endpoint(), now);
+    if (!turned)
+    {
+        return;
+    }
+    out.push_back(core::write_log{
+        kernel::event_id::suspect_marked, fields(notice.fingerprint())});
+    out.push_back(
+        core::count_metric{"foxtailvale_suspect_requests_marked_total"});
+    refuse_waiting_suspect(state, notice.fingerprint(), now, out);
+}
+
+void on_release_suspect(
+    state& state, release_suspect const& order, actions& out)
+{
+    release_here(state, order.fingerprint, out);
+    // Agents pass it on to every entry that listens to them.
+    for (auto const& agent : state.control.connected)
+    {
+        core::send_message message{agent, {}};
+        auto* const notice = message.envelope.mutable_suspect_notice();
+        notice->set_fingerprint(order.fingerprint);
+        notice->set_released(true);
+        out.push_back(std::move(message));
+    }
+}
+
+} // namespace foxtailvale::entry_core
--- a/libs/entry_core/tests/request_flow_tests.cpp
+++ b/libs/entry_core/tests/request_flow_tests.cpp
@@ -192,6 +192,52 @@
         find<refuse>(late)->error.kind, base::error_kind::deadline_passed);
 }
 
+// A prompt crashes each engine that runs it, and its caller sends it again and
+// again. After two engines it is refused at the door, until an operator lets
+// it run again; others are served.
+TEST(entry_requests, a_request_that_crashed_two_endpoints_is_refused)
+{
+    auto entry = make_entry();
+    auto killer = chat(1);
+    killer.body = "crash";
+    auto const sent = step(entry, killer, {});
+    auto const print =
+        find<core::send_message>(sent)->envelope.run().fingerprint();
+    for (auto const* const agent : {"agent-1", "agent-2"})
+    {
+        core::message_received notice{agent, {}};
+        auto* const body = notice.envelope.mutable_suspect_notice();
+        body->set_fingerprint(print);
+        body->set_endpoint(agent);
+        step(entry, notice, {});
+    }
+    killer.caller = 2;
+    auto const refused = step(entry, killer, {});
+    EXPECT_EQ(
+        find<refuse>(refused)->error.kind, base::error_kind::suspect_request);
+    EXPECT_NE(find<core::send_message>(step(entry, chat(3), {})), nullptr);
+    step(entry, release_suspect{print}, {});
+    killer.caller = 4;
+    EXPECT_NE(find<core::send_message>(step(entry, killer, {})), nullptr);
+}
+
+// The endpoint is lost twice under one request. A third endpoint is not risked.
+TEST(entry_requests, one_request_loses_two_endpoints_at_the_most)
+{
+    auto entry = make_entry();
+    entry.control.members.members["agent-3"] =
+        entry.control.members.members.at("agent-1");
+    entry.control.endpoints["agent-3"] = entry.control.endpoints.at("agent-1");
+    auto const first = step(entry, chat(1), {});
+    auto const* const run = find<core::send_message>(first);
+    auto const second = step(entry, answer_to(*run, 0, "endpoint_lost"), {});
+    auto const* const again = find<core::send_message>(second);
+    ASSERT_NE(again, nullptr);
+    auto const third = step(entry, answer_to(*again, 0, "endpoint_lost"), {});
+    EXPECT_EQ(find<core::send_message>(third), nullptr);
+    EXPECT_NE(find<refuse>(third), nullptr);
+}
+
 TEST(entry_requests, a_domain_that_is_out_gets_nothing)
 {
     auto entry = make_entry();
--- a/libs/kernel/include/kernel/events.hpp
+++ b/libs/kernel/include/kernel/events.hpp
@@ -43,6 +43,8 @@
     request_retried = 1402,
     request_failed = 1403,
     late_reply_dropped = 1404,
+    suspect_marked = 1405,
+    suspect_released = 1406,
     domain_out = 1501,
     domain_in = 1502,
 };
--- a/libs/kernel/src/events.cpp
+++ b/libs/kernel/src/events.cpp
@@ -41,6 +41,8 @@
     event_row{event_id::request_retried, "request_retried"},
     event_row{event_id::request_failed, "request_failed"},
     event_row{event_id::late_reply_dropped, "late_reply_dropped"},
+    event_row{event_id::suspect_marked, "suspect_marked"},
+    event_row{event_id::suspect_released, "suspect_released"},
     event_row{event_id::domain_out, "domain_out"},
     event_row{event_id::domain_in, "domain_in"},
 };
--- a/libs/request/include/request/placement.hpp
+++ b/libs/request/include/request/placement.hpp
@@ -29,6 +29,9 @@
     std::uint64_t prefix = 0;
     // Agents that this request has tried already.
     std::vector<std::string> tried;
+    // The request may have crashed an endpoint: it goes where the fewest
+    // others would fall with it.
+    bool emptiest = false;
 };
 
 // Chooses an endpoint, or nullptr when none has room. Own failure domain first
--- a/libs/request/src/placement.cpp
+++ b/libs/request/src/placement.cpp
@@ -83,6 +83,15 @@
         {
             continue;
         }
+        if (ask.emptiest)
+        {
+            return *std::ranges::min_element(
+                open, {},
+                [](auto const* option)
+                {
+                    return option->running;
+                });
+        }
         if (ask.prefix != 0)
         {
             auto const* const option = preferred(open, ask.prefix);
--- /dev/null
+++ b/libs/request/src/suspects.cpp
@@ -0,0 +1,92 @@
+#include <request/suspects.hpp>
+
+#include <algorithm>
+
+namespace foxtailvale::request
+{
+
+namespace
+{
+
+bool is_suspect(crash_record const& record)
+{
+    return record.endpoints.size() >= crashes_to_suspect;
+}
+
+void make_room(suspect_list& state)
+{
+    if (state.records.size() <= most_crash_records)
+    {
+        return;
+    }
+    auto const first = std::ranges::min_element(
+        state.records, {},
+        [](auto const& entry)
+        {
+            return entry.second.until;
+        });
+    state.records.erase(first);
+}
+
+} // namespace
+
+bool note_crash(
+    suspect_list& state,
+    fingerprint request,
+    std::string const& endpoint,
+    base::time_point now)
+{
+    auto& record = state.records[request];
+    auto const before = is_suspect(record);
+    record.endpoints[endpoint] = now;
+    record.until = now + suspect_length;
+    auto const after = is_suspect(record);
+    make_room(state);
+    return after && !before;
+}
+
+void note_answered(suspect_list& state, fingerprint request)
+{
+    state.records.erase(request);
+}
+
+bool is_suspect(suspect_list const& state, fingerprint request)
+{
+    auto const found = state.records.find(request);
+    return found != state.records.end() && is_suspect(found->second);
+}
+
+bool has_crashed(suspect_list const& state, fingerprint request)
+{
+    return state.records.contains(request);
+}
+
+bool release(suspect_list& state, fingerprint request)
+{
+    return state.records.erase(request) > 0;
+}
+
+void expire(suspect_list& state, base::time_point now)
+{
+    std::erase_if(
+        state.records,
+        [now](auto const& entry)
+        {
+            return now >= entry.second.until;
+        });
+}
+
+std::vector<fingerprint> suspects(suspect_list const& state)
+{
+    std::vector<fingerprint> list;
+    for (auto const& [request, record] : state.records)
+    {
+        if (is_suspect(record))
+        {
+            list.push_back(request);
+        }
+    }
+    return list;
+}
+
+} // namespace foxtailvale::request
