Park idle callers in a poll set; bound what waits for slow readers

Cause: each open connection held a thread (1,024 at the most), so idle callers could shut out the active; pieces for a slow reader piled up without bound; a caller that hung up while it waited for a whole answer was noticed only when the answer was written, and the engine worked on for nobody. Now idle connections wait in a poll set and a worker takes them when a request begins (tests: 50 idle connections on two workers; no figure is claimed yet), 4,096 pieces or 1 MiB wait for a reader at the most, a waiting caller is looked at every 250 ms, and a cancelled call's connection to the endpoint is shut.

--- a/libs/http/include/http/http_client.hpp
+++ b/libs/http/include/http/http_client.hpp
@@ -6,11 +6,30 @@
 #include <chrono>
 #include <functional>
 #include <map>
+#include <memory>
+#include <mutex>
 #include <string>
 
 namespace foxtailvale::http
 {
 
+// Breaks off a call from another thread: its connection is shut down, so a
+// wait for the answer ends at once. Safe from any thread.
+class call_control
+{
+public:
+    void cancel();
+
+    // From the call: what to shut down. False when it is cancelled already.
+    bool attach(std::function<void()> shut_down);
+    void detach();
+
+private:
+    std::mutex mutex;
+    std::function<void()> stop;
+    bool cancelled = false;
+};
+
 struct request
 {
     // "http://IP:PORT".
@@ -21,6 +40,8 @@
     std::string content_type;
     std::string body;
     std::chrono::milliseconds timeout{1000};
+    // Set for a call that may be broken off.
+    std::shared_ptr<call_control> control;
 };
 
 struct response
--- /dev/null
+++ b/libs/http/include/http/parking_server.hpp
@@ -0,0 +1,88 @@
+#ifndef FOXTAILVALE_HTTP_PARKING_SERVER_HPP
+#define FOXTAILVALE_HTTP_PARKING_SERVER_HPP
+
+#include <Poco/Net/HTTPServerParams.h>
+#include <Poco/Net/PollSet.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/StreamSocket.h>
+#include <http/http_server.hpp>
+
+#include <atomic>
+#include <chrono>
+#include <condition_variable>
+#include <cstddef>
+#include <deque>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+namespace foxtailvale::http
+{
+
+struct parking_options
+{
+    std::string address;
+    std::uint16_t port = 0;
+    // Requests worked on at once; each holds a thread from its first byte to
+    // its answer's last.
+    std::size_t most_workers = 1024;
+    // Connections open at once; more are closed on arrival.
+    std::size_t most_connections = 16'384;
+    // Longest wait for a byte from a caller in the middle of a request, or for
+    // a slow reader to take one.
+    std::chrono::milliseconds stall_limit{10'000};
+    // An idle connection is closed after this long.
+    std::chrono::milliseconds idle_limit{300'000};
+};
+
+// One caller's connection, kept alive between requests.
+class parked_connection;
+
+// An HTTP server whose idle connections hold no thread. Made for thousands of
+// callers that keep their connections open and ask now and then: with a thread
+// for each, the idle ones would take the threads that the active ones need.
+// Connections wait in a poll set and go to a worker when a request begins;
+// POCO's own session and request classes do the rest.
+class parking_server
+{
+public:
+    parking_server(parking_options const& options, server_handler handler);
+    ~parking_server();
+    parking_server(parking_server const&) = delete;
+    parking_server& operator=(parking_server const&) = delete;
+
+private:
+    using connection = std::shared_ptr<parked_connection>;
+
+    void poll_loop();
+    void accept();
+    void close_idle();
+    void hand_over(Poco::Net::Socket const& socket);
+    void park(connection const& idle);
+    void work_loop();
+    void serve(connection const& active);
+
+    parking_options options;
+    server_handler handler;
+    Poco::Net::HTTPServerParams::Ptr parameters;
+    Poco::Net::ServerSocket listener;
+    Poco::Net::PollSet polled;
+    std::mutex mutex;
+    std::condition_variable ready;
+    std::map<Poco::Net::Socket, connection> parked;
+    std::deque<connection> waiting;
+    std::vector<std::thread> workers;
+    std::size_t idle_workers = 0;
+    std::atomic<std::size_t> open_connections{0};
+    std::atomic<bool> stopping{false};
+    std::thread poller;
+};
+
+// Whether the caller has closed its connection while its answer is awaited.
+bool is_closed_by_peer(Poco::Net::HTTPServerRequest& request);
+
+} // namespace foxtailvale::http
+
+#endif
--- a/libs/http/src/http_client.cpp
+++ b/libs/http/src/http_client.cpp
@@ -123,8 +123,78 @@
     return head;
 }
 
+// Holds a call's control for as long as its connection is open.
+struct controlled_call
+{
+    controlled_call(request const& ask, Poco::Net::StreamSocket const& socket)
+        : control(ask.control.get())
+    {
+        if (this->control == nullptr)
+        {
+            return;
+        }
+        this->wanted = this->control->attach(
+            [open = Poco::Net::StreamSocket(socket)]() mutable
+            {
+                shut_down(open);
+            });
+    }
+
+    ~controlled_call()
+    {
+        if (this->control != nullptr)
+        {
+            this->control->detach();
+        }
+    }
+
+    controlled_call(controlled_call const&) = delete;
+    controlled_call& operator=(controlled_call const&) = delete;
+
+    bool wanted = true;
+
+private:
+    static void shut_down(Poco::Net::StreamSocket& socket)
+    {
+        try
+        {
+            socket.shutdown();
+        }
+        catch (Poco::Exception const&)
+        {
+            // It was closed meanwhile, which is as good.
+            return;
+        }
+    }
+
+    call_control* control;
+};
+
 } // namespace
 
+void call_control::cancel()
+{
+    std::lock_guard const lock(this->mutex);
+    this->cancelled = true;
+    if (this->stop)
+    {
+        this->stop();
+    }
+}
+
+bool call_control::attach(std::function<void()> shut_down)
+{
+    std::lock_guard const lock(this->mutex);
+    this->stop = std::move(shut_down);
+    return !this->cancelled;
+}
+
+void call_control::detach()
+{
+    std::lock_guard const lock(this->mutex);
+    this->stop = nullptr;
+}
+
 base::result<response> stream(request const& ask, piece_handler const& on_piece)
 {
     std::optional<Poco::Net::StreamSocket> socket;
@@ -137,6 +207,11 @@
         return base::fail(
             base::error_kind::peer_unreachable, fault.displayText());
     }
+    controlled_call const controlled(ask, *socket);
+    if (!controlled.wanted)
+    {
+        return base::fail(base::error_kind::peer_unreachable, "cancelled");
+    }
     try
     {
         HTTPClientSession session(*socket);
--- /dev/null
+++ b/libs/http/src/parking_server.cpp
@@ -0,0 +1,269 @@
+#include <Poco/Net/HTTPServerRequestImpl.h>
+#include <Poco/Net/HTTPServerResponseImpl.h>
+#include <Poco/Net/HTTPServerSession.h>
+#include <Poco/Net/SocketAddress.h>
+#include <http/parking_server.hpp>
+#include <sys/socket.h>
+
+namespace foxtailvale::http
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+using steady = std::chrono::steady_clock;
+
+constexpr milliseconds poll_interval{200};
+constexpr int listen_backlog = 1024;
+
+Poco::Timespan timespan(milliseconds time)
+{
+    return Poco::Timespan(
+        std::chrono::duration_cast<std::chrono::microseconds>(time).count());
+}
+
+Poco::Net::HTTPServerParams::Ptr make_parameters(milliseconds stall_limit)
+{
+    Poco::Net::HTTPServerParams::Ptr made = new Poco::Net::HTTPServerParams;
+    made->setKeepAlive(true);
+    made->setTimeout(timespan(stall_limit));
+    // After an answer only what is already there is looked for; the poll set
+    // waits for the rest.
+    made->setKeepAliveTimeout(Poco::Timespan(0));
+    return made;
+}
+
+} // namespace
+
+class parked_connection
+{
+public:
+    parked_connection(
+        Poco::Net::StreamSocket const& peer,
+        Poco::Net::HTTPServerParams::Ptr const& parameters,
+        std::atomic<std::size_t>& count)
+        : socket(peer), session(peer, parameters), open_count(count)
+    {
+        ++this->open_count;
+    }
+
+    ~parked_connection()
+    {
+        --this->open_count;
+    }
+
+    parked_connection(parked_connection const&) = delete;
+    parked_connection& operator=(parked_connection const&) = delete;
+
+    Poco::Net::StreamSocket socket;
+    Poco::Net::HTTPServerSession session;
+    steady::time_point parked_at;
+
+private:
+    std::atomic<std::size_t>& open_count;
+};
+
+parking_server::parking_server(
+    parking_options const& how, server_handler answer)
+    : options(how), handler(std::move(answer)),
+      parameters(make_parameters(how.stall_limit)),
+      listener(Poco::Net::SocketAddress(how.address, how.port), listen_backlog)
+{
+    this->listener.setBlocking(false);
+    this->polled.add(this->listener, Poco::Net::PollSet::POLL_READ);
+    this->poller = std::thread(
+        [this]
+        {
+            this->poll_loop();
+        });
+}
+
+parking_server::~parking_server()
+{
+    this->stopping = true;
+    this->poller.join();
+    {
+        std::lock_guard const lock(this->mutex);
+        this->waiting.clear();
+    }
+    this->ready.notify_all();
+    for (auto& worker : this->workers)
+    {
+        worker.join();
+    }
+}
+
+void parking_server::poll_loop()
+{
+    auto last_sweep = steady::now();
+    while (!this->stopping)
+    {
+        for (auto const& [socket, mode] :
+             this->polled.poll(timespan(poll_interval)))
+        {
+            if (socket == this->listener)
+            {
+                this->accept();
+            }
+            else
+            {
+                this->hand_over(socket);
+            }
+        }
+        if (steady::now() - last_sweep > std::chrono::seconds(1))
+        {
+            last_sweep = steady::now();
+            this->close_idle();
+        }
+    }
+}
+
+void parking_server::accept()
+{
+    try
+    {
+        while (true)
+        {
+            auto peer = this->listener.acceptConnection();
+            if (this->open_connections >= this->options.most_connections)
+            {
+                continue;
+            }
+            peer.setBlocking(true);
+            peer.setNoDelay(true);
+            peer.setSendTimeout(timespan(this->options.stall_limit));
+            peer.setReceiveTimeout(timespan(this->options.stall_limit));
+            this->park(std::make_shared<parked_connection>(
+                peer, this->parameters, this->open_connections));
+        }
+    }
+    catch (Poco::Exception const&)
+    {
+        // No more connections wait.
+        return;
+    }
+}
+
+void parking_server::close_idle()
+{
+    auto const limit = steady::now() - this->options.idle_limit;
+    std::lock_guard const lock(this->mutex);
+    std::erase_if(
+        this->parked,
+        [&](auto const& entry)
+        {
+            auto const old = entry.second->parked_at < limit;
+            if (old)
+            {
+                this->polled.remove(entry.first);
+            }
+            return old;
+        });
+}
+
+void parking_server::park(connection const& idle)
+{
+    idle->parked_at = steady::now();
+    std::lock_guard const lock(this->mutex);
+    this->parked[idle->socket] = idle;
+    this->polled.add(idle->socket, Poco::Net::PollSet::POLL_READ);
+}
+
+void parking_server::hand_over(Poco::Net::Socket const& socket)
+{
+    std::lock_guard const lock(this->mutex);
+    auto const found = this->parked.find(socket);
+    if (found == this->parked.end())
+    {
+        return;
+    }
+    this->polled.remove(socket);
+    this->waiting.push_back(std::move(found->second));
+    this->parked.erase(found);
+    auto const busy = this->idle_workers < this->waiting.size();
+    if (busy && this->workers.size() < this->options.most_workers)
+    {
+        this->workers.emplace_back(
+            [this]
+            {
+                this->work_loop();
+            });
+    }
+    this->ready.notify_one();
+}
+
+void parking_server::work_loop()
+{
+    while (true)
+    {
+        connection next;
+        {
+            std::unique_lock lock(this->mutex);
+            ++this->idle_workers;
+            this->ready.wait(
+                lock,
+                [this]
+                {
+                    return this->stopping || !this->waiting.empty();
+                });
+            --this->idle_workers;
+            if (this->waiting.empty())
+            {
+                return;
+            }
+            next = std::move(this->waiting.front());
+            this->waiting.pop_front();
+        }
+        this->serve(next);
+    }
+}
+
+void parking_server::serve(connection const& active)
+{
+    auto& session = active->session;
+    try
+    {
+        while (!this->stopping && session.hasMoreRequests())
+        {
+            Poco::Net::HTTPServerResponseImpl response(session);
+            Poco::Net::HTTPServerRequestImpl request(
+                response, session, this->parameters);
+            response.setVersion(request.getVersion());
+            response.setKeepAlive(
+                this->parameters->getKeepAlive() && request.getKeepAlive() &&
+                session.canKeepAlive());
+            response.setDate(Poco::Timestamp());
+            this->handler(request, response);
+            session.setKeepAlive(
+                this->parameters->getKeepAlive() && response.getKeepAlive() &&
+                session.canKeepAlive());
+        }
+        if (session.getKeepAlive() && !this->stopping)
+        {
+            this->park(active);
+            return;
+        }
+    }
+    catch (std::exception const&)
+    {
+        // The caller went away, stalled or sent what is no request: its
+        // connection ends with this object.
+        return;
+    }
+}
+
+bool is_closed_by_peer(Poco::Net::HTTPServerRequest& request)
+{
+    auto* const whole =
+        dynamic_cast<Poco::Net::HTTPServerRequestImpl*>(&request);
+    if (whole == nullptr)
+    {
+        return false;
+    }
+    char byte = 0;
+    auto const fd = whole->socket().impl()->sockfd();
+    return ::recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
+} // namespace foxtailvale::http
--- /dev/null
+++ b/libs/http/tests/parking_server_tests.cpp
@@ -0,0 +1,99 @@
+#include "test_address.hpp"
+
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/Net/StreamSocket.h>
+#include <gtest/gtest.h>
+#include <http/http_client.hpp>
+#include <http/parking_server.hpp>
+
+#include <string>
+#include <vector>
+
+namespace foxtailvale::http
+{
+
+namespace
+{
+
+constexpr std::uint16_t port = 46301;
+
+std::string where()
+{
+    return testing::own_address() + ":" + std::to_string(port);
+}
+
+parking_options options_for(std::size_t workers)
+{
+    parking_options options;
+    options.address = testing::own_address();
+    options.port = port;
+    options.most_workers = workers;
+    return options;
+}
+
+void answer_path(
+    Poco::Net::HTTPServerRequest& request,
+    Poco::Net::HTTPServerResponse& response)
+{
+    send_text(response, 200, "text/plain", request.getURI());
+}
+
+std::string ask(Poco::Net::StreamSocket& socket, std::string const& path)
+{
+    auto const text = "GET " + path + " HTTP/1.1\r\nHost: a\r\n\r\n";
+    socket.sendBytes(text.data(), static_cast<int>(text.size()));
+    std::string answer;
+    char piece[1024];
+    while (!answer.ends_with(path))
+    {
+        auto const got = socket.receiveBytes(piece, sizeof piece);
+        if (got <= 0)
+        {
+            break;
+        }
+        answer.append(piece, static_cast<std::size_t>(got));
+    }
+    return answer;
+}
+
+} // namespace
+
+// Many callers keep their connections open and idle. With a thread for each,
+// two workers would be taken by the first two and all others would wait.
+TEST(parking_server, idle_connections_hold_no_worker)
+{
+    parking_server server(options_for(2), answer_path);
+    std::vector<Poco::Net::StreamSocket> idle;
+    Poco::Net::SocketAddress const address(where());
+    for (int index = 0; index < 50; ++index)
+    {
+        idle.emplace_back(address);
+        EXPECT_NE(ask(idle.back(), "/first").find("200"), std::string::npos);
+    }
+    for (auto& socket : idle)
+    {
+        EXPECT_NE(ask(socket, "/again").find("200"), std::string::npos);
+    }
+}
+
+TEST(parking_server, two_requests_sent_at_once_are_both_answered)
+{
+    parking_server server(options_for(1), answer_path);
+    Poco::Net::StreamSocket socket{Poco::Net::SocketAddress(where())};
+    std::string const first = "GET /one HTTP/1.1\r\nHost: a\r\n\r\n";
+    socket.sendBytes(first.data(), static_cast<int>(first.size()));
+    auto const answers = ask(socket, "/two");
+    EXPECT_NE(answers.find("/two"), std::string::npos);
+}
+
+TEST(parking_server, what_is_no_request_harms_nobody)
+{
+    parking_server server(options_for(1), answer_path);
+    Poco::Net::StreamSocket bad{Poco::Net::SocketAddress(where())};
+    std::string const noise = "\r\n\r\n\0\1\2 no request\r\n\r\n";
+    bad.sendBytes(noise.data(), static_cast<int>(noise.size()));
+    Poco::Net::StreamSocket good{Poco::Net::SocketAddress(where())};
+    EXPECT_NE(ask(good, "/good").find("200"), std::string::npos);
+}
+
+} // namespace foxtailvale::http
--- a/libs/node/include/node/caller_server.hpp
+++ b/libs/node/include/node/caller_server.hpp
@@ -5,7 +5,7 @@
 #include <node/event_loop.hpp>
 #include <release/settings.hpp>
 
-#include <http/http_server.hpp>
+#include <http/parking_server.hpp>
 
 #include <functional>
 #include <map>
@@ -44,8 +44,11 @@
         Poco::Net::HTTPServerResponse& response);
     void answer_models(Poco::Net::HTTPServerResponse& response);
     void run_session(
-        entry_core::caller_request request,
+        entry_core::caller_request asked,
+        Poco::Net::HTTPServerRequest& request,
         Poco::Net::HTTPServerResponse& response);
+    template <class Item>
+    void push(Item item);
     std::shared_ptr<caller_session> find(entry_core::caller_handle caller);
 
     event_loop& loop;
@@ -56,7 +59,7 @@
     std::map<entry_core::caller_handle, std::shared_ptr<caller_session>>
         sessions;
     entry_core::caller_handle last_caller = 0;
-    std::unique_ptr<http::server> listener;
+    std::unique_ptr<http::parking_server> listener;
 };
 
 } // namespace foxtailvale::node
--- a/libs/node/include/node/endpoint_client.hpp
+++ b/libs/node/include/node/endpoint_client.hpp
@@ -4,7 +4,10 @@
 #include <agent_core/events.hpp>
 #include <node/worker_pool.hpp>
 
+#include <http/http_client.hpp>
+
 #include <functional>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <set>
@@ -52,7 +55,7 @@
     endpoint_addresses addresses;
     handler receiver;
     std::mutex mutex;
-    std::set<base::attempt_id> active;
+    std::map<base::attempt_id, std::shared_ptr<http::call_control>> active;
     std::set<base::attempt_id> cancelled;
     worker_pool work_pool;
     worker_pool transfer_pool;
--- a/libs/node/src/caller_server.cpp
+++ b/libs/node/src/caller_server.cpp
@@ -18,8 +18,14 @@
 namespace
 {
 
-// Connections worked on at once; each holds one thread.
-constexpr std::uint16_t most_connections = 1024;
+// How often a waiting answer's caller is looked at for having gone.
+constexpr std::chrono::milliseconds gone_interval{250};
+
+// Pieces and bytes that wait for a slow reader. A fast engine is some seconds
+// ahead then; past it the stream ends, since what is kept for one caller is
+// taken from all.
+constexpr std::size_t most_waiting_items = 4096;
+constexpr std::size_t most_waiting_bytes = 1024UL * 1024;
 
 constexpr char const* problem_type = "application/problem+json";
 
@@ -100,33 +106,67 @@
 class caller_session
 {
 public:
-    void push(session_item item)
+    // False when the caller reads too slowly: nothing more is taken, and the
+    // writer is told to break off.
+    bool push(session_item item)
     {
+        auto taken = false;
         {
             std::lock_guard const lock(this->mutex);
-            this->items.push_back(std::move(item));
+            // A whole answer of any size is one item.
+            taken =
+                !this->broken && (this->items.empty() ||
+                                  (this->items.size() < most_waiting_items &&
+                                   this->bytes < most_waiting_bytes));
+            if (taken)
+            {
+                this->bytes += size_of(item);
+                this->items.push_back(std::move(item));
+            }
+            else
+            {
+                this->broken = true;
+            }
         }
         this->ready.notify_one();
+        return taken;
     }
 
-    session_item wait()
+    // The next item; nothing when the caller has gone or reads too slowly.
+    template <class Gone>
+    std::optional<session_item> wait(Gone has_gone)
     {
         std::unique_lock lock(this->mutex);
-        this->ready.wait(
-            lock,
-            [this]
+        while (this->items.empty() && !this->broken)
+        {
+            auto const woken = this->ready.wait_for(lock, gone_interval);
+            if (woken == std::cv_status::timeout && has_gone())
             {
-                return !this->items.empty();
-            });
+                return std::nullopt;
+            }
+        }
+        if (this->broken)
+        {
+            return std::nullopt;
+        }
         auto item = std::move(this->items.front());
         this->items.pop_front();
+        this->bytes -= size_of(item);
         return item;
     }
 
 private:
+    static std::size_t size_of(session_item const& item)
+    {
+        auto const* const piece = std::get_if<entry_core::reply>(&item);
+        return piece == nullptr ? 0 : piece->body.size();
+    }
+
     std::mutex mutex;
     std::condition_variable ready;
     std::deque<session_item> items;
+    std::size_t bytes = 0;
+    bool broken = false;
 };
 
 namespace
@@ -135,13 +175,23 @@
 // Writes a session's items to the caller until the last; false when the
 // caller has gone.
 bool write_answer(
-    caller_session& session, Poco::Net::HTTPServerResponse& response)
+    caller_session& session,
+    Poco::Net::HTTPServerRequest& request,
+    Poco::Net::HTTPServerResponse& response)
 {
+    auto const has_gone = [&request]
+    {
+        return http::is_closed_by_peer(request);
+    };
     std::ostream* body = nullptr;
     while (true)
     {
-        auto const item = session.wait();
-        if (auto const* const refused = std::get_if<entry_core::refuse>(&item))
+        auto const item = session.wait(has_gone);
+        if (!item)
+        {
+            return false;
+        }
+        if (auto const* const refused = std::get_if<entry_core::refuse>(&*item))
         {
             if (body == nullptr)
             {
@@ -153,7 +203,7 @@
                   << std::flush;
             return true;
         }
-        auto const& piece = std::get<entry_core::reply>(item);
+        auto const& piece = std::get<entry_core::reply>(*item);
         if (body == nullptr)
         {
             set_head(response, piece);
@@ -190,9 +240,9 @@
     : loop(owner), settings(options), receiver(std::move(receive)),
       models(std::move(list))
 {
-    this->listener = std::make_unique<http::server>(
-        http::server_options{
-            options.node.address, options.caller_port, most_connections},
+    this->listener = std::make_unique<http::parking_server>(
+        http::parking_options{
+            .address = options.node.address, .port = options.caller_port},
         [this](
             Poco::Net::HTTPServerRequest& request,
             Poco::Net::HTTPServerResponse& response)
@@ -229,7 +279,7 @@
         send_problem(response, read.error());
         return;
     }
-    this->run_session(std::move(read.value()), response);
+    this->run_session(std::move(read.value()), request, response);
 }
 
 void caller_server::answer_models(Poco::Net::HTTPServerResponse& response)
@@ -245,7 +295,9 @@
 }
 
 void caller_server::run_session(
-    entry_core::caller_request request, Poco::Net::HTTPServerResponse& response)
+    entry_core::caller_request asked,
+    Poco::Net::HTTPServerRequest& request,
+    Poco::Net::HTTPServerResponse& response)
 {
     auto const session = std::make_shared<caller_session>();
     entry_core::caller_handle caller = 0;
@@ -254,16 +306,16 @@
         caller = ++this->last_caller;
         this->sessions.emplace(caller, session);
     }
-    request.caller = caller;
+    asked.caller = caller;
     this->loop.post(
-        [this, request = std::move(request)]
+        [this, asked = std::move(asked)]
         {
-            this->receiver(request);
+            this->receiver(asked);
         });
     auto finished = false;
     try
     {
-        finished = write_answer(*session, response);
+        finished = write_answer(*session, request, response);
     }
     catch (std::exception const&)
     {
@@ -275,6 +327,7 @@
     }
     if (!finished)
     {
+        response.setKeepAlive(false);
         this->loop.post(
             [this, caller]
             {
@@ -291,20 +344,29 @@
     return found == this->sessions.end() ? nullptr : found->second;
 }
 
-void caller_server::deliver(entry_core::reply reply)
+template <class Item>
+void caller_server::push(Item item)
 {
-    if (auto const session = this->find(reply.caller))
+    auto const caller = item.caller;
+    auto const session = this->find(caller);
+    if (session && !session->push(std::move(item)))
     {
-        session->push(std::move(reply));
+        this->loop.post(
+            [this, caller]
+            {
+                this->receiver(entry_core::caller_left{caller});
+            });
     }
 }
 
+void caller_server::deliver(entry_core::reply reply)
+{
+    this->push(std::move(reply));
+}
+
 void caller_server::deliver(entry_core::refuse refusal)
 {
-    if (auto const session = this->find(refusal.caller))
-    {
-        session->push(std::move(refusal));
-    }
+    this->push(std::move(refusal));
 }
 
 } // namespace foxtailvale::node
--- a/libs/node/src/endpoint_client.cpp
+++ b/libs/node/src/endpoint_client.cpp
@@ -111,7 +111,8 @@
 {
     {
         std::lock_guard const lock(this->mutex);
-        this->active.insert(work.attempt);
+        this->active.emplace(
+            work.attempt, std::make_shared<http::call_control>());
     }
     this->work_pool.run(
         [this, work = std::move(work)]
@@ -123,9 +124,11 @@
 void endpoint_client::cancel(base::attempt_id attempt)
 {
     std::lock_guard const lock(this->mutex);
-    if (this->active.contains(attempt))
+    auto const call = this->active.find(attempt);
+    if (call != this->active.end())
     {
         this->cancelled.insert(attempt);
+        call->second->cancel();
     }
 }
 
@@ -143,8 +146,12 @@
             std::nullopt});
         return !this->is_cancelled(attempt);
     };
-    auto const answer = http::stream(
-        make_request(this->addresses.endpoint, work.run), on_piece);
+    auto request = make_request(this->addresses.endpoint, work.run);
+    {
+        std::lock_guard const lock(this->mutex);
+        request.control = this->active.at(attempt);
+    }
+    auto const answer = http::stream(request, on_piece);
     if (!ended)
     {
         auto const failure =
