--- a/libs/http/src/connection.cpp
+++ b/libs/http/src/connection.cpp
@@ -1,12 +1,11 @@
 #include "connection.hpp"
 
-#include <Poco/Net/HTTPServerRequestImpl.h>
-#include <Poco/Net/HTTPServerResponseImpl.h>
+#include "exchange.hpp"
+
 #include <Poco/Net/HTTPServerSession.h>
 #include <Poco/Net/NetException.h>
 
 #include <algorithm>
-#include <array>
 
 namespace foxtailvale::http
 {
@@ -14,13 +13,8 @@
 namespace
 {
 
-using Poco::Net::HTTPServerRequestImpl;
-using Poco::Net::HTTPServerResponseImpl;
 using Poco::Net::HTTPServerSession;
 
-constexpr std::size_t piece_bytes = 16 * 1024;
-constexpr std::chrono::milliseconds longest_linger{1000};
-
 // A socket that its peer has closed cannot be shut down again.
 void shutdown_quietly(Poco::Net::StreamSocket& socket, bool both_ways)
 {
@@ -41,35 +35,6 @@
     }
 }
 
-// Failure: a connection that is closed while bytes from the caller are unread
-// is reset, and the reset overtakes the answer: the caller of a request that
-// was too large sees a broken connection and no reason. So the way out is
-// closed first and the rest is read away, within bounds.
-void linger(Poco::Net::StreamSocket& socket)
-{
-    try
-    {
-        socket.shutdownSend();
-        std::array<char, piece_bytes> piece{};
-        auto const start = std::chrono::steady_clock::now();
-        while (std::chrono::steady_clock::now() - start < longest_linger)
-        {
-            socket.setReceiveTimeout(
-                std::chrono::microseconds(longest_linger).count());
-            auto const count = socket.receiveBytes(
-                piece.data(), static_cast<int>(piece.size()));
-            if (count <= 0)
-            {
-                return;
-            }
-        }
-    }
-    catch (Poco::Exception const&)
-    {
-        return;
-    }
-}
-
 } // namespace
 
 void connection_table::add(
@@ -172,10 +137,16 @@
 {
     auto params = this->shared->params;
     HTTPServerSession session(this->socket(), params);
+    exchange_context const exchange{
+        this->shared->handler, this->shared->bad_head, params,
+        [this]
+        {
+            return this->shared->table->is_stopping();
+        }};
     while (session.hasMoreRequests())
     {
         this->shared->table->set_busy(*this, true);
-        auto const goes_on = this->answer_one(session);
+        auto const goes_on = answer_one(session, this->socket(), exchange);
         this->shared->table->set_busy(*this, false);
         if (!goes_on)
         {
@@ -185,55 +156,6 @@
     linger(this->socket());
 }
 
-bool connection::answer_one(HTTPServerSession& session)
-{
-    HTTPServerResponseImpl response(session);
-    std::unique_ptr<HTTPServerRequestImpl> request;
-    auto params = this->shared->params;
-    try
-    {
-        request = std::make_unique<HTTPServerRequestImpl>(
-            response, session, params.get());
-    }
-    catch (Poco::Net::NoMessageException const&)
-    {
-        return false;
-    }
-    catch (Poco::Net::MessageException const& fault)
-    {
-        this->answer_bad_head(session, fault.message());
-        return false;
-    }
-    response.setDate(Poco::Timestamp());
-    response.setVersion(request->getVersion());
-    response.setKeepAlive(
-        request->getKeepAlive() && session.canKeepAlive() &&
-        !this->shared->table->is_stopping());
-    if (request->getExpectContinue())
-    {
-        response.sendContinue();
-    }
-    this->shared->handler(*request, response);
-    session.setKeepAlive(response.getKeepAlive() && session.canKeepAlive());
-    return session.getKeepAlive();
-}
-
-void connection::answer_bad_head(HTTPServerSession& session, std::string what)
-{
-    HTTPServerResponseImpl response(session);
-    response.setVersion(Poco::Net::HTTPMessage::HTTP_1_1);
-    response.setDate(Poco::Timestamp());
-    response.setKeepAlive(false);
-    session.setKeepAlive(false);
-    if (this->shared->bad_head)
-    {
-        this->shared->bad_head(
-            what, this->socket().peerAddress().host().toString(), response);
-        return;
-    }
-    send_text(response, 400, "text/plain", what + "\n");
-}
-
 connection_factory::connection_factory(
     std::shared_ptr<connection_context const> context)
     : shared(std::move(context))
--- a/libs/http/src/connection.hpp
+++ b/libs/http/src/connection.hpp
@@ -13,11 +13,6 @@
 #include <memory>
 #include <mutex>
 
-namespace Poco::Net
-{
-class HTTPServerSession;
-}
-
 namespace foxtailvale::http
 {
 
@@ -86,11 +81,6 @@
     void run() override;
 
 private:
-    // False when there is no further request to read.
-    bool answer_one(Poco::Net::HTTPServerSession& session);
-    void
-    answer_bad_head(Poco::Net::HTTPServerSession& session, std::string what);
-
     std::shared_ptr<connection_context const> shared;
 };
 
