Measure bursts beside two baselines: make bench-weights

Cause: the demo's 14 engines say nothing about growth, and nothing was compared with the obvious ways to do it.

The bench runs real agents, entries, the origin and links of 20 Mbit/s, puts live requests on a first model and releases a second one to all engines. The sources of a chunk are computed once per plan rather than each tick.

--- /dev/null
+++ b/benchmarks/weights/src/burst.hpp
@@ -0,0 +1,55 @@
+#ifndef FOXTAILVALE_BENCH_WEIGHTS_BURST_HPP
+#define FOXTAILVALE_BENCH_WEIGHTS_BURST_HPP
+
+#include <fleet.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+namespace foxtailvale::bench_weights
+{
+
+// One burst to be measured.
+struct burst_settings
+{
+    scenario::fleet_paths paths;
+    unsigned network = 1;
+    // "forest", "swarm" or "origin".
+    std::string distribution;
+    // Three domains in three regions, or seven in two.
+    int domains = 3;
+    int agents = 12;
+    std::uint64_t bytes = 0;
+    // A burst that takes longer is recorded as not finished.
+    std::chrono::seconds longest{0};
+};
+
+// What one burst showed.
+struct burst_result
+{
+    bool finished = false;
+    // From the note's acceptance until the engines served the version.
+    double seconds_all = 0;
+    double seconds_half = 0;
+    // Bytes over the narrowest link at its full rate.
+    double seconds_bound = 0;
+    double origin_copies = 0;
+    double region_copies = 0;
+    // Copies over a VM's link, in and out together.
+    double vm_copies_mean = 0;
+    double vm_copies_max = 0;
+    double agent_cpu_seconds = 0;
+    double agent_peak_mib = 0;
+    double live_p95_idle_ms = 0;
+    double live_p95_burst_ms = 0;
+    std::uint64_t live_failed = 0;
+};
+
+// Runs a fleet of real processes, gives it a model, puts live load on it and
+// then releases a second, larger model to all engines at once.
+burst_result measure_burst(burst_settings const& settings);
+
+} // namespace foxtailvale::bench_weights
+
+#endif
--- a/libs/agent_core/include/agent_core/agent_core.hpp
+++ b/libs/agent_core/include/agent_core/agent_core.hpp
@@ -70,6 +70,8 @@
     // When a chunk came last, from anywhere.
     base::time_point last_chunk;
     std::map<std::uint32_t, pending_chunk> pending;
+    // Computed from the plans in force, by chunk.
+    std::map<std::uint32_t, std::optional<weights::chunk_sources>> sources;
     // Sources that will not give a chunk, and until when.
     std::map<std::uint32_t, std::map<std::string, base::time_point>> declined;
     // Chunks that other agents said they hold, by agent.
--- a/libs/agent_core/src/transfer_flow.cpp
+++ b/libs/agent_core/src/transfer_flow.cpp
@@ -207,6 +207,7 @@
         state.weights.store, digest, index, std::move(bytes)));
     drop_pending(state, transfer, index);
     transfer.declined.erase(index);
+    transfer.sources.erase(index);
     transfer.last_chunk = now;
     weights::on_chunk_held(state.weights.uploads, digest, index);
     send_uploads(state, now, out);
@@ -374,13 +375,18 @@
 
 std::optional<weights::chunk_source> best_source(
     state const& state,
-    transfer const& transfer,
+    transfer& transfer,
     std::uint32_t index,
     base::time_point now)
 {
-    auto const sources = weights::sources_of(
-        state.control.plans, state.self.failure_domain, state.self.name,
-        transfer.digest, index);
+    auto const [entry, added] = transfer.sources.try_emplace(index);
+    auto& sources = entry->second;
+    if (added)
+    {
+        sources = weights::sources_of(
+            state.control.plans, state.self.failure_domain, state.self.name,
+            transfer.digest, index);
+    }
     if (!sources)
     {
         return std::nullopt;
@@ -444,6 +450,10 @@
         state.weights.first_plan = now;
     }
     stop_unwanted_transfers(state, out);
+    for (auto& [digest, transfer] : state.weights.transfers)
+    {
+        transfer.sources.clear();
+    }
     auto const* const part = own_part(state);
     if (part == nullptr || !state.self.service.empty())
     {
@@ -483,6 +493,9 @@
     auto const pending = transfer.pending.find(index);
     auto const awaited =
         pending != transfer.pending.end() && pending->second.agent == peer;
+    out.push_back(core::count_metric{
+        "foxtailvale_weights_received_bytes_total",
+        static_cast<double>(reply.data().size())});
     if (awaited)
     {
         note_rate(state, pending->second, reply.data().size(), now);
--- a/libs/agent_core/src/upload_flow.cpp
+++ b/libs/agent_core/src/upload_flow.cpp
@@ -45,12 +45,13 @@
     std::vector<std::pair<std::string, std::uint32_t>> stuck;
     for (auto const& [chunk, peers] : state.weights.uploads.waiting)
     {
-        auto const* const transfer = find_transfer(state, chunk.first);
-        if (transfer == nullptr)
+        auto const transfer = state.weights.transfers.find(chunk.first);
+        if (transfer == state.weights.transfers.end())
         {
             continue;
         }
-        auto const source = best_source(state, *transfer, chunk.second, now);
+        auto const source =
+            best_source(state, transfer->second, chunk.second, now);
         if (source && source->agent.empty())
         {
             stuck.push_back(chunk);
--- a/libs/agent_core/src/weights_parts.hpp
+++ b/libs/agent_core/src/weights_parts.hpp
@@ -65,7 +65,7 @@
 // drawn; nothing when the plan does not give the version to this agent.
 std::optional<weights::chunk_source> best_source(
     state const& state,
-    transfer const& transfer,
+    transfer& transfer,
     std::uint32_t index,
     base::time_point now);
 
--- a/tools/scenario/src/deployment.hpp
+++ b/tools/scenario/src/deployment.hpp
@@ -35,6 +35,8 @@
     std::uint64_t region_latency_us = 0;
     std::uint64_t region_bits_per_second = 0;
     nlohmann::json workspaces;
+    // How agents distribute weights; for measurements.
+    std::string distribution = "forest";
     // Second number of the loopback addresses of the VMs; the links' addresses
     // follow on it. Two fleets can run side by side with numbers ten apart.
     unsigned network = 1;
--- a/tools/scenario/src/settings_writer.cpp
+++ b/tools/scenario/src/settings_writer.cpp
@@ -145,6 +145,7 @@
     settings["endpoint"] =
         "http://" + machine.address + ":" + std::to_string(endpoint_port);
     settings["origin"] = store_url(from, place.region, origin_port);
+    settings["distribution"] = from.distribution;
     if (place.region != from.store_region)
     {
         settings["origin_link_mbit"] = from.region_bits_per_second / 1'000'000;
