--- a/libs/agent_core/include/agent_core/agent_core.hpp
+++ b/libs/agent_core/include/agent_core/agent_core.hpp
@@ -81,6 +81,7 @@
     std::map<std::string, std::vector<bool>> holders;
     // How often the origin sent other bytes than a chunk's.
     std::map<std::uint32_t, std::uint32_t> corrupt_draws;
+    std::uint32_t corrupt_manifests = 0;
     // Agents that refuse the version because the origin's bytes are wrong.
     std::set<std::string> refusals;
     bool refused = false;
--- a/libs/agent_core/src/manifest_flow.cpp
+++ b/libs/agent_core/src/manifest_flow.cpp
@@ -16,6 +16,10 @@
 // manifest's size.
 constexpr std::chrono::milliseconds holdings_interval{3000};
 
+// Manifests from the origin that are not the one asked for, before the version
+// is refused.
+constexpr std::uint32_t most_corrupt_manifests = 3;
+
 // An agent turns to the origin for the manifest only when it should have come
 // by now: the later, the further back it stands in the first chunk's order.
 constexpr std::chrono::milliseconds origin_patience{2000};
@@ -77,7 +81,23 @@
     out.push_back(std::move(message));
 }
 
-void accept_manifest(
+void answer_waiters(state& state, std::string const& digest, actions& out)
+{
+    auto const waiting = state.weights.manifest_waiters.find(digest);
+    if (waiting == state.weights.manifest_waiters.end())
+    {
+        return;
+    }
+    for (auto const& peer : waiting->second)
+    {
+        send_manifest(state, peer, digest, out);
+    }
+    state.weights.manifest_waiters.erase(waiting);
+}
+
+// Keeps the manifest of a version that is on its way; the error when it is not
+// the one asked for or its version has no room.
+base::result<void> accept_manifest(
     state& state,
     std::string const& digest,
     std::string const& text,
@@ -88,24 +108,33 @@
     if (found == state.weights.transfers.end() || found->second.refused ||
         state.weights.store.versions.contains(digest))
     {
-        return;
+        return boost::outcome_v2::success();
     }
-    auto const added = weights::add_version(state.weights.store, digest, text);
-    if (!added)
+    BOOST_OUTCOME_TRYV(weights::add_version(state.weights.store, digest, text));
+    answer_waiters(state, digest, out);
+    begin_chunks(state, found->second, now, out);
+    return boost::outcome_v2::success();
+}
+
+// The origin's manifest cannot be used. A damaged one stays damaged, so after
+// a few the version is refused; without room it is tried again, ever slower.
+void reject_manifest(
+    state& state,
+    std::string const& digest,
+    base::error const& reason,
+    actions& out)
+{
+    out.push_back(core::report_error{reason, {{"source", "origin"}}});
+    auto const found = state.weights.transfers.find(digest);
+    if (found == state.weights.transfers.end() ||
+        reason.kind != base::error_kind::bad_digest)
     {
-        out.push_back(core::report_error{added.error(), {}});
         return;
     }
-    auto const waiting = state.weights.manifest_waiters.find(digest);
-    if (waiting != state.weights.manifest_waiters.end())
+    if (++found->second.corrupt_manifests >= most_corrupt_manifests)
     {
-        for (auto const& peer : waiting->second)
-        {
-            send_manifest(state, peer, digest, out);
-        }
-        state.weights.manifest_waiters.erase(waiting);
+        refuse_version(state, found->second, out);
     }
-    begin_chunks(state, found->second, now, out);
 }
 
 } // namespace
@@ -180,7 +209,16 @@
         return;
     }
     found->second.holders[peer] = read_bitmap(reply.bitmap());
-    accept_manifest(state, reply.digest(), reply.document(), now, out);
+    auto const kept =
+        accept_manifest(state, reply.digest(), reply.document(), now, out);
+    if (!kept)
+    {
+        out.push_back(core::report_error{kept.error(), {{"source", peer}}});
+    }
+    if (!kept && kept.error().kind == base::error_kind::bad_digest)
+    {
+        weights::blame(state.weights.book, peer, now);
+    }
 }
 
 void on_origin_manifest(
@@ -194,15 +232,16 @@
     {
         found->second.manifest_drawn = false;
     }
-    auto& origin = state.weights.origin;
-    weights::note_draw_ended(
-        origin, reply.failure.has_value(), state.random, now);
-    if (reply.failure)
+    auto const kept =
+        reply.failure
+            ? base::result<void>(
+                  base::fail(reply.failure->kind, reply.failure->detail))
+            : accept_manifest(state, reply.digest, reply.text, now, out);
+    weights::note_draw_ended(state.weights.origin, !kept, state.random, now);
+    if (!kept)
     {
-        out.push_back(core::report_error{*reply.failure, {}});
-        return;
+        reject_manifest(state, reply.digest, kept.error(), out);
     }
-    accept_manifest(state, reply.digest, reply.text, now, out);
 }
 
 } // namespace foxtailvale::agent_core
--- a/libs/agent_core/tests/burst_tests.cpp
+++ b/libs/agent_core/tests/burst_tests.cpp
@@ -189,6 +189,21 @@
     }
 }
 
+// The origin's manifest itself is damaged. No chunk can be named by it; the
+// version is refused after a few calls rather than asked for without end.
+TEST(bursts, a_damaged_manifest_has_the_version_refused)
+{
+    burst test(three_regions, 1);
+    test.fleet.corrupt_manifests = true;
+    test.fleet.run(minutes(5));
+    for (auto const& name : test.fleet.names())
+    {
+        auto const& transfers = test.fleet.core(name).weights.transfers;
+        EXPECT_TRUE(transfers.at(test.version.digest).refused) << name;
+    }
+    EXPECT_LE(test.fleet.origin_calls, 24U * 3U);
+}
+
 // Another version replaces the first in the middle of its burst. What is left
 // of the first must not take the link's time from the second.
 TEST(bursts, a_replaced_version_stops)
--- a/libs/agent_core/tests/fake_fleet.cpp
+++ b/libs/agent_core/tests/fake_fleet.cpp
@@ -345,6 +345,7 @@
     origin_manifest reply;
     reply.digest = ordered.digest;
     reply.text = this->versions[ordered.digest].manifest;
+    reply.text += this->corrupt_manifests ? "?" : "";
     if (this->origin_fails(name))
     {
         reply.failure = base::error{base::error_kind::origin_unavailable, ""};
--- a/libs/agent_core/tests/fake_fleet.hpp
+++ b/libs/agent_core/tests/fake_fleet.hpp
@@ -99,6 +99,7 @@
     std::set<std::string> cut_from_origin;
     bool origin_down = false;
     int corrupt_draws = 0;
+    bool corrupt_manifests = false;
     bool lose_order_answers = false;
     bool engines_check_fencing = true;
     std::chrono::milliseconds origin_chunk_time{50};
--- /dev/null
+++ b/libs/weights/tests/origin_pace_tests.cpp
@@ -0,0 +1,124 @@
+#include <weights/origin_pace.hpp>
+
+#include <gtest/gtest.h>
+
+#include <set>
+
+namespace foxtailvale::weights
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+base::time_point const start{std::chrono::hours(1)};
+constexpr std::uint32_t chunk_bytes = 1000;
+
+// Ten chunks a second.
+origin_pace narrow_pace()
+{
+    origin_pace pace;
+    pace.bytes_per_second = 10'000;
+    return pace;
+}
+
+import_turn turn_of(std::uint32_t index, std::uint32_t missing_before)
+{
+    import_turn turn;
+    turn.started = start;
+    turn.index = index;
+    turn.chunk_bytes = chunk_bytes;
+    turn.missing_before = missing_before;
+    turn.last_chunk = start;
+    return turn;
+}
+
+} // namespace
+
+// Importers draw whatever they may at once, over a link that callers share:
+// their answers would wait behind megabytes. Each chunk has a time of its own.
+TEST(origin_pace, each_chunk_is_drawn_in_its_own_slot)
+{
+    auto const pace = narrow_pace();
+    EXPECT_TRUE(may_draw(pace, turn_of(0, 0), start));
+    EXPECT_FALSE(may_draw(pace, turn_of(5, 2), start + milliseconds(499)));
+    EXPECT_TRUE(may_draw(pace, turn_of(5, 2), start + milliseconds(500)));
+}
+
+TEST(origin_pace, transfers_share_the_link)
+{
+    auto const pace = narrow_pace();
+    auto turn = turn_of(5, 2);
+    turn.transfers = 2;
+    EXPECT_FALSE(may_draw(pace, turn, start + milliseconds(999)));
+    EXPECT_TRUE(may_draw(pace, turn, start + milliseconds(1000)));
+}
+
+// Live requests take more of the link than was left to them. Chunks come
+// later, and draws must slow down with them rather than pile up.
+TEST(origin_pace, draws_slow_down_with_the_link)
+{
+    auto const pace = narrow_pace();
+    auto turn = turn_of(20, 8);
+    turn.last_chunk = start + seconds(9);
+    EXPECT_FALSE(may_draw(pace, turn, start + seconds(10)));
+    turn.missing_before = 7;
+    EXPECT_TRUE(may_draw(pace, turn, start + seconds(10)));
+}
+
+// The importers of earlier chunks died. Waiting for those would stop the rest.
+TEST(origin_pace, stuck_chunks_do_not_hold_up_later_ones)
+{
+    auto const pace = narrow_pace();
+    auto const turn = turn_of(20, 8);
+    EXPECT_FALSE(may_draw(pace, turn, start + milliseconds(1400)));
+    EXPECT_TRUE(may_draw(pace, turn, start + milliseconds(2100)));
+}
+
+// The weight store refuses reads. Agents that all came back after the same
+// time would be refused together again.
+TEST(origin_pace, refusals_lead_to_longer_and_different_pauses)
+{
+    std::set<base::time_point> first;
+    for (std::uint64_t seed = 1; seed <= 50; ++seed)
+    {
+        origin_pace pace;
+        base::random_state random{seed};
+        note_draw(pace);
+        note_draw_ended(pace, true, random, start);
+        auto const pause = pace.not_before - start;
+        EXPECT_GE(pause, milliseconds(250));
+        EXPECT_LT(pause, milliseconds(500));
+        first.insert(pace.not_before);
+        EXPECT_FALSE(may_draw(pace, turn_of(0, 0), start + milliseconds(249)));
+        note_draw_ended(pace, true, random, start);
+        EXPECT_GE(pace.not_before - start, milliseconds(500));
+        for (int more = 0; more < 20; ++more)
+        {
+            note_draw_ended(pace, true, random, start);
+        }
+        EXPECT_LE(pace.not_before - start, seconds(32));
+    }
+    EXPECT_GT(first.size(), 30U);
+}
+
+// While the origin fails, one draw at a time tries it.
+TEST(origin_pace, a_failing_origin_is_tried_with_one_draw)
+{
+    origin_pace pace;
+    base::random_state random{1};
+    note_draw(pace);
+    note_draw(pace);
+    EXPECT_FALSE(may_draw(pace, turn_of(0, 0), start));
+    note_draw_ended(pace, true, random, start);
+    EXPECT_FALSE(may_draw(pace, turn_of(0, 0), start + seconds(1)));
+    note_draw_ended(pace, true, random, start);
+    EXPECT_TRUE(may_draw(pace, turn_of(0, 0), start + seconds(2)));
+    EXPECT_TRUE(suspects_origin(pace, start + seconds(2)));
+    note_draw_ended(pace, false, random, start + seconds(2));
+    EXPECT_FALSE(suspects_origin(pace, start + seconds(2)));
+}
+
+} // namespace foxtailvale::weights
