--- a/libs/agent_core/src/manifest_flow.cpp
+++ b/libs/agent_core/src/manifest_flow.cpp
@@ -237,7 +237,11 @@
             ? base::result<void>(
                   base::fail(reply.failure->kind, reply.failure->detail))
             : accept_manifest(state, reply.digest, reply.text, now, out);
-    weights::note_draw_ended(state.weights.origin, !kept, state.random, now);
+    weights::note_draw_ended(
+        state.weights.origin,
+        kept ? weights::draw_outcome::good
+             : outcome_of(std::optional<base::error>(kept.error())),
+        state.random, now);
     if (!kept)
     {
         reject_manifest(state, reply.digest, kept.error(), out);
--- a/libs/agent_core/src/transfer_flow.cpp
+++ b/libs/agent_core/src/transfer_flow.cpp
@@ -561,7 +561,7 @@
 {
     auto& origin = state.weights.origin;
     weights::note_draw_ended(
-        origin, reply.failure.has_value(), state.random, now);
+        origin, outcome_of(reply.failure), state.random, now);
     auto const found = state.weights.transfers.find(reply.digest);
     if (found == state.weights.transfers.end() || found->second.refused)
     {
--- a/libs/agent_core/tests/burst_tests.cpp
+++ b/libs/agent_core/tests/burst_tests.cpp
@@ -262,6 +262,21 @@
     }
 }
 
+// The weight store gives ten chunks a second to the whole fleet and refuses the
+// rest. Agents must fit in with it: neither starve, nor spend the store's calls
+// on refusals, nor draw in each other's place because of them.
+TEST(bursts, a_rate_limited_store_is_respected)
+{
+    for (auto const seed : seeds)
+    {
+        burst test(three_regions, seed);
+        test.fleet.store_interval = milliseconds(100);
+        ASSERT_TRUE(test.finishes_within(seconds(120))) << seed;
+        EXPECT_LE(test.origin_copies(), 3.2) << seed;
+        EXPECT_LE(test.fleet.origin_refusals, 3U * 3U * chunks) << seed;
+    }
+}
+
 // One importer alone cannot reach the origin. It must hand its chunks on, or
 // its whole region would wait for as long as its way is closed.
 TEST(bursts, an_importer_without_a_way_to_the_origin_hands_on)
--- a/libs/agent_core/tests/fake_fleet.cpp
+++ b/libs/agent_core/tests/fake_fleet.cpp
@@ -369,8 +369,14 @@
     {
         reply.failure = base::error{base::error_kind::origin_unavailable, ""};
     }
+    else if (this->now < this->store_ready)
+    {
+        ++this->origin_refusals;
+        reply.failure = base::error{base::error_kind::origin_refused, ""};
+    }
     else
     {
+        this->store_ready = this->now + this->store_interval;
         ++this->draws[ordered.digest];
         reply.bytes = this->versions[ordered.digest].bytes.substr(
             std::size_t{ordered.index} * chunk_bytes, chunk_bytes);
--- a/libs/agent_core/tests/fake_fleet.hpp
+++ b/libs/agent_core/tests/fake_fleet.hpp
@@ -100,6 +100,8 @@
     bool origin_down = false;
     int corrupt_draws = 0;
     bool corrupt_manifests = false;
+    // Least time between chunks that the origin gives; sooner it refuses.
+    std::chrono::milliseconds store_interval{0};
     bool lose_order_answers = false;
     bool engines_check_fencing = true;
     std::chrono::milliseconds origin_chunk_time{50};
@@ -108,6 +110,7 @@
     // What was seen.
     std::map<std::string, int> draws;
     std::uint64_t origin_calls = 0;
+    std::uint64_t origin_refusals = 0;
     std::uint64_t messages = 0;
     std::map<std::string, fake_engine> engines;
     std::vector<base::error> errors;
@@ -168,6 +171,7 @@
     std::vector<control::assigned_model> assigned;
     std::uint64_t plan_version = 0;
     std::map<std::string, base::time_point> origin_free;
+    base::time_point store_ready;
     std::priority_queue<delivery> queue;
     std::uint64_t sequence = 0;
     base::time_point now{std::chrono::hours(1)};
--- a/libs/weights/include/weights/origin_pace.hpp
+++ b/libs/weights/include/weights/origin_pace.hpp
@@ -22,6 +22,15 @@
     base::time_point not_before;
 };
 
+// How a draw ended.
+enum class draw_outcome
+{
+    good,
+    // The store is there and allows no more reads now.
+    refused,
+    failed,
+};
+
 // One chunk whose turn at the origin is asked for.
 struct import_turn
 {
@@ -50,12 +59,13 @@
 
 void note_draw(origin_pace& pace);
 
-// The draw ended; after a failure the agent leaves the origin alone for a time
-// that doubles and is drawn at random, so that an outage does not end in a
-// stampede.
+// The draw ended; after a refusal or failure the agent leaves the origin alone
+// for a time that doubles and is drawn at random, so that an outage does not
+// end in a stampede. After refusals it grows less: the store gives something to
+// somebody all the time, and long pauses would leave that unused.
 void note_draw_ended(
     origin_pace& pace,
-    bool failed,
+    draw_outcome outcome,
     base::random_state& random,
     base::time_point now);
 
--- a/libs/weights/src/origin_pace.cpp
+++ b/libs/weights/src/origin_pace.cpp
@@ -24,6 +24,7 @@
 
 constexpr milliseconds first_pause{500};
 constexpr std::uint32_t most_doublings = 6;
+constexpr std::uint32_t most_doublings_refused = 2;
 constexpr std::uint32_t most_failures = 3;
 
 // An agent that draws in another's place tries the origin again after this.
@@ -66,17 +67,20 @@
 
 void note_draw_ended(
     origin_pace& pace,
-    bool failed,
+    draw_outcome outcome,
     base::random_state& random,
     base::time_point now)
 {
     pace.running -= pace.running > 0 ? 1 : 0;
-    if (!failed)
+    if (outcome == draw_outcome::good)
     {
         pace.failures_in_a_row = 0;
         return;
     }
-    auto const doublings = std::min(pace.failures_in_a_row, most_doublings);
+    auto const doublings = std::min(
+        pace.failures_in_a_row, outcome == draw_outcome::refused
+                                    ? most_doublings_refused
+                                    : most_doublings);
     ++pace.failures_in_a_row;
     pace.last_failure = now;
     auto const longest = static_cast<std::uint64_t>(first_pause.count())
