The demo restarts VMs under load, measures each VM's link and draws its report

Cause: nothing showed that a planned restart loses nothing, the load tool sent to entries that were not ready, vm_link_copies_max was not measured, domain-out was judged by engines alone, and there was no page to look at.

The load tool now plays the balancer (readiness polled each second, a refused connection goes to the next entry) with some slow readers. Agents' peer traffic and their draws from the origin pass through links that count by pair of addresses; agents call from their own address, so that a link can tell. The demo restarts an entry, an engine's agent and a booking agent, counts new work of the domain that is out at engines and services, times from before each call, and writes report.html with plots. demo.cpp is split into notes, report and plots.

--- a/libs/node/include/node/peer_bus.hpp
+++ b/libs/node/include/node/peer_bus.hpp
@@ -55,6 +55,7 @@
     std::string rewritten(std::string const& address) const;
 
     std::string name;
+    std::string own_address;
     std::uint64_t incarnation;
     std::vector<release::address_rewrite> rewrites;
     zmq::context_t context;
--- a/libs/node/src/peer_bus.cpp
+++ b/libs/node/src/peer_bus.cpp
@@ -62,8 +62,9 @@
     event_loop& loop,
     release::node_settings const& settings,
     std::uint64_t life)
-    : name(settings.name), incarnation(life), rewrites(settings.rewrites),
-      context(1), inbound(this->context, zmq::socket_type::router),
+    : name(settings.name), own_address(settings.address), incarnation(life),
+      rewrites(settings.rewrites), context(1),
+      inbound(this->context, zmq::socket_type::router),
       outbound(this->context, zmq::socket_type::router)
 {
     configure(this->inbound, this->name);
@@ -108,7 +109,10 @@
 
 void peer_bus::connect(std::string const& peer, std::string const& address)
 {
-    auto const target = "tcp://" + this->rewritten(address);
+    // Leaves from the own address also where a machine has several, so that
+    // peers and links can tell whose traffic it is.
+    auto const target =
+        "tcp://" + this->own_address + ":0;" + this->rewritten(address);
     auto const known = this->connected.find(peer);
     if (known != this->connected.end())
     {
--- a/standins/include/standins/link.hpp
+++ b/standins/include/standins/link.hpp
@@ -41,7 +41,8 @@
 {
 public:
     // The control port answers POST /control {"cut": "none" | "both" |
-    // "first-to-second" | "second-to-first"} and GET /counters.
+    // "first-to-second" | "second-to-first"} and GET /counters: bytes each way,
+    // also by pair of the address that called and the one that listened.
     link(
         http::server_options const& control_options,
         link_options const& options);
--- a/standins/include/standins/plain_service.hpp
+++ b/standins/include/standins/plain_service.hpp
@@ -32,6 +32,8 @@
     std::chrono::milliseconds work_time;
     std::mutex mutex;
     std::map<std::string, std::uint64_t> runs;
+    // Milliseconds since the epoch at which a call last began.
+    std::int64_t last_begin_ms = 0;
     http::server listener;
 };
 
--- a/standins/src/engine.cpp
+++ b/standins/src/engine.cpp
@@ -4,6 +4,7 @@
 #include <http/http_client.hpp>
 #include <standins/engine.hpp>
 #include <standins/synthetic.hpp>
+#include <standins/wall_clock.hpp>
 
 #include <algorithm>
 #include <ostream>
@@ -80,13 +81,6 @@
     return true;
 }
 
-std::int64_t wall_clock_ms()
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(
-               std::chrono::system_clock::now().time_since_epoch())
-        .count();
-}
-
 } // namespace
 
 engine::engine(http::server_options const& options, engine_options how)
--- a/standins/src/link.cpp
+++ b/standins/src/link.cpp
@@ -11,6 +11,8 @@
 #include <atomic>
 #include <deque>
 #include <list>
+#include <map>
+#include <mutex>
 #include <thread>
 
 namespace foxtailvale::standins
@@ -58,6 +60,13 @@
     return static_cast<std::size_t>(std::max(way.allowance, 0.0));
 }
 
+// Bytes between one address and one listening address, each way.
+struct pair_bytes
+{
+    std::atomic<std::uint64_t> there{0};
+    std::atomic<std::uint64_t> back{0};
+};
+
 struct parcel
 {
     clock::time_point due;
@@ -70,6 +79,8 @@
     Poco::Net::StreamSocket source;
     Poco::Net::StreamSocket target;
     direction* way = nullptr;
+    // Counts what passes, by pair of addresses.
+    std::atomic<std::uint64_t>* counted = nullptr;
     std::deque<parcel> queue;
     std::size_t queued = 0;
     bool source_closed = false;
@@ -124,6 +135,7 @@
         auto const moved = static_cast<std::size_t>(sent);
         pipe.way->allowance -= static_cast<double>(moved);
         pipe.way->bytes += moved;
+        *pipe.counted += moved;
         pipe.queued -= moved;
         front.bytes.erase(0, moved);
         if (front.bytes.empty())
@@ -183,9 +195,22 @@
             which == "both" || which == "second-to-first";
     }
 
-    json counters() const
+    json counters()
     {
+        json found = json::array();
+        {
+            std::lock_guard const lock(this->mutex);
+            for (auto const& [addresses, bytes] : this->pairs)
+            {
+                found.push_back(
+                    {{"source", addresses.first},
+                     {"listen", addresses.second},
+                     {"there_bytes", bytes.there.load()},
+                     {"back_bytes", bytes.back.load()}});
+            }
+        }
         return {
+            {"pairs", std::move(found)},
             {"first", this->options.first},
             {"second", this->options.second},
             {"first_to_second_bytes", this->first_to_second.bytes.load()},
@@ -280,9 +305,10 @@
                 socket->setNoDelay(true);
                 socket->setBlocking(false);
             }
+            auto& counted = this->pair_of(source);
             this->connections.push_back(
-                {{source, target, &there, {}, 0, false, false},
-                 {target, source, &back, {}, 0, false, false}});
+                {{source, target, &there, &counted.there, {}, 0, false, false},
+                 {target, source, &back, &counted.back, {}, 0, false, false}});
         }
         catch (Poco::Exception const&)
         {
@@ -290,6 +316,14 @@
         }
     }
 
+    pair_bytes& pair_of(Poco::Net::StreamSocket const& source)
+    {
+        std::lock_guard const lock(this->mutex);
+        return this->pairs[{
+            source.peerAddress().host().toString(),
+            source.address().toString()}];
+    }
+
     void move(connection& entry, clock::time_point now)
     {
         for (auto* const way : {&entry.there, &entry.back})
@@ -322,6 +356,8 @@
     direction second_to_first;
     std::vector<listening> listeners;
     std::list<connection> connections;
+    std::mutex mutex;
+    std::map<std::pair<std::string, std::string>, pair_bytes> pairs;
     std::atomic<bool> stopping{false};
     std::thread thread;
 };
--- a/standins/src/plain_service.cpp
+++ b/standins/src/plain_service.cpp
@@ -1,5 +1,6 @@
 #include <nlohmann/json.hpp>
 #include <standins/plain_service.hpp>
+#include <standins/wall_clock.hpp>
 
 #include <thread>
 
@@ -45,6 +46,7 @@
         {
             std::lock_guard const lock(this->mutex);
             value["runs"] = this->runs;
+            value["last_begin_ms"] = this->last_begin_ms;
         }
         return http::send_text(reply, 200, json_type, value.dump());
     }
@@ -54,6 +56,7 @@
     {
         std::lock_guard const lock(this->mutex);
         ++this->runs[id];
+        this->last_begin_ms = wall_clock_ms();
     }
     std::this_thread::sleep_for(this->work_time);
     http::send_text(
--- a/tools/load/src/load_settings.cpp
+++ b/tools/load/src/load_settings.cpp
@@ -29,6 +29,12 @@
     {
         reader.complain("entries", "must name at least one entry");
     }
+    settings.readiness = reader.texts_or_empty("readiness");
+    if (!settings.readiness.empty() &&
+        settings.readiness.size() != settings.entries.size())
+    {
+        reader.complain("readiness", "must be as long as entries, or absent");
+    }
     for (std::size_t index = 0; index < reader.size("workspaces"); ++index)
     {
         auto entry = reader.element("workspaces", index);
@@ -46,6 +52,8 @@
     settings.chats_per_second = count("chats_per_second", 0);
     settings.bookings_per_second = count("bookings_per_second", 0);
     settings.tokens = count("tokens", settings.tokens);
+    settings.slow_readers_percent = static_cast<std::uint32_t>(
+        reader.number_or("slow_readers_percent", 0, 0, 100));
     settings.prompts = count("prompts", settings.prompts);
     settings.seed = reader.number_or("seed", 1, 0, 1ULL << 62U);
     settings.duration = reader.milliseconds_or(
--- a/tools/load/src/requests.cpp
+++ b/tools/load/src/requests.cpp
@@ -4,6 +4,8 @@
 #include <nlohmann/json.hpp>
 #include <standins/synthetic.hpp>
 
+#include <thread>
+
 namespace foxtailvale::load
 {
 
@@ -15,6 +17,8 @@
 
 // Beyond the deadline the entry must have answered by itself.
 constexpr std::chrono::milliseconds grace{3000};
+// Between two events of a stream.
+constexpr std::chrono::milliseconds slow_reader_pause{40};
 
 std::chrono::microseconds since(clock::time_point start)
 {
@@ -56,6 +60,12 @@
     record.ended = record.ran == "no" ? outcome::refused : outcome::failed;
 }
 
+void note_broken(request_record& record, base::error const& error)
+{
+    record.unreachable = error.kind == base::error_kind::peer_unreachable;
+    record.error = "connection: " + error.detail;
+}
+
 // What a stream brought.
 struct stream_text
 {
@@ -142,6 +152,10 @@
                 other += piece;
                 return true;
             }
+            if (planned.slow_reader)
+            {
+                std::this_thread::sleep_for(slow_reader_pause);
+            }
             if (record.first_token.count() == 0)
             {
                 record.first_token = since(start);
@@ -154,7 +168,7 @@
     record.whole = since(start);
     if (!answer)
     {
-        record.error = "connection: " + answer.error().detail;
+        note_broken(record, answer.error());
         return record;
     }
     if (answer.value().status != 200)
@@ -187,7 +201,7 @@
     record.whole = since(start);
     if (!answer)
     {
-        record.error = "connection: " + answer.error().detail;
+        note_broken(record, answer.error());
         return record;
     }
     if (answer.value().status != 200)
--- a/tools/load/src/requests.hpp
+++ b/tools/load/src/requests.hpp
@@ -32,6 +32,8 @@
     std::string id;
     bool booking = false;
     outcome ended = outcome::lost;
+    // The connection was refused: nothing of the request left.
+    bool unreachable = false;
     // Stable error name, when there was one.
     std::string error;
     std::string ran;
@@ -49,6 +51,7 @@
     std::string workspace;
     std::string prompt;
     bool booking = false;
+    bool slow_reader = false;
 };
 
 request_record
--- a/tools/load/src/run_load.cpp
+++ b/tools/load/src/run_load.cpp
@@ -1,3 +1,4 @@
+#include "balancer.hpp"
 #include "requests.hpp"
 
 #include <base/random.hpp>
@@ -84,12 +85,12 @@
             planned.id = (booking ? "booking-" : "chat-") +
                          std::to_string(settings.seed) + "-" +
                          std::to_string(schedule.size());
-            planned.entry =
-                settings.entries[schedule.size() % settings.entries.size()];
             planned.workspace = pick_workspace(settings, random);
             planned.prompt =
                 "household " +
                 std::to_string(base::random_below(random, settings.prompts));
+            planned.slow_reader = !booking && base::random_below(random, 100) <
+                                                  settings.slow_readers_percent;
             schedule.push_back({at, std::move(planned)});
         }
     };
@@ -129,6 +130,30 @@
         {"p99_ms", percentile(values, 0.99)}};
 }
 
+// One row per second of the run: outcomes, and how late the first tokens were.
+json by_second(std::vector<request_record> const& records)
+{
+    std::map<std::int64_t, std::vector<request_record>> seconds;
+    for (auto const& record : records)
+    {
+        seconds[record.begun.count() / 1000].push_back(record);
+    }
+    json rows = json::array();
+    for (auto const& [second, inside] : seconds)
+    {
+        std::map<std::string, std::uint64_t> outcomes;
+        for (auto const& record : inside)
+        {
+            ++outcomes[name_of(record.ended)];
+        }
+        rows.push_back(
+            {{"second", second},
+             {"outcomes", outcomes},
+             {"first_token", latencies(inside, &request_record::first_token)}});
+    }
+    return rows;
+}
+
 json summarise(std::vector<request_record> const& records)
 {
     std::map<std::string, std::uint64_t> outcomes;
@@ -155,28 +180,53 @@
         {"errors", errors},
         {"first_token", latencies(records, &request_record::first_token)},
         {"whole", latencies(records, &request_record::whole)},
+        {"by_second", by_second(records)},
         {"bookings", std::move(bookings)}};
 }
 
+// Sends the request where the balancer says. One whose connection was refused
+// goes to the next entry, as a balancer does it: nothing of it has left.
+request_record send_balanced(
+    load_settings const& settings,
+    balancer const& entries,
+    planned_request planned,
+    std::size_t number)
+{
+    request_record record;
+    for (std::size_t tries = 0; tries < settings.entries.size(); ++tries)
+    {
+        planned.entry = entries.pick(number + tries);
+        record = make_request(settings, planned);
+        if (!record.unreachable)
+        {
+            break;
+        }
+    }
+    return record;
+}
+
 } // namespace
 
 json run_load(load_settings const& settings)
 {
     auto const schedule = make_schedule(settings);
+    balancer const entries(settings.entries, settings.readiness);
     std::vector<request_record> records(schedule.size());
     std::vector<std::thread> threads;
     auto const start = clock::now();
-    auto record = records.begin();
-    for (auto const& next : schedule)
+    for (std::size_t number = 0; number < schedule.size(); ++number)
     {
+        auto const& next = schedule[number];
         std::this_thread::sleep_until(start + next.at);
         threads.emplace_back(
-            [&settings, &next, &into = *record]
+            [&, number]
             {
-                into = make_request(settings, next.planned);
-                into.begun = std::chrono::duration_cast<milliseconds>(next.at);
+                records[number] = send_balanced(
+                    settings, entries, schedule[number].planned, number);
+                records[number].begun =
+                    std::chrono::duration_cast<milliseconds>(
+                        schedule[number].at);
             });
-        ++record;
     }
     for (auto& thread : threads)
     {
--- a/tools/scenario/src/child_process.cpp
+++ b/tools/scenario/src/child_process.cpp
@@ -37,7 +37,7 @@
         arguments.push_back(const_cast<char*>(word.c_str()));
     }
     arguments.push_back(nullptr);
-    auto const failed = posix_spawn(
+    auto const failed = posix_spawnp(
         &this->id, words.front().c_str(), &files, nullptr, arguments.data(),
         environ);
     posix_spawn_file_actions_destroy(&files);
--- a/tools/scenario/src/demo.cpp
+++ b/tools/scenario/src/demo.cpp
@@ -1,12 +1,16 @@
 #include "demo.hpp"
 
+#include "demo_notes.hpp"
+#include "demo_report.hpp"
+#include "vm_links.hpp"
+
 #include <load/run_load.hpp>
 #include <standins/synthetic.hpp>
+#include <standins/wall_clock.hpp>
 
 #include <algorithm>
+#include <atomic>
 #include <chrono>
-#include <cstdio>
-#include <fstream>
 #include <functional>
 #include <iostream>
 #include <thread>
@@ -26,28 +30,17 @@
 constexpr std::uint32_t chunk_bytes = 256 * 1024;
 constexpr std::uint64_t first_seed = 1;
 constexpr std::uint64_t second_seed = 2;
-constexpr std::uint32_t model_memory_mib = 64;
-constexpr std::uint32_t warm_limit = 8;
-constexpr std::uint32_t cold_limit = 2;
 constexpr milliseconds poll_interval{20};
 constexpr seconds longest_phase{60};
 constexpr seconds domain_phase{6};
 constexpr seconds settle_phase{4};
-// A failure domain that was taken out gets no new work after this long.
-constexpr double domain_out_limit_s = 2.0;
+constexpr seconds live_load{60};
 
 double seconds_since(clock::time_point start)
 {
     return std::chrono::duration<double>(clock::now() - start).count();
 }
 
-std::int64_t wall_clock_ms()
-{
-    return std::chrono::duration_cast<milliseconds>(
-               std::chrono::system_clock::now().time_since_epoch())
-        .count();
-}
-
 // Waits until the condition holds; false when it never does.
 bool wait_until(std::function<bool()> const& condition)
 {
@@ -63,70 +56,6 @@
     return false;
 }
 
-json model_clause(deployment const& from, std::string const& digest)
-{
-    json replicas;
-    for (auto const& place : from.domains)
-    {
-        replicas[place.name] = place.engines;
-    }
-    return {
-        {"digest", digest},
-        {"replicas", replicas},
-        {"limit", warm_limit},
-        {"cold_limit", cold_limit},
-        {"memory_mib", model_memory_mib}};
-}
-
-json first_note(deployment const& from, std::string const& digest)
-{
-    json note{{"note", 1}, {"follows", 0}};
-    note["summary"] = "The first model, its services and all failure domains.";
-    auto& added = note["added"];
-    added["models"][from.model] = model_clause(from, digest);
-    added["services"][from.booking_service] = {{"repeatable", false}};
-    added["services"][from.supporting_service] = {{"repeatable", true}};
-    for (auto const& place : from.domains)
-    {
-        added["domains"][place.name] = {{"region", place.region}};
-    }
-    for (auto const& workspace : from.workspaces)
-    {
-        added["workspaces"][workspace["name"].get<std::string>()] = {
-            {"weight", workspace["weight"]}};
-    }
-    return note;
-}
-
-json version_note(deployment const& from, std::string const& digest)
-{
-    return {
-        {"note", 2},
-        {"follows", 1},
-        {"summary", "A new version replaces the first."},
-        {"changed", {{"models", {{from.model, model_clause(from, digest)}}}}}};
-}
-
-json domain_note(int number, std::string const& domain, char const* state)
-{
-    return {
-        {"note", number},
-        {"follows", number - 1},
-        {"failure_domains", {{domain, state}}}};
-}
-
-// What the demonstration learns on its way.
-struct findings
-{
-    double seconds_to_replicas = 0;
-    double seconds_to_version = 0;
-    double config_in_force_s = 0;
-    double domain_out_last_new_work_s = 0;
-    bool in_time = true;
-    bool orderly_stop = false;
-    json load;
-};
-
 // One demonstration in progress.
 class demonstration
 {
@@ -142,21 +71,34 @@
     {
     }
 
-    json run()
+    findings const& run()
     {
+        this->found.model_bytes = model_bytes;
         this->add_model();
+        this->load_running = true;
+        this->load_start = clock::now();
         std::thread live(
             [this]
             {
                 this->run_live_load();
+                this->load_running = false;
             });
         std::this_thread::sleep_for(settle_phase);
         this->replace_version();
         this->domain_out_and_in();
+        this->restart_some();
+        this->require(this->load_running, "the load outlasts all phases");
+        this->say("waits for the end of the load");
         live.join();
-        auto report = this->make_report();
-        report["orderly_stop"] = this->running.stop();
-        return report;
+        this->result = make_report(this->running, this->found);
+        this->found.orderly_stop = this->running.stop();
+        this->result["orderly_stop"] = this->found.orderly_stop;
+        return this->found;
+    }
+
+    json const& report() const
+    {
+        return this->result;
     }
 
 private:
@@ -174,16 +116,27 @@
         }
     }
 
-    void accept(json const& note)
+    // Notes a moment for the plots.
+    void mark(std::string const& what)
+    {
+        this->found.moments.push_back({seconds_since(this->load_start), what});
+    }
+
+    // Applies the note and returns when the call that was accepted began, so
+    // that no measured time comes out too short.
+    clock::time_point accept(json const& note)
     {
         // The first note may come before the platform is ready.
+        clock::time_point begun;
         this->require(
             wait_until(
                 [&]
                 {
+                    begun = clock::now();
                     return this->running.apply(note) == 0;
                 }),
             "note accepted");
+        return begun;
     }
 
     bool all_engines_hold(std::string const& digest)
@@ -225,8 +178,8 @@
     void add_model()
     {
         this->say("note 1 adds " + this->running.layout().model);
-        this->accept(first_note(this->running.layout(), this->first.digest));
-        auto const start = clock::now();
+        auto const start = this->accept(
+            first_note(this->running.layout(), this->first.digest));
         this->require(
             wait_until(
                 [&]
@@ -238,13 +191,17 @@
         this->say(
             "all engines serve it after " +
             std::to_string(this->found.seconds_to_replicas) + " s");
+        this->first_link_bytes = agent_link_bytes(this->running);
+        this->found.vm_link_copies_max =
+            most_copies({}, this->first_link_bytes, model_bytes);
     }
 
     void replace_version()
     {
         this->say("note 2 replaces its version");
-        this->accept(version_note(this->running.layout(), this->second.digest));
-        auto const start = clock::now();
+        this->mark("new version");
+        auto const start = this->accept(
+            version_note(this->running.layout(), this->second.digest));
         this->require(
             wait_until(
                 [&]
@@ -264,35 +221,79 @@
         this->say(
             "all engines serve it after " +
             std::to_string(this->found.seconds_to_version) + " s");
+        this->found.vm_link_copies_max = std::max(
+            this->found.vm_link_copies_max,
+            most_copies(
+                this->first_link_bytes, agent_link_bytes(this->running),
+                model_bytes));
     }
 
-    void domain_out_and_in()
+    // When an endpoint of the domain last began new work, by its own clock
+    // counters; engines and services alike.
+    std::int64_t last_new_work_ms(std::size_t domain)
     {
-        auto const& domain = this->running.layout().domains.back().name;
-        this->say("note 3 takes " + domain + " out");
-        this->accept(domain_note(3, domain, "out"));
-        auto const accepted = wall_clock_ms();
-        std::this_thread::sleep_for(domain_phase);
-        std::int64_t last = accepted;
+        std::int64_t last = 0;
         for (auto const& machine : this->running.vms())
         {
-            auto const is_there =
-                machine.domain + 1 == this->running.layout().domains.size();
-            if (is_there && machine.kind == vm_kind::engine)
+            if (machine.domain != domain || machine.kind == vm_kind::entry)
             {
-                auto const counters = this->running.page(
-                    machine.address, endpoint_port, "/counters");
-                last = std::max(
-                    last, counters.value("last_begin_ms", std::int64_t{0}));
+                continue;
             }
+            auto const counters = this->running.sure_page(
+                machine.address, endpoint_port, "/counters");
+            last =
+                std::max(last, counters["last_begin_ms"].get<std::int64_t>());
         }
+        return last;
+    }
+
+    void domain_out_and_in()
+    {
+        auto const index = this->running.layout().domains.size() - 1;
+        auto const& domain = this->running.layout().domains[index].name;
+        this->say("note 3 takes " + domain + " out");
+        this->mark(domain + " out");
+        auto const asked = standins::wall_clock_ms();
+        this->accept(domain_note(3, domain, "out"));
+        std::this_thread::sleep_for(domain_phase);
+        auto const last = std::max(asked, this->last_new_work_ms(index));
         this->found.domain_out_last_new_work_s =
-            static_cast<double>(last - accepted) / 1000;
+            static_cast<double>(last - asked) / 1000;
         this->say("note 4 brings it back");
+        this->mark(domain + " in");
         this->accept(domain_note(4, domain, "in"));
         std::this_thread::sleep_for(settle_phase);
     }
 
+    bool is_ready(vm const& machine)
+    {
+        return this->running.answers(machine.address, operator_port, "/readyz");
+    }
+
+    // A planned restart of one VM of each kind, one after another, as
+    // operators do it for a new version of the system.
+    void restart_some()
+    {
+        for (auto const kind :
+             {vm_kind::entry, vm_kind::engine, vm_kind::booking})
+        {
+            auto const& vms = this->running.vms();
+            auto const machine = std::ranges::find(vms, kind, &vm::kind);
+            this->say("restarts " + machine->name);
+            this->mark("restart " + machine->name);
+            auto const orderly = this->running.restart(machine->name);
+            this->found.orderly_restarts =
+                this->found.orderly_restarts && orderly;
+            this->require(
+                wait_until(
+                    [&]
+                    {
+                        return this->is_ready(*machine);
+                    }),
+                machine->name + " ready again");
+        }
+    }
+
     void run_live_load()
     {
         load::load_settings settings;
@@ -303,6 +304,9 @@
                 settings.entries.push_back(
                     "http://" + machine.address + ":" +
                     std::to_string(caller_port));
+                settings.readiness.push_back(
+                    "http://" + machine.address + ":" +
+                    std::to_string(operator_port));
             }
         }
         for (auto const& workspace : this->running.layout().workspaces)
@@ -314,116 +318,38 @@
         settings.service = this->running.layout().booking_service;
         settings.chats_per_second = 60;
         settings.bookings_per_second = 10;
-        settings.duration = seconds(45);
+        settings.duration = live_load;
+        settings.slow_readers_percent = 5;
         this->found.load = load::run_load(settings);
     }
 
-    std::map<std::string, std::uint64_t> booking_runs()
-    {
-        std::map<std::string, std::uint64_t> runs;
-        for (auto const& machine : this->running.vms())
-        {
-            if (machine.kind != vm_kind::booking)
-            {
-                continue;
-            }
-            auto const counters =
-                this->running.page(machine.address, endpoint_port, "/counters");
-            for (auto const& [id, count] : counters["runs"].items())
-            {
-                runs[id] += count.get<std::uint64_t>();
-            }
-        }
-        return runs;
-    }
-
-    json make_report()
-    {
-        auto const runs = this->booking_runs();
-        std::uint64_t doubled = 0;
-        for (auto const& [id, count] : runs)
-        {
-            doubled += count > 1 ? 1 : 0;
-        }
-        std::uint64_t run_but_denied = 0;
-        for (auto const& booking : this->found.load["bookings"])
-        {
-            auto const id = booking["id"].get<std::string>();
-            run_but_denied +=
-                booking["ran"] == "no" && runs.contains(id) ? 1 : 0;
-        }
-        auto const origin = this->running.page(
-            store_address(this->running.layout()), origin_port, "/counters");
-        std::uint64_t drawn = 0;
-        for (auto const& [digest, version] : origin["versions"].items())
-        {
-            drawn = std::max(drawn, version["bytes_sent"].get<std::uint64_t>());
-        }
-        auto const& load = this->found.load;
-        auto const count = [&load](char const* outcome)
-        {
-            return load["outcomes"].value(outcome, std::uint64_t{0});
-        };
-        return {
-            {"deployment", this->running.layout().name},
-            {"requests_total", load["requests"]},
-            {"answers_total", count("right")},
-            {"answers_wrong", count("wrong")},
-            {"answers_lost", count("lost")},
-            {"answers_refused", count("refused")},
-            {"answers_failed", count("failed")},
-            {"mixed_weights", count("mixed")},
-            {"bookings_doubled", doubled},
-            {"bookings_run_but_denied", run_but_denied},
-            {"origin_copies",
-             static_cast<double>(drawn) / static_cast<double>(model_bytes)},
-            {"seconds_to_replicas", this->found.seconds_to_replicas},
-            {"seconds_to_version", this->found.seconds_to_version},
-            {"domain_out_last_new_work_s",
-             this->found.domain_out_last_new_work_s},
-            {"config_in_force_s", this->found.config_in_force_s},
-            {"first_token_p50_ms", load["first_token"]["p50_ms"]},
-            {"first_token_p95_ms", load["first_token"]["p95_ms"]},
-            {"p50_ms", load["whole"]["p50_ms"]},
-            {"p95_ms", load["whole"]["p95_ms"]},
-            {"errors", load["errors"]},
-            {"in_time", this->found.in_time}};
-    }
-
     fleet running;
     standins::synthetic_weights first;
     standins::synthetic_weights second;
     findings found;
+    json result;
+    std::map<std::string, std::uint64_t> first_link_bytes;
+    std::atomic<bool> load_running{false};
+    clock::time_point load_start;
 };
 
-bool promises_held(json const& report)
-{
-    return report["answers_wrong"] == 0 && report["answers_lost"] == 0 &&
-           report["mixed_weights"] == 0 && report["bookings_doubled"] == 0 &&
-           report["bookings_run_but_denied"] == 0 &&
-           report["answers_total"] > 0 && report["in_time"] == true &&
-           report["orderly_stop"] == true &&
-           report["domain_out_last_new_work_s"] <= domain_out_limit_s;
-}
-
-void print_table(json const& report)
-{
-    for (auto const& [name, value] : report.items())
-    {
-        std::printf("  %-28s %s\n", name.c_str(), value.dump().c_str());
-    }
-}
-
 } // namespace
 
 int run_demo(fleet_paths const& paths, deployment const& from)
 {
-    auto const report = demonstration(paths, from).run();
-    std::ofstream(paths.work + "/report.json") << report.dump(2) << "\n";
+    demonstration demo(paths, from);
+    auto const& found = demo.run();
+    auto const& report = demo.report();
+    write_report(paths.work, report, found);
     print_table(report);
-    auto const held = promises_held(report);
-    std::cout << (held ? "  all promises held\n" : "  A PROMISE WAS BROKEN\n");
-    return held ? 0 : 1;
+    auto const broken = broken_promises(report);
+    for (auto const& promise : broken)
+    {
+        std::cout << "  BROKEN: " << promise << "\n";
+    }
+    std::cout << (broken.empty() ? "  all promises held; " : "  ") << "see "
+              << paths.work << "/report.html\n";
+    return broken.empty() ? 0 : 1;
 }
 
 } // namespace foxtailvale::scenario
--- /dev/null
+++ b/tools/scenario/src/demo_report.hpp
@@ -0,0 +1,54 @@
+#ifndef FOXTAILVALE_SCENARIO_DEMO_REPORT_HPP
+#define FOXTAILVALE_SCENARIO_DEMO_REPORT_HPP
+
+#include "fleet.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace foxtailvale::scenario
+{
+
+// A moment of the demonstration, in seconds since the live load began.
+struct moment
+{
+    double second = 0;
+    std::string what;
+};
+
+// What the demonstration measured on its way.
+struct findings
+{
+    std::uint64_t model_bytes = 0;
+    double seconds_to_replicas = 0;
+    double seconds_to_version = 0;
+    double config_in_force_s = 0;
+    double domain_out_last_new_work_s = 0;
+    double vm_link_copies_max = 0;
+    bool in_time = true;
+    bool orderly_restarts = true;
+    bool orderly_stop = false;
+    // What the load tool saw.
+    nlohmann::json load;
+    std::vector<moment> moments;
+};
+
+// Makes the report from the findings and the stand-ins' counters.
+nlohmann::json make_report(fleet& running, findings const& found);
+
+// The promises that the report shows broken; empty when all held.
+std::vector<std::string> broken_promises(nlohmann::json const& report);
+
+// Prints the report as a table.
+void print_table(nlohmann::json const& report);
+
+// Writes report.json, report.html and its plots into the folder.
+void write_report(
+    std::string const& folder,
+    nlohmann::json const& report,
+    findings const& found);
+
+} // namespace foxtailvale::scenario
+
+#endif
--- a/tools/scenario/src/fleet.cpp
+++ b/tools/scenario/src/fleet.cpp
@@ -2,10 +2,13 @@
 
 #include <http/http_client.hpp>
 
+#include <algorithm>
+#include <cassert>
 #include <chrono>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <stdexcept>
 #include <thread>
 
 namespace foxtailvale::scenario
@@ -19,6 +22,7 @@
 
 constexpr char const* standins_name = "standins";
 constexpr milliseconds start_poll{50};
+constexpr int most_page_tries = 5;
 constexpr int most_start_polls = 400;
 
 } // namespace
@@ -46,10 +50,7 @@
     }
     for (auto const& machine : this->machines)
     {
-        auto const program = machine.kind == vm_kind::entry
-                                 ? "foxtailvale-entry"
-                                 : "foxtailvale-agent";
-        this->start(program, machine.name, node_settings(this->from, machine));
+        this->start(machine);
     }
 }
 
@@ -108,6 +109,45 @@
     return value.is_discarded() ? json(nullptr) : value;
 }
 
+std::vector<json> fleet::link_counters()
+{
+    auto const regions = regions_of(this->from).size();
+    auto const links = regions * (regions - 1) / 2 + regions;
+    std::vector<json> counters;
+    for (std::size_t link = 0; link < links; ++link)
+    {
+        auto const port = static_cast<std::uint16_t>(link_control_port + link);
+        counters.push_back(this->sure_page(
+            link_control_address(this->from), port, "/counters"));
+    }
+    return counters;
+}
+
+bool fleet::answers(
+    std::string const& address, std::uint16_t port, std::string const& path)
+{
+    http::request ask;
+    ask.base = "http://" + address + ":" + std::to_string(port);
+    ask.path = path;
+    auto const answer = http::call(ask);
+    return answer && answer.value().status == 200;
+}
+
+json fleet::sure_page(
+    std::string const& address, std::uint16_t port, std::string const& path)
+{
+    for (int tries = 0; tries < most_page_tries; ++tries)
+    {
+        auto found = this->page(address, port, path);
+        if (!found.is_null())
+        {
+            return found;
+        }
+    }
+    throw std::runtime_error(
+        "no answer from " + address + ":" + std::to_string(port) + path);
+}
+
 void fleet::control(
     std::string const& address, std::uint16_t port, json const& value)
 {
@@ -135,6 +175,24 @@
     return this->processes.at(name).process_id();
 }
 
+bool fleet::restart(std::string const& name)
+{
+    auto const machine = std::ranges::find(this->machines, name, &vm::name);
+    assert(machine != this->machines.end());
+    auto process = this->processes.extract(name);
+    process.mapped().send(SIGTERM);
+    auto const orderly = process.mapped().wait() == 0;
+    this->start(*machine);
+    return orderly;
+}
+
+void fleet::start(vm const& machine)
+{
+    auto const program = machine.kind == vm_kind::entry ? "foxtailvale-entry"
+                                                        : "foxtailvale-agent";
+    this->start(program, machine.name, node_settings(this->from, machine));
+}
+
 bool fleet::stop()
 {
     for (auto const& [name, process] : this->processes)
--- a/tools/scenario/src/fleet.hpp
+++ b/tools/scenario/src/fleet.hpp
@@ -43,6 +43,22 @@
         std::uint16_t port,
         std::string const& path);
 
+    // Counters of all links, between regions and inside them.
+    std::vector<nlohmann::json> link_counters();
+
+    // Whether a page answers with status 200.
+    bool answers(
+        std::string const& address,
+        std::uint16_t port,
+        std::string const& path);
+
+    // The same as page, for one that a figure is made of: asks a few times,
+    // then throws std::runtime_error.
+    nlohmann::json sure_page(
+        std::string const& address,
+        std::uint16_t port,
+        std::string const& path);
+
     // Sends JSON to a switchboard.
     void control(
         std::string const& address,
@@ -55,11 +71,16 @@
     // The system's number for the process on a VM.
     pid_t process_id(std::string const& name) const;
 
+    // Stops the VM's process with SIGTERM, waits for its end and starts it
+    // anew; true when it ended with 0.
+    bool restart(std::string const& name);
+
     // Stops all processes of the system in an orderly way; true when each
     // ended with 0.
     bool stop();
 
 private:
+    void start(vm const& machine);
     void start(
         std::string const& program,
         std::string const& name,
--- a/tools/scenario/src/settings_writer.cpp
+++ b/tools/scenario/src/settings_writer.cpp
@@ -21,12 +21,14 @@
     return "http://" + address + ":" + std::to_string(port);
 }
 
-json rewrites(deployment const& from, std::string const& region)
+// Agents reach their own region through a link too, which counts whose bytes
+// they are; entries go straight.
+json rewrites(deployment const& from, std::string const& region, vm_kind kind)
 {
     json list = json::array();
     for (std::size_t index = 0; index < from.domains.size(); ++index)
     {
-        if (from.domains[index].region == region)
+        if (kind == vm_kind::entry && from.domains[index].region == region)
         {
             continue;
         }
@@ -71,6 +73,31 @@
          {"target_port", port}});
 }
 
+// Each agent draws from the origin through a listening address of its own, so
+// that the link counts by VM.
+void add_origin_routes(
+    json& routes,
+    deployment const& layout,
+    std::vector<vm> const& vms,
+    std::size_t region)
+{
+    for (auto const& machine : vms)
+    {
+        if (machine.kind == vm_kind::entry ||
+            region_index(layout, layout.domains[machine.domain].region) !=
+                region)
+        {
+            continue;
+        }
+        routes.push_back(
+            {{"from", regions_of(layout)[region]},
+             {"listen_address", through_link(layout, region, machine.address)},
+             {"listen_port", origin_port},
+             {"target_address", store_address(layout)},
+             {"target_port", origin_port}});
+    }
+}
+
 json link_between(
     deployment const& from,
     std::vector<vm> const& vms,
@@ -92,7 +119,7 @@
         if (regions[target] == from.store_region)
         {
             add_route(routes, from, source, store_address(from), platform_port);
-            add_route(routes, from, source, store_address(from), origin_port);
+            add_origin_routes(routes, from, vms, source);
         }
     };
     add_way(first, second);
@@ -107,6 +134,34 @@
         {"routes", std::move(routes)}};
 }
 
+// A link inside a region: no latency of its own and no limit, it only counts.
+json link_inside(
+    deployment const& from,
+    std::vector<vm> const& vms,
+    std::size_t region,
+    std::uint16_t control_port)
+{
+    auto const name = regions_of(from)[region];
+    json routes = json::array();
+    for (auto const& machine : vms)
+    {
+        if (from.domains[machine.domain].region == name)
+        {
+            add_route(routes, from, region, machine.address, peer_port);
+        }
+    }
+    if (name == from.store_region)
+    {
+        add_origin_routes(routes, from, vms, region);
+    }
+    return {
+        {"address", link_control_address(from)},
+        {"port", control_port},
+        {"first", name},
+        {"second", name + " inside"},
+        {"routes", std::move(routes)}};
+}
+
 json links(deployment const& from, std::vector<vm> const& vms)
 {
     json list = json::array();
@@ -120,6 +175,12 @@
             list.push_back(link_between(from, vms, first, second, port));
         }
     }
+    for (std::size_t region = 0; region < count; ++region)
+    {
+        auto const port =
+            static_cast<std::uint16_t>(link_control_port + list.size());
+        list.push_back(link_inside(from, vms, region, port));
+    }
     return list;
 }
 
@@ -136,7 +197,7 @@
         {"peer_port", peer_port},
         {"operator_port", operator_port},
         {"platform", store_url(from, place.region, platform_port)},
-        {"address_rewrites", rewrites(from, place.region)}};
+        {"address_rewrites", rewrites(from, place.region, machine.kind)}};
     if (machine.kind == vm_kind::entry)
     {
         settings["caller_port"] = caller_port;
@@ -144,7 +205,9 @@
     }
     settings["endpoint"] =
         "http://" + machine.address + ":" + std::to_string(endpoint_port);
-    settings["origin"] = store_url(from, place.region, origin_port);
+    auto const origin =
+        through_link(from, region_index(from, place.region), machine.address);
+    settings["origin"] = "http://" + origin + ":" + std::to_string(origin_port);
     if (place.region != from.store_region)
     {
         settings["origin_link_mbit"] = from.region_bits_per_second / 1'000'000;
