--- a/libs/entry_core/include/entry_core/entry_core.hpp
+++ b/libs/entry_core/include/entry_core/entry_core.hpp
@@ -90,6 +90,14 @@
     std::optional<control::domain_plan> plan;
 };
 
+// Whether the balancer may send callers.
+struct readiness_state
+{
+    bool ready = false;
+    // When a configuration was there first.
+    std::optional<base::time_point> configured;
+};
+
 struct control_state
 {
     release::configuration configuration;
@@ -111,6 +119,7 @@
     base::time_point last_hello;
     bool stopping = false;
     core::drain drain;
+    readiness_state readiness;
 };
 
 struct state
--- a/libs/entry_core/src/entry_core.cpp
+++ b/libs/entry_core/src/entry_core.cpp
@@ -55,6 +55,7 @@
         on_control_tick(this->core, this->now, this->out);
         on_planner_tick(this->core, this->now, this->out);
         on_request_tick(this->core, this->now, this->out);
+        update_readiness(this->core, this->now);
         check_drained(this->core, this->now, this->out);
     }
 
--- a/libs/entry_core/src/flows.hpp
+++ b/libs/entry_core/src/flows.hpp
@@ -32,6 +32,9 @@
 void on_endpoint_lost(
     state& state, std::string const& agent, base::time_point now, actions& out);
 void on_request_tick(state& state, base::time_point now, actions& out);
+// Decides whether the balancer may send callers.
+void update_readiness(state& state, base::time_point now);
+
 void check_drained(state& state, base::time_point now, actions& out);
 
 // control_flow.cpp
--- /dev/null
+++ b/libs/entry_core/tests/readiness_tests.cpp
@@ -0,0 +1,69 @@
+#include <entry_core/entry_core.hpp>
+
+#include <gtest/gtest.h>
+
+namespace foxtailvale::entry_core
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+state make_entry()
+{
+    state entry;
+    entry.self = {"entry-1", "split-a", "dalmacija", 100};
+    entry.control.configuration.generation = 4;
+    entry.control.configuration.models["assistant"].digest = "d1";
+    entry.control.configuration.services["booking"] = {};
+    return entry;
+}
+
+bool is_ready_at(state& entry, int time)
+{
+    step(entry, core::tick{}, base::time_point(milliseconds(time)));
+    return entry.control.readiness.ready;
+}
+
+} // namespace
+
+// Operators restart an entry under load. The balancer sends it callers as soon
+// as it is ready; it has the configuration at once but hears from agents a
+// little later, and until then it would refuse every caller.
+TEST(readiness, waits_for_an_endpoint_of_each_kind)
+{
+    auto entry = make_entry();
+    EXPECT_FALSE(is_ready_at(entry, 0));
+    auto& engine = entry.control.endpoints["agent-1"];
+    engine.serving["assistant"] = "d0";
+    engine.limit = 1;
+    EXPECT_FALSE(is_ready_at(entry, 100));
+    auto& booking = entry.control.endpoints["agent-2"];
+    booking.service = "booking";
+    booking.limit = 0;
+    EXPECT_FALSE(is_ready_at(entry, 200));
+    booking.limit = 1;
+    EXPECT_TRUE(is_ready_at(entry, 300));
+    entry.control.endpoints.clear();
+    EXPECT_TRUE(is_ready_at(entry, 400));
+}
+
+// A whole failure domain is cut off, or nothing serves a model yet. Waiting for
+// ever would take away every entry for what the others could still serve.
+TEST(readiness, does_not_wait_for_ever)
+{
+    auto entry = make_entry();
+    EXPECT_FALSE(is_ready_at(entry, 1000));
+    EXPECT_FALSE(is_ready_at(entry, 5999));
+    EXPECT_TRUE(is_ready_at(entry, 6000));
+}
+
+TEST(readiness, needs_a_configuration)
+{
+    state entry;
+    EXPECT_FALSE(is_ready_at(entry, 0));
+    EXPECT_FALSE(is_ready_at(entry, 60'000));
+}
+
+} // namespace foxtailvale::entry_core
--- a/libs/node/src/entry_node.cpp
+++ b/libs/node/src/entry_node.cpp
@@ -68,7 +68,7 @@
         if (this->operator_port)
         {
             this->operator_port->set_ready(
-                this->core.control.configuration.generation > 0 &&
+                this->core.control.readiness.ready &&
                 !this->core.control.stopping);
         }
     }
--- a/libs/release/src/document.cpp
+++ b/libs/release/src/document.cpp
@@ -19,6 +19,8 @@
 {
     char const* at = nullptr;
     position where;
+    // Where it was one letter ago.
+    position before;
 };
 
 // An input iterator over the text that keeps the shared cursor up to date;
@@ -44,6 +46,7 @@
 
     counting_iterator& operator++()
     {
+        this->state->before = this->state->where;
         if (*this->letter == '\n')
         {
             ++this->state->where.line;
@@ -114,17 +117,17 @@
 
     bool number_integer(number_integer_t value) override
     {
-        return this->place(value);
+        return this->place_number(value);
     }
 
     bool number_unsigned(number_unsigned_t value) override
     {
-        return this->place(value);
+        return this->place_number(value);
     }
 
     bool number_float(number_float_t value, string_t const& /*text*/) override
     {
-        return this->place(value);
+        return this->place_number(value);
     }
 
     bool string(string_t& value) override
@@ -215,10 +218,22 @@
     }
 
     bool place(json value)
+    {
+        return this->place_at(std::move(value), this->state->where);
+    }
+
+    // The parser sees the end of a number only by the letter after it, which
+    // may stand on the next line.
+    bool place_number(json value)
+    {
+        return this->place_at(std::move(value), this->state->before);
+    }
+
+    bool place_at(json value, position where)
     {
         std::string path;
         this->insert(std::move(value), path);
-        this->target.positions[path] = this->state->where;
+        this->target.positions[path] = where;
         return true;
     }
 
