The examples' notes are what the demo applies; a stopped entry ends at once

Cause 1: notes of the deployments existed only inside the demo's code.

Cause 2: an entry that was told to stop lived 4 s longer than its work (malabar demo: process_stopped 23:50:55.561, end 59.460), waiting for its watch of the platform. A waiting call can be cancelled now.

Cause 3: the stand-in engine freed a slot after the last bytes were out, so that a gate which rightly sent the next request made it fall over when cold (malabar demo: 8 failed in seconds 0 and 1). The slot is free with the last token.

--- a/libs/http/include/http/http_client.hpp
+++ b/libs/http/include/http/http_client.hpp
@@ -3,6 +3,7 @@
 
 #include <base/error.hpp>
 
+#include <atomic>
 #include <chrono>
 #include <functional>
 #include <map>
@@ -21,6 +22,8 @@
     std::string content_type;
     std::string body;
     std::chrono::milliseconds timeout{1000};
+    // When set, the wait for the answer ends soon after this turns true.
+    std::atomic<bool> const* cancelled = nullptr;
 };
 
 struct response
--- a/libs/http/src/http_client.cpp
+++ b/libs/http/src/http_client.cpp
@@ -19,6 +19,8 @@
 
 using Poco::Net::HTTPClientSession;
 
+// How often a waiting call looks whether it was cancelled.
+constexpr std::chrono::milliseconds cancel_interval{100};
 constexpr std::string_view scheme = "http://";
 
 Poco::Timespan timespan(std::chrono::milliseconds time)
@@ -102,6 +104,29 @@
     return event.empty() || handle(head, event);
 }
 
+// Waits until the answer begins; false when the call was cancelled first.
+bool wait_for_answer(Poco::Net::StreamSocket const& socket, request const& ask)
+{
+    if (ask.cancelled == nullptr)
+    {
+        return true;
+    }
+    auto const end = std::chrono::steady_clock::now() + ask.timeout;
+    while (std::chrono::steady_clock::now() < end)
+    {
+        if (*ask.cancelled)
+        {
+            return false;
+        }
+        if (socket.poll(
+                timespan(cancel_interval), Poco::Net::Socket::SELECT_READ))
+        {
+            break;
+        }
+    }
+    return true;
+}
+
 base::result<response>
 read_answer(HTTPClientSession& session, piece_handler const& handle)
 {
@@ -141,6 +166,10 @@
         HTTPClientSession session(*socket);
         session.setTimeout(timespan(ask.timeout));
         send_request(session, ask);
+        if (!wait_for_answer(*socket, ask))
+        {
+            return base::fail(base::error_kind::endpoint_lost, "cancelled");
+        }
         return read_answer(session, on_piece);
     }
     catch (Poco::Exception const& fault)
--- a/libs/node/include/node/platform_client.hpp
+++ b/libs/node/include/node/platform_client.hpp
@@ -5,6 +5,7 @@
 
 #include <core/platform.hpp>
 
+#include <atomic>
 #include <functional>
 #include <string>
 
@@ -12,8 +13,11 @@
 {
 
 // Makes one call to the platform's object API and waits for its answer.
-core::platform_answer
-call_platform(std::string const& base, core::platform_call const& call);
+// A waiting watch ends soon after `cancelled` turns true.
+core::platform_answer call_platform(
+    std::string const& base,
+    core::platform_call const& call,
+    std::atomic<bool> const* cancelled = nullptr);
 
 // Calls the platform on threads of its own and answers on the loop.
 class platform_client
@@ -23,12 +27,19 @@
 
     platform_client(event_loop& loop, std::string base, handler answer);
 
+    // Does not wait for the end of a watch: an entry that was told to stop
+    // would hold its VM for as long.
+    ~platform_client();
+    platform_client(platform_client const&) = delete;
+    platform_client& operator=(platform_client const&) = delete;
+
     void call(core::platform_call call);
 
 private:
     event_loop& loop;
     std::string base;
     handler receiver;
+    std::atomic<bool> stopping{false};
     worker_pool pool;
 };
 
--- a/libs/node/src/platform_client.cpp
+++ b/libs/node/src/platform_client.cpp
@@ -81,12 +81,16 @@
 
 } // namespace
 
-core::platform_answer
-call_platform(std::string const& base, core::platform_call const& call)
+core::platform_answer call_platform(
+    std::string const& base,
+    core::platform_call const& call,
+    std::atomic<bool> const* cancelled)
 {
     core::platform_answer answer;
     answer.id = call.id;
-    auto const response = http::call(make_request(base, call));
+    auto request = make_request(base, call);
+    request.cancelled = cancelled;
+    auto const response = http::call(request);
     if (!response)
     {
         return answer;
@@ -108,12 +112,17 @@
 {
 }
 
+platform_client::~platform_client()
+{
+    this->stopping = true;
+}
+
 void platform_client::call(core::platform_call call)
 {
     this->pool.run(
         [this, call = std::move(call)]
         {
-            auto answer = call_platform(this->base, call);
+            auto answer = call_platform(this->base, call, &this->stopping);
             this->loop.post(
                 [this, answer = std::move(answer)]() mutable
                 {
--- a/standins/include/standins/engine.hpp
+++ b/standins/include/standins/engine.hpp
@@ -58,13 +58,16 @@
         bool stream = false;
         // Life of the engine in which it began.
         std::uint64_t life = 0;
+        // Its slot has been freed.
+        bool ended = false;
     };
 
     void answer(request& ask, response& reply);
     void answer_chat(request& ask, response& reply);
-    void run_chat(chat const& ask, response& reply);
+    void run_chat(chat& ask, response& reply);
     bool begin(chat& ask);
-    void end(chat const& ask, bool whole);
+    // Frees the slot; a second call changes nothing.
+    void end(chat& ask, bool whole);
     bool wait_token(chat const& ask, std::uint32_t index, std::string& token);
     std::chrono::microseconds first_token_time(std::string const& prompt);
     void fall_over();
--- a/standins/src/engine.cpp
+++ b/standins/src/engine.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <ostream>
 #include <thread>
+#include <utility>
 
 namespace foxtailvale::standins
 {
@@ -141,20 +142,15 @@
     {
         return http::send_text(reply, 503, json_type, "{}");
     }
-    auto whole = false;
     try
     {
         this->run_chat(wanted, reply);
-        whole = true;
     }
     catch (std::exception const&)
     {
         reply.setKeepAlive(false);
-    }
-    this->end(wanted, whole);
-    if (!whole)
-    {
-        throw std::runtime_error("the answer was broken off");
+        this->end(wanted, false);
+        throw;
     }
 }
 
@@ -194,11 +190,12 @@
     return true;
 }
 
-void engine::end(chat const& ask, bool whole)
+void engine::end(chat& ask, bool whole)
 {
     {
         std::lock_guard const lock(this->mutex);
-        if (ask.life == this->life)
+        auto const first_time = !std::exchange(ask.ended, true);
+        if (first_time && ask.life == this->life)
         {
             --this->running;
             this->answers_since_start += whole ? 1 : 0;
@@ -264,7 +261,7 @@
     return true;
 }
 
-void engine::run_chat(chat const& ask, response& reply)
+void engine::run_chat(chat& ask, response& reply)
 {
     std::string text;
     std::ostream* body = nullptr;
@@ -292,6 +289,9 @@
             throw std::runtime_error("the reader went away");
         }
     }
+    // The batch's slot is free with the last token; whoever reads the end may
+    // use it at once.
+    this->end(ask, true);
     if (body != nullptr)
     {
         *body << "data: [DONE]\n\n" << std::flush;
--- a/tools/scenario/src/demo.cpp
+++ b/tools/scenario/src/demo.cpp
@@ -1,6 +1,5 @@
 #include "demo.hpp"
 
-#include "demo_notes.hpp"
 #include "demo_report.hpp"
 #include "vm_links.hpp"
 
@@ -60,8 +59,12 @@
 class demonstration
 {
 public:
-    demonstration(fleet_paths const& paths, deployment const& from)
-        : running(
+    demonstration(
+        fleet_paths const& paths,
+        deployment const& from,
+        std::string const& examples)
+        : notes(examples + "/notes/"),
+          running(
               paths,
               from,
               {{first_seed, model_bytes, chunk_bytes},
@@ -124,7 +127,7 @@
 
     // Applies the note and returns when the call that was accepted began, so
     // that no measured time comes out too short.
-    clock::time_point accept(json const& note)
+    clock::time_point accept(std::string const& note)
     {
         // The first note may come before the platform is ready.
         clock::time_point begun;
@@ -133,7 +136,7 @@
                 [&]
                 {
                     begun = clock::now();
-                    return this->running.apply(note) == 0;
+                    return this->running.apply_file(this->notes + note) == 0;
                 }),
             "note accepted");
         return begun;
@@ -178,8 +181,7 @@
     void add_model()
     {
         this->say("note 1 adds " + this->running.layout().model);
-        auto const start = this->accept(
-            first_note(this->running.layout(), this->first.digest));
+        auto const start = this->accept("1-first-model.json");
         this->require(
             wait_until(
                 [&]
@@ -200,8 +202,7 @@
     {
         this->say("note 2 replaces its version");
         this->mark("new version");
-        auto const start = this->accept(
-            version_note(this->running.layout(), this->second.digest));
+        auto const start = this->accept("2-new-version.json");
         this->require(
             wait_until(
                 [&]
@@ -254,14 +255,14 @@
         this->say("note 3 takes " + domain + " out");
         this->mark(domain + " out");
         auto const asked = standins::wall_clock_ms();
-        this->accept(domain_note(3, domain, "out"));
+        this->accept("3-domain-out.json");
         std::this_thread::sleep_for(domain_phase);
         auto const last = std::max(asked, this->last_new_work_ms(index));
         this->found.domain_out_last_new_work_s =
             static_cast<double>(last - asked) / 1000;
         this->say("note 4 brings it back");
         this->mark(domain + " in");
-        this->accept(domain_note(4, domain, "in"));
+        this->accept("4-domain-in.json");
         std::this_thread::sleep_for(settle_phase);
     }
 
@@ -323,6 +324,9 @@
         this->found.load = load::run_load(settings);
     }
 
+    // Folder of the release notes. The demonstration takes out the failure
+    // domain that the deployment names last, and so does its note 3.
+    std::string notes;
     fleet running;
     standins::synthetic_weights first;
     standins::synthetic_weights second;
@@ -335,9 +339,12 @@
 
 } // namespace
 
-int run_demo(fleet_paths const& paths, deployment const& from)
+int run_demo(
+    fleet_paths const& paths,
+    deployment const& from,
+    std::string const& examples)
 {
-    demonstration demo(paths, from);
+    demonstration demo(paths, from, examples);
     auto const& found = demo.run();
     auto const& report = demo.report();
     write_report(paths.work, report, found);
--- a/tools/scenario/src/demo.hpp
+++ b/tools/scenario/src/demo.hpp
@@ -6,11 +6,15 @@
 namespace foxtailvale::scenario
 {
 
-// Runs the demonstration: a release note adds a model, live chats and bookings
-// run, a version replaces another, a failure domain leaves and returns. Writes
-// report.json beside the logs, prints a table, and returns 0 when no promise
-// was broken.
-int run_demo(fleet_paths const& paths, deployment const& from);
+// Runs the demonstration with the release notes in the folder examples/notes:
+// one adds a model, live chats and bookings run, a version replaces another, a
+// failure domain leaves and returns, and VMs are restarted. Writes report.json
+// and report.html beside the logs, prints a table, and returns 0 when no
+// promise was broken.
+int run_demo(
+    fleet_paths const& paths,
+    deployment const& from,
+    std::string const& examples);
 
 } // namespace foxtailvale::scenario
 
--- a/tools/scenario/src/fleet.cpp
+++ b/tools/scenario/src/fleet.cpp
@@ -85,6 +85,11 @@
 {
     auto const path =
         this->write("note-" + std::to_string(++this->notes), note);
+    return this->apply_file(path);
+}
+
+int fleet::apply_file(std::string const& path)
+{
     auto const platform = "http://" + store_address(this->from) + ":" +
                           std::to_string(platform_port);
     child_process ctl(
--- a/tools/scenario/src/fleet.hpp
+++ b/tools/scenario/src/fleet.hpp
@@ -36,6 +36,7 @@
 
     // Applies a release note with foxtailvalectl; its exit code.
     int apply(nlohmann::json const& note);
+    int apply_file(std::string const& path);
 
     // Reads a JSON page, null when it does not answer.
     nlohmann::json page(
--- a/tools/scenario/src/main.cpp
+++ b/tools/scenario/src/main.cpp
@@ -3,6 +3,7 @@
 #include <cli/daemon_options.hpp>
 #include <tclap/CmdLine.h>
 
+#include <filesystem>
 #include <iostream>
 
 namespace
@@ -24,7 +25,8 @@
     }
     deployment.network = network;
     std::cout << "demo of " << deployment.name << "\n";
-    return scenario::run_demo(to, deployment);
+    auto const examples = std::filesystem::path(path).parent_path();
+    return scenario::run_demo(to, deployment, examples.string());
 }
 
 } // namespace
