The stand-in platform has rates, a value limit and compaction to switch on

Cause: the platform takes several hundred writes and about two thousand reads a second and forgets old changes; its stand-in took everything for ever. The rate of the origin and of the platform are one token bucket now.

Found while testing: nothing in the system handles the 410 of a compacted watch apart from other failures yet.

--- a/standins/include/standins/object_api.hpp
+++ b/standins/include/standins/object_api.hpp
@@ -3,6 +3,7 @@
 
 #include <http/http_server.hpp>
 #include <nlohmann/json.hpp>
+#include <standins/token_bucket.hpp>
 
 #include <atomic>
 #include <chrono>
@@ -16,8 +17,8 @@
 {
 
 // The platform's object API and list of VMs: versions, conditional updates,
-// watches, and switches for outage, slowness and answers lost after the
-// effect.
+// watches, and switches for outage, slowness, answers lost after the effect,
+// rates and compaction. Each call counts once, a waiting watch too.
 class object_api
 {
 public:
@@ -37,6 +38,9 @@
         std::chrono::milliseconds delay{0};
         // Answers to the next so many writes are lost after their effect.
         std::uint32_t lost_answers = 0;
+        // Watches that ask for changes after an older version get 410: what
+        // changed before it is compacted away.
+        std::uint64_t compacted = 0;
     };
 
     using request = Poco::Net::HTTPServerRequest;
@@ -54,6 +58,9 @@
     void send_counters(response& reply);
     void send_object(object const& found, response& reply);
     bool lose_answer();
+    // Counts the call under its kind; false when its rate is exceeded.
+    bool admit(request const& ask);
+    void change_faults(nlohmann::json const& value);
 
     std::mutex mutex;
     std::condition_variable changed;
@@ -61,6 +68,8 @@
     std::map<std::string, std::uint64_t> counters;
     std::uint64_t last_version = 0;
     faults fault;
+    token_bucket read_rate;
+    token_bucket write_rate;
     nlohmann::json vms;
     http::server listener;
 };
--- a/standins/include/standins/origin.hpp
+++ b/standins/include/standins/origin.hpp
@@ -3,6 +3,7 @@
 
 #include <http/http_server.hpp>
 #include <standins/synthetic.hpp>
+#include <standins/token_bucket.hpp>
 
 #include <cstdint>
 #include <map>
@@ -41,15 +42,13 @@
     void send_counters(response& reply);
     bool take_allowance(std::uint64_t bytes);
 
-    origin_options behaviour;
+    token_bucket rate;
     std::map<std::string, synthetic_weights> versions;
     std::mutex mutex;
     bool outage = false;
     std::uint32_t corrupt_chunks = 0;
     std::map<std::string, std::uint64_t> bytes_sent;
     std::uint64_t refusals = 0;
-    double allowance = 0;
-    std::chrono::steady_clock::time_point refilled;
     http::server listener;
 };
 
--- a/standins/src/object_api.cpp
+++ b/standins/src/object_api.cpp
@@ -66,9 +66,26 @@
         http::send_text(reply, 503, json_type, "{}");
         return;
     }
+    if (!this->admit(ask))
+    {
+        http::send_text(reply, 429, json_type, "{}");
+        return;
+    }
     this->answer_call(ask, reply);
 }
 
+bool object_api::admit(request const& ask)
+{
+    auto const& method = ask.getMethod();
+    auto const writes = method == "PUT" || method == "DELETE";
+    std::lock_guard const lock(this->mutex);
+    auto const admitted = take(
+        writes ? this->write_rate : this->read_rate, 1,
+        std::chrono::steady_clock::now());
+    this->counters["throttled"] += admitted ? 0 : 1;
+    return admitted;
+}
+
 void object_api::answer_call(request& ask, response& reply)
 {
     auto const& uri = ask.getURI();
@@ -216,9 +233,13 @@
         }
     }
     object found;
+    auto gone = false;
     {
         std::unique_lock lock(this->mutex);
         ++this->counters["watches"];
+        gone = after < this->fault.compacted;
+        this->counters["gone"] += gone ? 1 : 0;
+        wait = gone ? std::chrono::milliseconds(0) : wait;
         auto const is_newer = [&]
         {
             auto const entry = this->objects.find(path);
@@ -232,6 +253,11 @@
             found = entry->second;
         }
     }
+    if (gone)
+    {
+        http::send_text(reply, 410, json_type, "{}");
+        return;
+    }
     if (found.version == 0)
     {
         reply.setStatusAndReason(Poco::Net::HTTPResponse::HTTP_NO_CONTENT);
@@ -286,20 +312,33 @@
     }
     {
         std::lock_guard const lock(this->mutex);
-        this->fault.outage = value.value("outage", this->fault.outage);
-        this->fault.delay = std::chrono::milliseconds(
-            value.value("delay_ms", this->fault.delay.count()));
-        this->fault.lost_answers =
-            value.value("lost_answers", this->fault.lost_answers);
-        if (value.contains("vms"))
-        {
-            this->vms = value["vms"];
-        }
+        this->change_faults(value);
     }
     this->changed.notify_all();
     http::send_text(reply, 200, json_type, "{}");
 }
 
+void object_api::change_faults(json const& value)
+{
+    auto& now = this->fault;
+    now.outage = value.value("outage", now.outage);
+    now.delay =
+        std::chrono::milliseconds(value.value("delay_ms", now.delay.count()));
+    now.lost_answers = value.value("lost_answers", now.lost_answers);
+    this->read_rate.per_second =
+        value.value("reads_per_second", this->read_rate.per_second);
+    this->write_rate.per_second =
+        value.value("writes_per_second", this->write_rate.per_second);
+    if (value.value("compact", false))
+    {
+        now.compacted = this->last_version;
+    }
+    if (value.contains("vms"))
+    {
+        this->vms = value["vms"];
+    }
+}
+
 void object_api::send_counters(response& reply)
 {
     json value;
--- a/standins/src/origin.cpp
+++ b/standins/src/origin.cpp
@@ -21,7 +21,7 @@
     http::server_options const& options,
     origin_options const& how,
     std::vector<synthetic_weights> list)
-    : behaviour(how), refilled(std::chrono::steady_clock::now()),
+    : rate{static_cast<double>(how.bytes_per_second)},
       listener(
           options,
           [this](request& ask, response& reply)
@@ -79,22 +79,11 @@
 
 bool origin::take_allowance(std::uint64_t bytes)
 {
-    if (this->behaviour.bytes_per_second == 0)
-    {
-        return true;
-    }
-    auto const rate = static_cast<double>(this->behaviour.bytes_per_second);
-    auto const now = std::chrono::steady_clock::now();
-    std::chrono::duration<double> const passed = now - this->refilled;
-    this->refilled = now;
-    this->allowance = std::min(rate, this->allowance + passed.count() * rate);
-    if (this->allowance < static_cast<double>(bytes))
-    {
-        ++this->refusals;
-        return false;
-    }
-    this->allowance -= static_cast<double>(bytes);
-    return true;
+    auto const taken = take(
+        this->rate, static_cast<double>(bytes),
+        std::chrono::steady_clock::now());
+    this->refusals += taken ? 0 : 1;
+    return taken;
 }
 
 void origin::send_chunk(
--- a/standins/tests/object_api_tests.cpp
+++ b/standins/tests/object_api_tests.cpp
@@ -28,6 +28,24 @@
     return http::call(ask).value().status;
 }
 
+void control(std::string const& switches)
+{
+    http::request ask;
+    ask.base = base_address();
+    ask.method = "POST";
+    ask.path = "/control";
+    ask.body = switches;
+    EXPECT_EQ(http::call(ask).value().status, 200U);
+}
+
+std::uint32_t get(std::string const& path)
+{
+    http::request ask;
+    ask.base = base_address();
+    ask.path = path;
+    return http::call(ask).value().status;
+}
+
 } // namespace
 
 TEST(object_api, of_two_writers_one_wins_and_a_lost_answer_took_effect)
@@ -35,17 +53,43 @@
     object_api api({testing::own_address(), port, 8}, nlohmann::json::array());
     EXPECT_EQ(put("0", "one"), 200U);
     EXPECT_EQ(put("0", "two"), 412U);
-    http::request control;
-    control.base = base_address();
-    control.method = "POST";
-    control.path = "/control";
-    control.body = R"({"lost_answers": 1})";
-    EXPECT_EQ(http::call(control).value().status, 200U);
+    control(R"({"lost_answers": 1})");
     EXPECT_EQ(put("1", "three"), 503U);
-    http::request get;
-    get.base = base_address();
-    get.path = "/objects/a";
-    EXPECT_EQ(http::call(get).value().body, "three");
+    http::request ask;
+    ask.base = base_address();
+    ask.path = "/objects/a";
+    EXPECT_EQ(http::call(ask).value().body, "three");
+}
+
+TEST(object_api, refuses_values_over_a_megabyte)
+{
+    object_api api({testing::own_address(), port, 8}, nlohmann::json::array());
+    std::string const megabyte(1024U * 1024U, 'x');
+    EXPECT_EQ(put("0", megabyte + "x"), 413U);
+    EXPECT_EQ(put("0", megabyte), 200U);
+}
+
+TEST(object_api, a_watch_from_before_the_compaction_is_gone)
+{
+    object_api api({testing::own_address(), port, 8}, nlohmann::json::array());
+    EXPECT_EQ(put("0", "one"), 200U);
+    EXPECT_EQ(put("1", "two"), 200U);
+    EXPECT_EQ(get("/watch/a?after=1&wait_ms=0"), 200U);
+    control(R"({"compact": true})");
+    EXPECT_EQ(get("/watch/a?after=1&wait_ms=0"), 410U);
+    EXPECT_EQ(get("/watch/a?after=2&wait_ms=0"), 204U);
+}
+
+// One read in a hundred seconds: the first is admitted only after that long.
+TEST(object_api, refuses_calls_over_its_rates)
+{
+    object_api api({testing::own_address(), port, 8}, nlohmann::json::array());
+    control(R"({"writes_per_second": 0.01, "reads_per_second": 0.01})");
+    EXPECT_EQ(put("0", "one"), 429U);
+    EXPECT_EQ(get("/vms"), 429U);
+    control(R"({"writes_per_second": 0, "reads_per_second": 0})");
+    EXPECT_EQ(put("0", "one"), 200U);
+    EXPECT_EQ(get("/vms"), 200U);
 }
 
 } // namespace foxtailvale::standins
