--- a/libs/node/include/node/caller_server.hpp
+++ b/libs/node/include/node/caller_server.hpp
@@ -54,7 +54,7 @@
     // Refuses a request that cannot be handed to the core.
     void refuse(
         Poco::Net::HTTPServerResponse& response,
-        base::error error,
+        base::error const& error,
         std::string const& caller);
     void answer_models(Poco::Net::HTTPServerResponse& response);
     void run_session(
--- a/libs/node/include/node/peer_bus.hpp
+++ b/libs/node/include/node/peer_bus.hpp
@@ -26,7 +26,8 @@
     using handler = std::function<void(std::string, wire::Envelope)>;
     using fault_handler = std::function<void(base::error, std::string)>;
 
-    // Listens at the settings' peer address. The loop must outlive the bus.
+    // Listens at the settings' peer address; throws std::runtime_error that
+    // names it when that fails. The loop must outlive the bus.
     peer_bus(
         event_loop& loop,
         release::node_settings const& settings,
--- a/libs/node/src/caller_server.cpp
+++ b/libs/node/src/caller_server.cpp
@@ -224,15 +224,16 @@
 
 void caller_server::refuse(
     Poco::Net::HTTPServerResponse& response,
-    base::error error,
+    base::error const& error,
     std::string const& caller)
 {
-    send_problem(response, error);
+    // Counted before it is answered: who reads the answer finds it counted.
     this->loop.post(
-        [this, error = std::move(error), caller]
+        [this, error, caller]
         {
             this->reporter(error, caller);
         });
+    send_problem(response, error);
 }
 
 void caller_server::answer(
--- a/libs/node/src/peer_bus.cpp
+++ b/libs/node/src/peer_bus.cpp
@@ -1,5 +1,7 @@
 #include <node/peer_bus.hpp>
 
+#include <stdexcept>
+
 namespace foxtailvale::node
 {
 
@@ -38,6 +40,19 @@
     socket.set(zmq::sockopt::immediate, true);
 }
 
+void listen_at(zmq::socket_t& socket, std::string const& address)
+{
+    try
+    {
+        socket.bind(address);
+    }
+    catch (zmq::error_t const& fault)
+    {
+        throw std::runtime_error(
+            "cannot listen at " + address + ": " + fault.what());
+    }
+}
+
 bool try_send(
     zmq::socket_t& socket, std::string const& peer, std::string const& frame)
 {
@@ -69,7 +84,8 @@
 {
     configure(this->inbound, this->name);
     configure(this->outbound, this->name);
-    this->inbound.bind(
+    listen_at(
+        this->inbound,
         "tcp://" + settings.address + ":" + std::to_string(settings.peer_port));
     loop.watch(
         this->inbound,
--- a/libs/node/tests/peer_bus_tests.cpp
+++ b/libs/node/tests/peer_bus_tests.cpp
@@ -80,4 +80,67 @@
         base::error_kind::peer_unreachable);
 }
 
+// An operator starts an entry twice, or with a port that is in use. The message
+// must name the address, since settings hold several.
+TEST(peer_bus, names_the_address_that_it_cannot_listen_at)
+{
+    event_loop loop;
+    auto const settings = settings_for("one", first_port);
+    peer_bus const one(loop, settings, 1);
+    try
+    {
+        peer_bus const two(loop, settings, 2);
+        FAIL() << "listens twice";
+    }
+    catch (std::runtime_error const& fault)
+    {
+        auto const address =
+            testing::own_address() + ":" + std::to_string(first_port);
+        EXPECT_NE(std::string(fault.what()).find(address), std::string::npos)
+            << fault.what();
+    }
+}
+
+// A stranger sends bytes that are no frame, and one that is not whole. Both
+// are dropped and reported; the frames of a peer still come through.
+TEST(peer_bus, drops_and_reports_bad_frames)
+{
+    event_loop loop;
+    peer_bus one(loop, settings_for("one", first_port), 1);
+    std::vector<base::error_kind> faults;
+    one.on_fault(
+        [&](base::error const& error, std::string const&)
+        {
+            faults.push_back(error.kind);
+        });
+    std::string heard;
+    one.on_message(
+        [&](std::string peer, wire::Envelope)
+        {
+            heard = std::move(peer);
+            loop.stop();
+        });
+    zmq::context_t context;
+    zmq::socket_t stranger(context, zmq::socket_type::dealer);
+    stranger.set(zmq::sockopt::linger, 0);
+    stranger.set(zmq::sockopt::routing_id, "stranger");
+    stranger.connect(
+        "tcp://" + testing::own_address() + ":" + std::to_string(first_port));
+    wire::Envelope hello;
+    hello.mutable_leaving();
+    hello.set_from("somebody else");
+    stranger.send(zmq::str_buffer("\xff\xff no frame"), zmq::send_flags::none);
+    stranger.send(
+        zmq::buffer(hello.SerializeAsString()), zmq::send_flags::none);
+    stranger.send(zmq::str_buffer("one"), zmq::send_flags::sndmore);
+    stranger.send(zmq::str_buffer("two"), zmq::send_flags::none);
+    hello.set_from("stranger");
+    stranger.send(
+        zmq::buffer(hello.SerializeAsString()), zmq::send_flags::none);
+    loop.run();
+    EXPECT_EQ(heard, "stranger");
+    EXPECT_EQ(
+        faults, std::vector<base::error_kind>(3, base::error_kind::bad_frame));
+}
+
 } // namespace foxtailvale::node
