Judge each promise from what stand-ins and the load tool recorded

The demonstration judged its run by sums that it made itself. The checker reads records alone: each answer with its entry, generation and digest, each request that an endpoint began with its time, and what faults were made.

Engines and services keep when they began each request; engines count when more came than they bear while cold; the load tool's report has one record per request. foxtailvale-scenario run FILE runs a scenario in JSON with comments against real processes.

--- a/standins/include/standins/engine.hpp
+++ b/standins/include/standins/engine.hpp
@@ -3,6 +3,7 @@
 
 #include <http/http_server.hpp>
 #include <nlohmann/json.hpp>
+#include <standins/begun_log.hpp>
 
 #include <chrono>
 #include <condition_variable>
@@ -88,6 +89,7 @@
     std::map<std::string, std::uint64_t> counters;
     // Milliseconds since the epoch at which a request last began.
     std::int64_t last_begin_ms = 0;
+    begun_log begun;
     http::server listener;
 };
 
--- a/standins/include/standins/plain_service.hpp
+++ b/standins/include/standins/plain_service.hpp
@@ -2,6 +2,7 @@
 #define FOXTAILVALE_STANDINS_PLAIN_SERVICE_HPP
 
 #include <http/http_server.hpp>
+#include <standins/begun_log.hpp>
 
 #include <chrono>
 #include <cstdint>
@@ -32,6 +33,7 @@
     std::chrono::milliseconds work_time;
     std::mutex mutex;
     std::map<std::string, std::uint64_t> runs;
+    begun_log begun;
     http::server listener;
 };
 
--- a/standins/src/engine.cpp
+++ b/standins/src/engine.cpp
@@ -174,10 +174,12 @@
         ++this->counters["unknown_model"];
         return false;
     }
+    this->begun.add(ask.id);
     ask.life = this->life;
     auto const cold = this->answers_since_start < this->behaviour.warm_after;
-    if (ask.prompt.find(crash_mark) != std::string::npos ||
-        (cold && this->running >= this->behaviour.cold_bears))
+    auto const overloaded = cold && this->running >= this->behaviour.cold_bears;
+    this->counters["overloaded_cold"] += overloaded ? 1 : 0;
+    if (ask.prompt.find(crash_mark) != std::string::npos || overloaded)
     {
         this->fall_over();
         return false;
@@ -376,6 +378,7 @@
         std::lock_guard const lock(this->mutex);
         value = this->counters;
         value["last_begin_ms"] = this->last_begin_ms;
+        value["begun"] = this->begun.to_json();
     }
     http::send_text(reply, 200, json_type, value.dump());
 }
--- a/standins/src/plain_service.cpp
+++ b/standins/src/plain_service.cpp
@@ -45,6 +45,7 @@
         {
             std::lock_guard const lock(this->mutex);
             value["runs"] = this->runs;
+            value["begun"] = this->begun.to_json();
         }
         return http::send_text(reply, 200, json_type, value.dump());
     }
@@ -54,6 +55,7 @@
     {
         std::lock_guard const lock(this->mutex);
         ++this->runs[id];
+        this->begun.add(id);
     }
     std::this_thread::sleep_for(this->work_time);
     http::send_text(
--- a/tools/load/src/requests.cpp
+++ b/tools/load/src/requests.cpp
@@ -42,6 +42,13 @@
     return found == head.headers.end() ? std::string() : found->second;
 }
 
+void note_headers(request_record& record, http::response const& head)
+{
+    record.generation = std::strtoull(
+        header(head, "X-Release-Generation").c_str(), nullptr, 10);
+    record.digest = header(head, "X-Weights-Digest");
+}
+
 void note_problem(request_record& record, std::string const& text)
 {
     auto const problem = json::parse(text, nullptr, false);
@@ -157,6 +164,7 @@
         record.error = "connection: " + answer.error().detail;
         return record;
     }
+    note_headers(record, answer.value());
     if (answer.value().status != 200)
     {
         note_problem(record, other);
@@ -190,6 +198,7 @@
         record.error = "connection: " + answer.error().detail;
         return record;
     }
+    note_headers(record, answer.value());
     if (answer.value().status != 200)
     {
         note_problem(record, answer.value().body);
@@ -208,8 +217,10 @@
 request_record
 make_request(load_settings const& settings, planned_request const& planned)
 {
-    return planned.booking ? make_booking(settings, planned)
-                           : make_chat(settings, planned);
+    auto record = planned.booking ? make_booking(settings, planned)
+                                  : make_chat(settings, planned);
+    record.entry = planned.entry;
+    return record;
 }
 
 } // namespace foxtailvale::load
--- a/tools/load/src/requests.hpp
+++ b/tools/load/src/requests.hpp
@@ -39,6 +39,10 @@
     std::chrono::microseconds whole{0};
     // From the start of the run.
     std::chrono::milliseconds begun{0};
+    std::string entry;
+    // From the answer's headers; 0 and empty when there were none.
+    std::uint64_t generation = 0;
+    std::string digest;
 };
 
 // One request to make.
--- a/tools/load/src/run_load.cpp
+++ b/tools/load/src/run_load.cpp
@@ -129,11 +129,28 @@
         {"p99_ms", percentile(values, 0.99)}};
 }
 
+json record_json(request_record const& record)
+{
+    return {
+        {"id", record.id},
+        {"entry", record.entry},
+        {"booking", record.booking},
+        {"ended", name_of(record.ended)},
+        {"error", record.error},
+        {"ran", record.ran},
+        {"begun_ms", record.begun.count()},
+        {"whole_ms",
+         std::chrono::duration_cast<milliseconds>(record.whole).count()},
+        {"generation", record.generation},
+        {"digest", record.digest}};
+}
+
 json summarise(std::vector<request_record> const& records)
 {
     std::map<std::string, std::uint64_t> outcomes;
     std::map<std::string, std::uint64_t> errors;
     json bookings = json::array();
+    json all = json::array();
     for (auto const& record : records)
     {
         ++outcomes[name_of(record.ended)];
@@ -141,6 +158,7 @@
         {
             ++errors[record.error];
         }
+        all.push_back(record_json(record));
         if (record.booking)
         {
             bookings.push_back(
@@ -155,7 +173,8 @@
         {"errors", errors},
         {"first_token", latencies(records, &request_record::first_token)},
         {"whole", latencies(records, &request_record::whole)},
-        {"bookings", std::move(bookings)}};
+        {"bookings", std::move(bookings)},
+        {"records", std::move(all)}};
 }
 
 } // namespace
@@ -165,6 +184,8 @@
     auto const schedule = make_schedule(settings);
     std::vector<request_record> records(schedule.size());
     std::vector<std::thread> threads;
+    auto const started_ms = std::chrono::duration_cast<milliseconds>(
+        std::chrono::system_clock::now().time_since_epoch());
     auto const start = clock::now();
     auto record = records.begin();
     for (auto const& next : schedule)
@@ -182,7 +203,9 @@
     {
         thread.join();
     }
-    return summarise(records);
+    auto report = summarise(records);
+    report["started_ms"] = started_ms.count();
+    return report;
 }
 
 } // namespace foxtailvale::load
--- a/tools/scenario/src/fleet.cpp
+++ b/tools/scenario/src/fleet.cpp
@@ -46,10 +46,7 @@
     }
     for (auto const& machine : this->machines)
     {
-        auto const program = machine.kind == vm_kind::entry
-                                 ? "foxtailvale-entry"
-                                 : "foxtailvale-agent";
-        this->start(program, machine.name, node_settings(this->from, machine));
+        this->start_vm(machine);
     }
 }
 
@@ -130,6 +127,37 @@
     return true;
 }
 
+int fleet::end(std::string const& name, int number)
+{
+    auto const found = this->processes.find(name);
+    if (found == this->processes.end())
+    {
+        return -1;
+    }
+    found->second.send(number);
+    auto const code = found->second.wait();
+    this->processes.erase(found);
+    return code;
+}
+
+void fleet::start_again(std::string const& name)
+{
+    for (auto const& machine : this->machines)
+    {
+        if (machine.name == name && !this->processes.contains(name))
+        {
+            this->start_vm(machine);
+        }
+    }
+}
+
+void fleet::start_vm(vm const& machine)
+{
+    auto const program = machine.kind == vm_kind::entry ? "foxtailvale-entry"
+                                                        : "foxtailvale-agent";
+    this->start(program, machine.name, node_settings(this->from, machine));
+}
+
 pid_t fleet::process_id(std::string const& name) const
 {
     return this->processes.at(name).process_id();
--- a/tools/scenario/src/fleet.hpp
+++ b/tools/scenario/src/fleet.hpp
@@ -52,6 +52,13 @@
     // Sends a signal to the process of this name; false when there is none.
     bool signal(std::string const& name, int number);
 
+    // Sends the signal, waits for the process's end and returns its exit code;
+    // -1 when there is no such process.
+    int end(std::string const& name, int number);
+
+    // Starts a VM's process that has ended, anew and empty.
+    void start_again(std::string const& name);
+
     // The system's number for the process on a VM.
     pid_t process_id(std::string const& name) const;
 
@@ -60,6 +67,7 @@
     bool stop();
 
 private:
+    void start_vm(vm const& machine);
     void start(
         std::string const& program,
         std::string const& name,
--- a/tools/scenario/src/main.cpp
+++ b/tools/scenario/src/main.cpp
@@ -1,4 +1,5 @@
 #include "demo.hpp"
+#include "scenario_run.hpp"
 
 #include <cli/daemon_options.hpp>
 #include <tclap/CmdLine.h>
@@ -27,6 +28,23 @@
     return scenario::run_demo(to, deployment);
 }
 
+int run_script(
+    std::string const& path,
+    unsigned network,
+    foxtailvale::scenario::fleet_paths const& to)
+{
+    using namespace foxtailvale;
+    std::string faults;
+    auto script = scenario::load_scenario(path, faults);
+    if (!script)
+    {
+        std::cerr << faults;
+        return cli::exit_bad_input;
+    }
+    script->fleet.network = network;
+    return scenario::run_scenario(to, *script);
+}
+
 } // namespace
 
 int main(int count, char** words)
@@ -34,8 +52,9 @@
     try
     {
         TCLAP::CmdLine line(
-            "Runs a deployment with stand-ins. Commands: demo DEPLOYMENT.", ' ',
-            FOXTAILVALE_VERSION);
+            "Runs a deployment with stand-ins. Commands: demo DEPLOYMENT, "
+            "run SCENARIO.",
+            ' ', FOXTAILVALE_VERSION);
         line.setExceptionHandling(false);
         TCLAP::ValueArg<std::string> const programs(
             "b", "programs", "folder of the programs", false, "build/bin",
@@ -51,6 +70,12 @@
         TCLAP::UnlabeledValueArg<std::string> const deployment(
             "deployment", "deployment file", true, "", "DEPLOYMENT", line);
         line.parse(count, words);
+        if (command.getValue() == "run")
+        {
+            return run_script(
+                deployment.getValue(), network.getValue(),
+                {programs.getValue(), work.getValue()});
+        }
         if (command.getValue() != "demo")
         {
             std::cerr << "foxtailvale-scenario: no such command: "
--- /dev/null
+++ b/tools/scenario/src/scenario_run.cpp
@@ -0,0 +1,643 @@
+#include "scenario_run.hpp"
+
+#include <checker/promises.hpp>
+
+#include <http/http_client.hpp>
+#include <load/run_load.hpp>
+#include <standins/synthetic.hpp>
+
+#include <algorithm>
+#include <csignal>
+#include <fstream>
+#include <functional>
+#include <future>
+#include <iostream>
+#include <set>
+#include <thread>
+
+namespace foxtailvale::scenario
+{
+
+namespace
+{
+
+using clock = std::chrono::steady_clock;
+using nlohmann::json;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::uint32_t chunk_bytes = 64 * 1024;
+constexpr std::uint64_t first_seed = 1;
+constexpr std::uint64_t second_seed = 2;
+constexpr milliseconds poll_interval{50};
+constexpr seconds longest_wait{40};
+constexpr seconds settle_time{2};
+// After a process's return its callers' side needs a moment.
+constexpr milliseconds return_grace{1500};
+constexpr int warm_limit = 8;
+constexpr int cold_limit = 2;
+
+checker::wall_time wall_now()
+{
+    return std::chrono::duration_cast<milliseconds>(
+        std::chrono::system_clock::now().time_since_epoch());
+}
+
+bool wait_until(std::function<bool()> const& condition)
+{
+    auto const start = clock::now();
+    while (clock::now() - start < longest_wait)
+    {
+        if (condition())
+        {
+            return true;
+        }
+        std::this_thread::sleep_for(poll_interval);
+    }
+    return false;
+}
+
+// One action at its time: a step, or the end of a step's fault.
+struct timed_action
+{
+    milliseconds at{0};
+    std::function<void()> work;
+};
+
+// One scenario in progress.
+class scenario_run
+{
+public:
+    scenario_run(fleet_paths const& where, scenario_file const& what)
+        : paths(where), script(what),
+          first(standins::make_weights(
+              first_seed, what.model_bytes, chunk_bytes)),
+          second(standins::make_weights(
+              second_seed, what.model_bytes, chunk_bytes)),
+          running(
+              where,
+              what.fleet,
+              {{first_seed, what.model_bytes, chunk_bytes},
+               {second_seed, what.model_bytes, chunk_bytes}})
+    {
+    }
+
+    int run()
+    {
+        this->prepare();
+        auto live = std::async(
+            std::launch::async,
+            [this]
+            {
+                return load::run_load(this->make_load());
+            });
+        this->carry_out(clock::now());
+        auto const report = live.get();
+        for (auto& sent : this->marked)
+        {
+            sent.wait();
+        }
+        this->collect(report);
+        this->check_newest();
+        this->stop_rest();
+        return this->judge(report);
+    }
+
+private:
+    void fail(std::string const& what)
+    {
+        this->failures.push_back(what);
+    }
+
+    vm const& machine(std::string const& name) const
+    {
+        return *std::ranges::find(this->running.vms(), name, &vm::name);
+    }
+
+    std::string caller_address(vm const& at) const
+    {
+        return "http://" + at.address + ":" + std::to_string(caller_port);
+    }
+
+    // Address that the load tool knows an entry by; empty for an agent.
+    std::string entry_address(std::string const& name) const
+    {
+        auto const& at = this->machine(name);
+        return at.kind == vm_kind::entry ? this->caller_address(at)
+                                         : std::string();
+    }
+
+    json model_clause(std::string const& digest) const
+    {
+        json replicas;
+        for (auto const& place : this->script.fleet.domains)
+        {
+            replicas[place.name] = place.engines;
+        }
+        return {
+            {"digest", digest},
+            {"replicas", replicas},
+            {"limit", warm_limit},
+            {"cold_limit", cold_limit},
+            {"memory_mib", 64}};
+    }
+
+    json first_note() const
+    {
+        json note{{"note", 1}, {"follows", 0}, {"summary", "first"}};
+        auto& added = note["added"];
+        auto const& from = this->script.fleet;
+        added["models"][from.model] = this->model_clause(this->first.digest);
+        added["services"][from.booking_service] = {{"repeatable", false}};
+        for (auto const& place : from.domains)
+        {
+            added["domains"][place.name] = {{"region", place.region}};
+        }
+        for (auto const& workspace : from.workspaces)
+        {
+            added["workspaces"][workspace["name"].get<std::string>()] = {
+                {"weight", workspace["weight"]}};
+        }
+        return note;
+    }
+
+    bool apply(json note)
+    {
+        auto const number = this->notes + 1;
+        note["note"] = number;
+        note["follows"] = this->notes;
+        if (this->running.apply(note) != 0)
+        {
+            return false;
+        }
+        this->notes = number;
+        this->seen.notes.push_back(
+            {static_cast<std::uint64_t>(number),
+             wall_now(),
+             {this->first.digest, this->second.digest}});
+        return true;
+    }
+
+    // A note during an outage is refused or unanswered; the operator repeats.
+    void apply_again(json const& note)
+    {
+        if (!wait_until(
+                [&]
+                {
+                    return this->apply(note);
+                }))
+        {
+            this->fail("a note was never accepted: " + note.dump());
+        }
+    }
+
+    bool all_engines_hold(std::string const& digest)
+    {
+        return std::ranges::all_of(
+            this->running.vms(),
+            [&](vm const& at)
+            {
+                if (at.kind != vm_kind::engine || this->is_down(at.name))
+                {
+                    return true;
+                }
+                auto const state =
+                    this->running.page(at.address, endpoint_port, "/state");
+                return state.is_object() && !state["models"].empty() &&
+                       state["models"][0]["digest"] == digest;
+            });
+    }
+
+    bool is_down(std::string const& name) const
+    {
+        return this->down.contains(name);
+    }
+
+    void prepare()
+    {
+        this->apply_again(this->first_note());
+        if (!wait_until(
+                [this]
+                {
+                    return this->all_engines_hold(this->first.digest);
+                }))
+        {
+            this->fail("the first version never served everywhere");
+        }
+        std::this_thread::sleep_for(settle_time);
+    }
+
+    load::load_settings make_load() const
+    {
+        load::load_settings settings;
+        for (auto const& at : this->running.vms())
+        {
+            if (at.kind == vm_kind::entry)
+            {
+                settings.entries.push_back(this->caller_address(at));
+            }
+        }
+        for (auto const& workspace : this->script.fleet.workspaces)
+        {
+            settings.workspaces.push_back(
+                {workspace["name"], workspace["weight"]});
+        }
+        settings.model = this->script.fleet.model;
+        settings.service = this->script.fleet.booking_service;
+        settings.chats_per_second = this->script.chats_per_second;
+        settings.bookings_per_second = this->script.bookings_per_second;
+        settings.duration = this->script.load_length;
+        settings.deadline = this->script.deadline;
+        return settings;
+    }
+
+    void carry_out(clock::time_point start)
+    {
+        std::vector<timed_action> actions;
+        for (auto const& step : this->script.steps)
+        {
+            actions.push_back(
+                {step.at, [this, &step]
+                 {
+                     std::cout << "  " << step.at.count()
+                               << " ms: " << name_of(step.kind) << " "
+                               << step.target << std::endl;
+                     this->begin(step);
+                 }});
+            if (step.length.count() > 0)
+            {
+                actions.push_back(
+                    {step.at + step.length, [this, &step]
+                     {
+                         this->undo(step);
+                     }});
+            }
+        }
+        std::ranges::stable_sort(actions, {}, &timed_action::at);
+        for (auto const& action : actions)
+        {
+            std::this_thread::sleep_until(start + action.at);
+            action.work();
+        }
+    }
+
+    void to_platform(json const& value)
+    {
+        this->running.control(
+            store_address(this->script.fleet), platform_port, value);
+    }
+
+    void to_origin(json const& value)
+    {
+        this->running.control(
+            store_address(this->script.fleet), origin_port, value);
+    }
+
+    void to_endpoint(std::string const& name, json const& value)
+    {
+        this->running.control(
+            this->machine(name).address, endpoint_port, value);
+    }
+
+    void to_links(json const& value)
+    {
+        auto const regions = regions_of(this->script.fleet).size();
+        for (std::size_t link = 0; link < regions * (regions - 1) / 2; ++link)
+        {
+            this->running.control(
+                link_control_address(this->script.fleet),
+                static_cast<std::uint16_t>(link_control_port + link), value);
+        }
+    }
+
+    // Notes that configurations may spread late from now on.
+    void note_partition(scenario_step const& step)
+    {
+        auto const now = wall_now();
+        auto const length =
+            step.length.count() > 0 ? step.length : milliseconds(longest_wait);
+        this->seen.partitions.push_back({now, now + length});
+    }
+
+    void note_down(std::string const& name, milliseconds length)
+    {
+        auto const entry = this->entry_address(name);
+        if (!entry.empty())
+        {
+            auto const now = wall_now();
+            this->seen.entry_faults.push_back(
+                {entry, now,
+                 now + (length.count() > 0 ? length + return_grace
+                                           : milliseconds(longest_wait))});
+        }
+    }
+
+    void stop_by_plan(std::string const& name)
+    {
+        auto const asked = wall_now();
+        auto const code = this->running.end(name, SIGTERM);
+        this->seen.stops.push_back(
+            {name, this->entry_address(name), asked, wall_now(), code});
+        this->seen.endpoints_leaving.push_back(
+            {name, asked, asked + longest_wait});
+        this->down.insert(name);
+        this->note_down(name, milliseconds(0));
+    }
+
+    // The stop waits for its work, so later steps must not wait for it.
+    void begin(scenario_step const& step)
+    {
+        switch (step.kind)
+        {
+        case step_kind::kill:
+            this->note_down(step.target, step.length);
+            this->down.insert(step.target);
+            this->running.end(step.target, SIGKILL);
+            break;
+        case step_kind::freeze:
+            this->note_down(step.target, step.length);
+            this->note_partition(step);
+            this->running.signal(step.target, SIGSTOP);
+            break;
+        case step_kind::stop:
+            this->stop_by_plan(step.target);
+            break;
+        case step_kind::start:
+            this->start_again(step.target);
+            break;
+        case step_kind::domain_out:
+            this->take_out(step.target);
+            break;
+        case step_kind::domain_in:
+            this->bring_back(step.target);
+            break;
+        case step_kind::new_version:
+            this->apply_again(
+                {{"changed",
+                  {{"models",
+                    {{this->script.fleet.model,
+                      this->model_clause(this->second.digest)}}}}}});
+            this->newest = this->second.digest;
+            break;
+        default:
+            this->begin_outside(step);
+        }
+    }
+
+    // Faults of what is not the system's own.
+    void begin_outside(scenario_step const& step)
+    {
+        switch (step.kind)
+        {
+        case step_kind::cut_links:
+            this->note_partition(step);
+            this->to_links({{"cut", "both"}});
+            break;
+        case step_kind::platform_outage:
+            this->note_partition(step);
+            this->to_platform({{"outage", true}});
+            break;
+        case step_kind::platform_slow:
+            this->note_partition(step);
+            this->to_platform({{"delay_ms", step.amount}});
+            break;
+        case step_kind::platform_lose_answers:
+            this->to_platform({{"lost_answers", step.amount}});
+            break;
+        case step_kind::origin_outage:
+            this->to_origin({{"outage", true}});
+            break;
+        case step_kind::origin_corrupt:
+            this->to_origin({{"corrupt_chunks", step.amount}});
+            break;
+        case step_kind::turn_cold:
+            this->to_endpoint(step.target, {{"turn_cold", true}});
+            break;
+        case step_kind::fall_over:
+            this->to_endpoint(step.target, {{"fall_over", true}});
+            break;
+        case step_kind::slow_engine:
+            this->to_endpoint(step.target, {{"slowness", step.amount}});
+            break;
+        default:
+            this->send_marked(step.amount);
+        }
+    }
+
+    void undo(scenario_step const& step)
+    {
+        switch (step.kind)
+        {
+        case step_kind::kill:
+            this->start_again(step.target);
+            break;
+        case step_kind::freeze:
+            this->running.signal(step.target, SIGCONT);
+            break;
+        case step_kind::domain_out:
+            this->bring_back(step.target);
+            break;
+        case step_kind::cut_links:
+            this->to_links({{"cut", "none"}});
+            break;
+        case step_kind::platform_outage:
+            this->to_platform({{"outage", false}});
+            break;
+        case step_kind::platform_slow:
+            this->to_platform({{"delay_ms", 0}});
+            break;
+        case step_kind::origin_outage:
+            this->to_origin({{"outage", false}});
+            break;
+        case step_kind::slow_engine:
+            this->to_endpoint(step.target, {{"slowness", 1}});
+            break;
+        default:
+            break;
+        }
+    }
+
+    void start_again(std::string const& name)
+    {
+        this->running.start_again(name);
+        this->down.erase(name);
+        auto const now = wall_now();
+        for (auto& gone : this->seen.endpoints_leaving)
+        {
+            gone.until =
+                gone.of == name ? std::min(gone.until, now) : gone.until;
+        }
+        for (auto& fault : this->seen.entry_faults)
+        {
+            if (fault.entry == this->entry_address(name))
+            {
+                fault.until = std::min(fault.until, now + return_grace);
+            }
+        }
+    }
+
+    void take_out(std::string const& domain)
+    {
+        this->apply_again({{"failure_domains", {{domain, "out"}}}});
+        auto const now = wall_now();
+        this->seen.domains_out.push_back({domain, now, now + longest_wait});
+    }
+
+    void bring_back(std::string const& domain)
+    {
+        // From the moment the note may have been accepted work is allowed.
+        for (auto& gone : this->seen.domains_out)
+        {
+            gone.until = gone.of == domain ? std::min(gone.until, wall_now())
+                                           : gone.until;
+        }
+        this->apply_again({{"failure_domains", {{domain, "in"}}}});
+    }
+
+    // A request that crashes each engine that runs it, and its caller's
+    // repeats.
+    void send_marked(std::uint64_t count)
+    {
+        auto const settings = this->make_load();
+        this->marked.push_back(std::async(
+            std::launch::async,
+            [settings, count]
+            {
+                for (std::uint64_t turn = 0; turn < count; ++turn)
+                {
+                    http::request ask;
+                    ask.base = settings.entries[turn % settings.entries.size()];
+                    ask.method = "POST";
+                    ask.path = "/v1/chat/completions";
+                    ask.content_type = "application/json";
+                    ask.headers["X-Workspace"] =
+                        settings.workspaces.front().name;
+                    ask.headers["X-Request-Id"] = "crash-1";
+                    ask.body =
+                        json{
+                            {"model", settings.model},
+                            {"messages",
+                             json::array(
+                                 {{{"role", "user"},
+                                   {"content", "crash-this-engine"}}})}}
+                            .dump();
+                    static_cast<void>(http::call(ask));
+                }
+            }));
+    }
+
+    void collect(json const& report)
+    {
+        checker::add_load_report(this->seen, report);
+        for (auto const& at : this->running.vms())
+        {
+            if (at.kind == vm_kind::entry)
+            {
+                continue;
+            }
+            auto const counters =
+                this->running.page(at.address, endpoint_port, "/counters");
+            checker::add_endpoint(
+                this->seen, at.name, this->script.fleet.domains[at.domain].name,
+                at.kind == vm_kind::booking, counters);
+        }
+        std::ofstream(this->paths.work + "/evidence.json")
+            << report.dump(1) << "\n";
+    }
+
+    void check_newest()
+    {
+        auto const wanted =
+            this->newest.empty() ? this->first.digest : this->newest;
+        auto const served = wait_until(
+            [&]
+            {
+                return this->all_engines_hold(wanted);
+            });
+        if (this->script.outcomes.newest_version_serves && !served)
+        {
+            this->fail("the newest version does not serve everywhere");
+        }
+    }
+
+    // The whole fleet leaves in an orderly way at the end.
+    void stop_rest()
+    {
+        if (!this->running.stop())
+        {
+            this->seen.stops.push_back(
+                {"one of the rest", "", wall_now(), wall_now(), 1});
+        }
+    }
+
+    void require_share(json const& report, bool bookings, std::uint64_t percent)
+    {
+        std::uint64_t all = 0;
+        std::uint64_t right = 0;
+        for (auto const& record : report["records"])
+        {
+            if (record["booking"] == bookings)
+            {
+                ++all;
+                right += record["ended"] == "right" ? 1 : 0;
+            }
+        }
+        auto const* const what = bookings ? "bookings" : "chats";
+        std::cout << "  " << what << " right: " << right << " of " << all
+                  << std::endl;
+        if (all > 0 && right * 100 < percent * all)
+        {
+            this->fail(
+                std::string(what) + " right: less than " +
+                std::to_string(percent) + " in 100");
+        }
+    }
+
+    int judge(json const& report)
+    {
+        std::cout << "  outcomes " << report["outcomes"] << " errors "
+                  << report["errors"] << std::endl;
+        this->require_share(report, false, this->script.outcomes.chats_right);
+        this->require_share(report, true, this->script.outcomes.bookings_right);
+        auto const violations = checker::judge(this->seen);
+        constexpr std::size_t most_shown = 5;
+        std::map<checker::promise, std::size_t> shown;
+        for (auto const& found : violations)
+        {
+            if (++shown[found.broken] <= most_shown)
+            {
+                std::cout << "  BROKEN " << checker::name_of(found.broken)
+                          << ": " << found.what << "\n";
+            }
+        }
+        for (auto const& failure : this->failures)
+        {
+            std::cout << "  NOT MET " << failure << "\n";
+        }
+        return violations.empty() && this->failures.empty() ? 0 : 1;
+    }
+
+    fleet_paths paths;
+    scenario_file const& script;
+    standins::synthetic_weights first;
+    standins::synthetic_weights second;
+    fleet running;
+    checker::evidence seen;
+    std::string newest;
+    std::set<std::string> down;
+    std::vector<std::string> failures;
+    std::vector<std::future<void>> marked;
+    int notes = 0;
+};
+
+} // namespace
+
+int run_scenario(fleet_paths const& paths, scenario_file const& script)
+{
+    std::cout << script.story << std::endl;
+    auto const code = scenario_run(paths, script).run();
+    std::cout << (code == 0 ? "HELD" : "FAILED") << std::endl;
+    return code;
+}
+
+} // namespace foxtailvale::scenario
