--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 SOURCES = $(shell git ls-files --cached --others --exclude-standard \
 	'*.cpp' '*.hpp' | grep -v '\.pb\.')
 
-.PHONY: all deps configure build demo capacity test lint lint-changed format tidy proto \
+.PHONY: all deps configure build demo capacity scenarios test lint lint-changed format tidy proto \
 	test-sanitize test-thread
 
 all: build
@@ -33,6 +33,19 @@
 	@$(BUILD)/bin/foxtailvale-capacity --programs $(BUILD)/bin \
 	    --work $(BUILD)/capacity --network $(NETWORK)
 
+# All scenarios against real processes, one after the other; about ten minutes.
+# Those that KNOWN-RED.txt lists may fail.
+scenarios: build
+	@failed=; for file in scenarios/*.json; do \
+	    log=$(BUILD)/scenario-$$(basename $$file .json).out; \
+	    if $(BUILD)/bin/foxtailvale-scenario --programs $(BUILD)/bin \
+	        --work $(BUILD)/scenario --network $(NETWORK) run $$file > $$log 2>&1; \
+	    then echo "held    $$file"; \
+	    elif grep -q "^$$file," KNOWN-RED.txt 2>/dev/null; \
+	    then echo "known   $$file"; grep "^$$file," KNOWN-RED.txt; \
+	    else echo "FAILED  $$file"; cat $$log; failed="$$failed $$file"; fi; \
+	done; [ -z "$$failed" ] || { echo "failed:$$failed"; exit 1; }
+
 test: build
 	@ctest --test-dir $(BUILD) --output-on-failure --no-tests=error
 
--- a/libs/agent_core/src/control_flow.cpp
+++ b/libs/agent_core/src/control_flow.cpp
@@ -166,6 +166,7 @@
     auto const turned = report.instance != gate.instance ||
                         (report.cold && !control.endpoint_cold);
     control.endpoint_cold = report.cold;
+    gate.reports_cold = report.cold;
     auto const before = state.weights.serving;
     state.weights.serving.clear();
     for (auto const& loaded : report.loaded)
--- a/libs/request/include/request/gate.hpp
+++ b/libs/request/include/request/gate.hpp
@@ -23,6 +23,8 @@
     std::uint32_t limit = 1;
     // Answers on time since the limit last grew.
     std::uint32_t answers = 0;
+    // What the endpoint last said of itself.
+    bool reports_cold = false;
     bool leaving = false;
     bool domain_in = true;
     // Instance of the endpoint that the limit was earned by.
@@ -48,7 +50,8 @@
 
 // An attempt ended; only an answer on time lets the limit grow, doubling after
 // as many answers as the limit is, so that a cold endpoint warms up under a
-// load it has already borne.
+// load it has already borne. While the endpoint says that it is cold the limit
+// does not grow at all.
 void finish(gate& state, base::attempt_id attempt, bool answered);
 
 // The endpoint turned out to be another instance or cold: back to the cold
--- a/libs/request/src/gate.cpp
+++ b/libs/request/src/gate.cpp
@@ -43,6 +43,13 @@
     {
         return;
     }
+    // Failure: two quick answers doubled the limit of an engine that needs
+    // eight to be warm; the third request at once made it fall over, and all
+    // its callers lost their answers. Only the endpoint knows when it is warm.
+    if (state.reports_cold)
+    {
+        return;
+    }
     if (state.limit >= state.warm_limit || ++state.answers < state.limit)
     {
         return;
--- a/libs/request/tests/gate_tests.cpp
+++ b/libs/request/tests/gate_tests.cpp
@@ -40,6 +40,30 @@
     EXPECT_FALSE(ask(state, 15).has_value());
 }
 
+// An engine needs eight answers to be warm. Its first two come quickly, four
+// requests at once are let in and it falls over: their callers lose their
+// answers. As long as the engine says it is cold, answers open nothing.
+TEST(gate, answers_open_nothing_while_the_endpoint_says_it_is_cold)
+{
+    gate state;
+    set_limits(state, 8, 2);
+    turn_cold(state, "one");
+    state.reports_cold = true;
+    for (std::uint64_t number = 1; number < 8; ++number)
+    {
+        EXPECT_TRUE(ask(state, number).has_value());
+        finish(state, {number, 0}, true);
+        EXPECT_EQ(state.limit, 2U);
+    }
+    state.reports_cold = false;
+    for (std::uint64_t number = 10; number < 12; ++number)
+    {
+        EXPECT_TRUE(ask(state, number).has_value());
+        finish(state, {number, 0}, true);
+    }
+    EXPECT_EQ(state.limit, 4U);
+}
+
 TEST(gate, refuses_while_leaving_out_or_with_other_weights)
 {
     using base::error_kind;
--- /dev/null
+++ b/tools/scenario/tests/scenario_file_tests.cpp
@@ -0,0 +1,115 @@
+#include "scenario_file.hpp"
+
+#include <gtest/gtest.h>
+
+#include <filesystem>
+#include <fstream>
+#include <regex>
+#include <set>
+#include <sstream>
+
+namespace foxtailvale::scenario
+{
+
+namespace
+{
+
+std::filesystem::path const source(FOXTAILVALE_SOURCE);
+
+std::set<std::string> files_that_stand()
+{
+    std::set<std::string> found;
+    for (auto const& entry :
+         std::filesystem::directory_iterator(source / "scenarios"))
+    {
+        if (entry.path().extension() == ".json")
+        {
+            found.insert("scenarios/" + entry.path().filename().string());
+        }
+    }
+    return found;
+}
+
+std::string read_page(char const* name)
+{
+    std::ifstream file(source / "docs" / name);
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+// All texts in backticks that look like a path.
+std::set<std::string> paths_named(std::string const& page)
+{
+    std::set<std::string> found;
+    std::regex const path("`([a-z_]+/[A-Za-z0-9_./-]+)`");
+    for (std::sregex_iterator next(page.begin(), page.end(), path), end;
+         next != end; ++next)
+    {
+        found.insert((*next)[1]);
+    }
+    return found;
+}
+
+} // namespace
+
+TEST(scenario_files, all_can_be_read)
+{
+    auto const files = files_that_stand();
+    EXPECT_GE(files.size(), 25U);
+    for (auto const& file : files)
+    {
+        std::string faults;
+        EXPECT_TRUE(load_scenario((source / file).string(), faults)) << faults;
+    }
+}
+
+TEST(scenario_files, the_page_of_promises_names_what_stands_and_all_of_it)
+{
+    auto const named = paths_named(read_page("PROMISES.md"));
+    for (auto const& path : named)
+    {
+        EXPECT_TRUE(std::filesystem::exists(source / path)) << path;
+    }
+    for (auto const& file : files_that_stand())
+    {
+        EXPECT_TRUE(named.contains(file)) << file << " stands in no cell";
+    }
+}
+
+// An operator misspells a step or a VM: the run must not start and hold
+// because nothing happened.
+TEST(scenario_files, a_misspelt_step_or_target_is_a_fault)
+{
+    auto const path =
+        std::filesystem::path(testing::TempDir()) / "misspelt-scenario.json";
+    std::ofstream(path)
+        << "{\"story\": \"x\", \"deployment\": "
+        << source / "scenarios/deployments/two-domains.json"
+        << ", \"steps\": [{\"do\": \"kil\", \"target\": "
+           "\"split-a-engine-1\"}, {\"do\": \"kill\", \"target\": "
+           "\"split-engine-1\"}], \"outcomes\": {}}";
+    std::string faults;
+    EXPECT_FALSE(load_scenario(path.string(), faults));
+    EXPECT_NE(faults.find("no such step: kil"), std::string::npos) << faults;
+    EXPECT_NE(faults.find("no such VM"), std::string::npos) << faults;
+}
+
+TEST(scenario_files, every_step_is_described)
+{
+    auto const page = read_page("SCENARIOS.md");
+    for (auto const kind :
+         {step_kind::kill, step_kind::freeze, step_kind::stop, step_kind::start,
+          step_kind::domain_out, step_kind::domain_in, step_kind::new_version,
+          step_kind::cut_links, step_kind::platform_outage,
+          step_kind::platform_slow, step_kind::platform_lose_answers,
+          step_kind::origin_outage, step_kind::origin_corrupt,
+          step_kind::turn_cold, step_kind::fall_over, step_kind::slow_engine,
+          step_kind::crash_request})
+    {
+        auto const word = "`" + std::string(name_of(kind)) + "`";
+        EXPECT_NE(page.find(word), std::string::npos) << word;
+    }
+}
+
+} // namespace foxtailvale::scenario
