--- /dev/null
+++ b/fuzz/src/document_targets.cpp
@@ -0,0 +1,84 @@
+#include "targets.hpp"
+
+#include <release/release_note.hpp>
+#include <release/settings.hpp>
+
+#include <cstdlib>
+
+namespace foxtailvale::fuzz
+{
+
+namespace
+{
+
+release::configuration some_configuration()
+{
+    release::configuration made;
+    made.generation = 1;
+    made.domains["split-a"].region = "dalmacija";
+    made.models["assistant"].digest = std::string(64, 'a');
+    made.services["booking"] = {};
+    made.workspaces["split"] = {};
+    return made;
+}
+
+} // namespace
+
+void release_note(std::string_view bytes)
+{
+    auto source = release::parse_document("note", bytes);
+    auto const note = release::read_release_note(source);
+    auto const next = release::apply_note(some_configuration(), note, source);
+    if (!source.faults.empty())
+    {
+        // Each fault can be told.
+        if (release::describe(source, source.faults).empty())
+        {
+            std::abort();
+        }
+        return;
+    }
+    // What is accepted is stored and must read back as it was.
+    auto const read = release::parse_configuration(to_text(next));
+    if (!read || !(read.value() == next))
+    {
+        std::abort();
+    }
+}
+
+void settings(std::string_view bytes)
+{
+    auto entry = release::parse_document("settings", bytes);
+    release::read_entry_settings(entry);
+    auto agent = release::parse_document("settings", bytes);
+    release::read_agent_settings(agent);
+}
+
+std::vector<std::string> release_note_seeds()
+{
+    return {
+        R"({"note": 2, "follows": 1, "summary": "x", "added": {"domains":
+        {"osijek-a": {"region": "slavonija"}}, "workspaces": {"w":
+        {"weight": 3}}}, "failure_domains": {"split-a": "out"}})",
+        R"({"note": 2, "follows": 1, "changed": {"models": {"assistant":
+        {"digest": "bbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbb",
+        "replicas": {"split-a": 2}, "limit": 8, "cold_limit": 2}}}})",
+        R"({"note": 2, "follows": 1, "withdrawn": {"services":
+        ["booking"], "workspaces": ["split"]}} // gone)"};
+}
+
+std::vector<std::string> settings_seeds()
+{
+    return {
+        R"({"name": "a", "failure_domain": "split-a", "region": "d",
+        "address": "10.0.0.1", "peer_port": 7000, "operator_port": 7001,
+        "platform": "http://10.0.0.2:8000", "caller_port": 7002,
+        "address_rewrites": [{"from": "10.1.", "to": "10.2."}]})",
+        R"({"name": "a", "failure_domain": "split-a", "region": "d",
+        "address": "10.0.0.1", "peer_port": 7000, "operator_port": 7001,
+        "platform": "http://10.0.0.2:8000", "endpoint": "http://10.0.0.1:7100",
+        "origin": "http://10.0.0.2:8001", "weights_port": 7003,
+        "memory_mib": 64 /* MiB */})"};
+}
+
+} // namespace foxtailvale::fuzz
