--- a/libs/agent_core/src/control_flow.cpp
+++ b/libs/agent_core/src/control_flow.cpp
@@ -27,6 +27,10 @@
     beat.set_engine_instance(gate.instance);
     for (auto const& [model, digest] : state.weights.serving)
     {
+        if (state.weights.switching.contains(model))
+        {
+            continue;
+        }
         auto* const loaded = beat.add_loaded();
         loaded->set_model(model);
         loaded->set_digest(digest);
@@ -220,6 +224,7 @@
 void on_stop(state& state, base::time_point now, actions& out)
 {
     state.control.stopping = true;
+    core::begin_drain(state.control.drain, now);
     state.requests.gate.leaving = true;
     out.push_back(core::write_log{kernel::event_id::process_stopping, {}});
     send_heartbeats(state, now, out);
--- a/libs/agent_core/src/flows.hpp
+++ b/libs/agent_core/src/flows.hpp
@@ -16,7 +16,7 @@
 void on_cancel(state& state, wire::Cancel const& cancel, actions& out);
 void on_work_output(state& state, work_output const& output, actions& out);
 void on_release_changed(state& state);
-void check_drained(state& state, actions& out);
+void check_drained(state& state, base::time_point now, actions& out);
 
 // transfer_flow.cpp
 void on_plan_changed(state& state, base::time_point now, actions& out);
@@ -69,9 +69,25 @@
 
 // activation_flow.cpp
 void on_order_answered(
-    state& state, order_answered const& answer, actions& out);
+    state& state,
+    order_answered const& answer,
+    base::time_point now,
+    actions& out);
+void on_engine_reported(state& state, endpoint_report const& report);
 void on_activation_tick(state& state, base::time_point now, actions& out);
 
+// rollout_flow.cpp
+void on_activation_query(
+    state& state,
+    std::string const& peer,
+    wire::ActivationQuery const& query,
+    actions& out);
+void on_activation_reply(
+    state& state,
+    std::string const& peer,
+    wire::ActivationReply const& reply,
+    base::time_point now);
+
 // control_flow.cpp
 void on_configuration_push(
     state& state, wire::ConfigurationPush const& push, actions& out);
--- a/libs/agent_core/src/request_flow.cpp
+++ b/libs/agent_core/src/request_flow.cpp
@@ -40,6 +40,13 @@
 
 std::string serving_digest(state const& state, std::string const& model)
 {
+    // Failure: a request begins while the engine is ordered to another version
+    // and its answer comes from both. The gate stays closed from before the
+    // order until the engine has reported what it serves since.
+    if (state.weights.switching.contains(model))
+    {
+        return "";
+    }
     auto const found = state.weights.serving.find(model);
     return found == state.weights.serving.end() ? "" : found->second;
 }
@@ -154,9 +161,11 @@
     }
 }
 
-void check_drained(state& state, actions& out)
+void check_drained(state& state, base::time_point now, actions& out)
 {
-    if (state.control.stopping && state.requests.running.empty())
+    auto const busy = !state.requests.running.empty();
+    if (core::advance_drain(
+            state.control.drain, state.self.drain_limits, busy, now))
     {
         out.push_back(core::stop_finished{});
     }
--- a/libs/agent_core/src/weights_parts.hpp
+++ b/libs/agent_core/src/weights_parts.hpp
@@ -30,6 +30,10 @@
 void ask_for_manifest(
     state& state, transfer& transfer, base::time_point now, actions& out);
 
+// Asks neighbours what they hold of a version whose manifest is there.
+void ask_for_holdings(
+    state& state, transfer& transfer, base::time_point now, actions& out);
+
 // The manifest is there: asks for the first chunks.
 void begin_chunks(
     state& state, transfer& transfer, base::time_point now, actions& out);
@@ -38,6 +42,14 @@
 // wait for it.
 void refuse_version(state& state, transfer& transfer, actions& out);
 
+// Whether this agent's engine may leave the version that it serves for the
+// wanted one now; asks those whose move it waits for.
+bool may_move(
+    state& state,
+    control::assigned_model const& wanted,
+    base::time_point now,
+    actions& out);
+
 // Sends what may be sent.
 void send_uploads(state& state, base::time_point now, actions& out);
 
