Drop a Run frame that comes twice

The fuzzed event sequences found that a second Run of one attempt started it again on the endpoint. Dropped and not refused: a refusal says "not run" while the first runs.

--- a/libs/agent_core/src/request_flow.cpp
+++ b/libs/agent_core/src/request_flow.cpp
@@ -65,6 +65,12 @@
 {
     auto const& target = run.target();
     auto const attempt = core::from_wire(run.attempt());
+    // Failure: a frame comes twice. Run twice, two vans go out; refused, the
+    // first run's answer would be taken for "not run". It is dropped.
+    if (state.requests.running.contains(attempt))
+    {
+        return;
+    }
     if (!is_ours(state, target))
     {
         refuse(
