Chaos: one seed gives one plan of faults; list what is red

make chaos SEED=n SECONDS=s runs one seed after the other through the scenario runner and the checker and prints the plan of each seed that broke a promise as a scenario file.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 SOURCES = $(shell git ls-files --cached --others --exclude-standard \
 	'*.cpp' '*.hpp' | grep -v '\.pb\.')
 
-.PHONY: all deps configure build demo capacity scenarios test lint lint-changed format tidy proto \
+.PHONY: all deps configure build demo capacity scenarios chaos test lint lint-changed format tidy proto \
 	test-sanitize test-thread
 
 all: build
@@ -46,6 +46,14 @@
 	    else echo "FAILED  $$file"; cat $$log; failed="$$failed $$file"; fi; \
 	done; [ -z "$$failed" ] || { echo "failed:$$failed"; exit 1; }
 
+# Random faults: one seed after the other, from SEED on, for SECONDS.
+SEED ?= 1
+SECONDS ?= 60
+chaos: build
+	@$(BUILD)/bin/foxtailvale-scenario --programs $(BUILD)/bin \
+	    --work $(BUILD)/chaos --network $(NETWORK) --seed $(SEED) \
+	    --seconds $(SECONDS) chaos scenarios/deployments/two-domains.json
+
 test: build
 	@ctest --test-dir $(BUILD) --output-on-failure --no-tests=error
 
--- a/fuzz/src/driver.cpp
+++ b/fuzz/src/driver.cpp
@@ -9,7 +9,7 @@
 #endif
 
 // libFuzzer's entry point; the name is its own.
-// NOLINTNEXTLINE(readability-identifier-naming)
+// NOLINTBEGIN(readability-identifier-naming)
 extern "C" int
 LLVMFuzzerTestOneInput(std::uint8_t const* data, std::size_t size)
 {
@@ -17,3 +17,4 @@
         {reinterpret_cast<char const*>(data), size});
     return 0;
 }
+// NOLINTEND(readability-identifier-naming)
--- a/tools/scenario/src/main.cpp
+++ b/tools/scenario/src/main.cpp
@@ -1,3 +1,4 @@
+#include "chaos.hpp"
 #include "demo.hpp"
 #include "scenario_run.hpp"
 
@@ -45,6 +46,39 @@
     return scenario::run_scenario(to, *script);
 }
 
+// One seed after the other until the time is over; 1 when one broke a promise.
+int run_chaos(
+    std::string const& deployment_path,
+    unsigned network,
+    foxtailvale::scenario::fleet_paths const& to,
+    std::uint64_t seed,
+    std::chrono::seconds length)
+{
+    using namespace foxtailvale;
+    auto source = release::load_document(deployment_path);
+    auto layout = source.faults.empty() ? scenario::read_deployment(source)
+                                        : scenario::deployment{};
+    if (!source.faults.empty())
+    {
+        std::cerr << describe(source, source.faults);
+        return cli::exit_bad_input;
+    }
+    layout.network = network;
+    auto const start = std::chrono::steady_clock::now();
+    auto code = 0;
+    for (; std::chrono::steady_clock::now() - start < length; ++seed)
+    {
+        auto const script = scenario::make_chaos(layout, seed);
+        if (scenario::run_scenario(to, script) != 0)
+        {
+            code = 1;
+            std::cout << scenario::to_text(script, deployment_path)
+                      << std::endl;
+        }
+    }
+    return code;
+}
+
 } // namespace
 
 int main(int count, char** words)
@@ -53,7 +87,7 @@
     {
         TCLAP::CmdLine line(
             "Runs a deployment with stand-ins. Commands: demo DEPLOYMENT, "
-            "run SCENARIO.",
+            "run SCENARIO, chaos DEPLOYMENT.",
             ' ', FOXTAILVALE_VERSION);
         line.setExceptionHandling(false);
         TCLAP::ValueArg<std::string> const programs(
@@ -69,7 +103,19 @@
             "command", "what to do", true, "", "COMMAND", line);
         TCLAP::UnlabeledValueArg<std::string> const deployment(
             "deployment", "deployment file", true, "", "DEPLOYMENT", line);
+        TCLAP::ValueArg<std::uint64_t> const seed(
+            "s", "seed", "first seed of chaos", false, 1, "NUMBER", line);
+        TCLAP::ValueArg<unsigned> const length(
+            "t", "seconds", "how long chaos goes on", false, 60, "NUMBER",
+            line);
         line.parse(count, words);
+        if (command.getValue() == "chaos")
+        {
+            return run_chaos(
+                deployment.getValue(), network.getValue(),
+                {programs.getValue(), work.getValue()}, seed.getValue(),
+                std::chrono::seconds(length.getValue()));
+        }
         if (command.getValue() == "run")
         {
             return run_script(
--- a/tools/scenario/tests/scenario_file_tests.cpp
+++ b/tools/scenario/tests/scenario_file_tests.cpp
@@ -1,3 +1,4 @@
+#include "chaos.hpp"
 #include "scenario_file.hpp"
 
 #include <gtest/gtest.h>
@@ -95,6 +96,29 @@
     EXPECT_NE(faults.find("no such VM"), std::string::npos) << faults;
 }
 
+// A seed that broke a promise is kept as a file: it must be the same plan, and
+// a file that can be read.
+TEST(chaos, a_seed_is_a_plan_and_can_be_kept)
+{
+    auto const fleet_path =
+        (source / "scenarios/deployments/two-domains.json").string();
+    auto layout = release::load_document(fleet_path);
+    auto const fleet = read_deployment(layout);
+    for (std::uint64_t seed = 1; seed < 50; ++seed)
+    {
+        auto const text = to_text(make_chaos(fleet, seed), fleet_path);
+        EXPECT_EQ(text, to_text(make_chaos(fleet, seed), fleet_path));
+        EXPECT_NE(text, to_text(make_chaos(fleet, seed + 1), fleet_path));
+        auto const kept =
+            std::filesystem::path(testing::TempDir()) / "chaos.json";
+        std::ofstream(kept) << text;
+        std::string faults;
+        auto const read = load_scenario(kept.string(), faults);
+        ASSERT_TRUE(read.has_value()) << faults;
+        EXPECT_EQ(to_text(*read, fleet_path), text);
+    }
+}
+
 TEST(scenario_files, every_step_is_described)
 {
     auto const page = read_page("SCENARIOS.md");
