--- a/cmake/foxtailvale.cmake
+++ b/cmake/foxtailvale.cmake
@@ -22,6 +22,15 @@
         -fsanitize=${FOXTAILVALE_SANITIZE})
 endif()
 
+# Needs clang: cmake -DCMAKE_CXX_COMPILER=clang++ -DFOXTAILVALE_FUZZ=ON
+option(FOXTAILVALE_FUZZ "Build the libFuzzer programs" OFF)
+if(FOXTAILVALE_FUZZ)
+    target_compile_options(foxtailvale_options INTERFACE
+        -fsanitize=fuzzer-no-link)
+    target_link_options(foxtailvale_options INTERFACE
+        -fsanitize=fuzzer-no-link)
+endif()
+
 # foxtailvale_library(NAME SOURCES ... DEPENDS ...): libs/NAME with its public
 # headers under include/NAME.
 function(foxtailvale_library name)
