--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,8 @@
 SOURCES = $(shell git ls-files --cached --others --exclude-standard \
 	'*.cpp' '*.hpp' | grep -v '\.pb\.')
 
-.PHONY: all deps configure build demo capacity scenarios chaos test lint lint-changed format tidy proto \
+.PHONY: all deps configure build demo capacity scenarios chaos \
+	bench-weights test lint lint-changed format tidy proto \
 	test-sanitize test-thread
 
 all: build
@@ -54,6 +55,12 @@
 	    --work $(BUILD)/chaos --network $(NETWORK) --seed $(SEED) \
 	    --seconds $(SECONDS) chaos scenarios/deployments/two-domains.json
 
+bench-weights: build
+	@$(BUILD)/bin/foxtailvale-bench-weights --programs $(BUILD)/bin \
+	    --work $(BUILD)/bench-weights --network $(NETWORK) \
+	    --csv docs/measurements/weights.csv
+	@gnuplot benchmarks/weights/plot.gnuplot
+
 test: build
 	@ctest --test-dir $(BUILD) --output-on-failure --no-tests=error
 
--- a/libs/agent_core/tests/burst_tests.cpp
+++ b/libs/agent_core/tests/burst_tests.cpp
@@ -25,9 +25,10 @@
 {
     fake_version version = make_version('x', chunks);
     fake_fleet fleet;
+    std::uint64_t number;
 
     burst(std::vector<fake_domain> const& domains, std::uint64_t seed)
-        : fleet(domains, seed)
+        : fleet(domains, seed), number(seed)
     {
         this->fleet.offer(this->version);
         this->fleet.assign({{"m", this->version.digest}});
@@ -35,12 +36,21 @@
 
     bool finishes_within(milliseconds time)
     {
-        return this->fleet.run(
+        auto const finished = this->fleet.run(
             time,
             [this]
             {
                 return this->fleet.all_hold(this->version.digest);
             });
+        // docs/design/weights.md reads these with --gtest_output=json.
+        auto const seed = std::to_string(this->number);
+        testing::Test::RecordProperty(
+            "virtual_ms_" + seed,
+            std::to_string(this->fleet.elapsed().count()));
+        testing::Test::RecordProperty(
+            "draws_" + seed,
+            std::to_string(this->fleet.draws[this->version.digest]));
+        return finished;
     }
 
     double origin_copies()
@@ -189,6 +199,21 @@
     }
 }
 
+// The origin's manifest itself is damaged. No chunk can be named by it; the
+// version is refused after a few calls rather than asked for without end.
+TEST(bursts, a_damaged_manifest_has_the_version_refused)
+{
+    burst test(three_regions, 1);
+    test.fleet.corrupt_manifests = true;
+    test.fleet.run(minutes(5));
+    for (auto const& name : test.fleet.names())
+    {
+        auto const& transfers = test.fleet.core(name).weights.transfers;
+        EXPECT_TRUE(transfers.at(test.version.digest).refused) << name;
+    }
+    EXPECT_LE(test.fleet.origin_calls, 24U * 3U);
+}
+
 // Another version replaces the first in the middle of its burst. What is left
 // of the first must not take the link's time from the second.
 TEST(bursts, a_replaced_version_stops)
@@ -237,6 +262,21 @@
     }
 }
 
+// The weight store gives ten chunks a second to the whole fleet and refuses the
+// rest. Agents must fit in with it: neither starve, nor spend the store's calls
+// on refusals, nor draw in each other's place because of them.
+TEST(bursts, a_rate_limited_store_is_respected)
+{
+    for (auto const seed : seeds)
+    {
+        burst test(three_regions, seed);
+        test.fleet.store_interval = milliseconds(100);
+        ASSERT_TRUE(test.finishes_within(seconds(120))) << seed;
+        EXPECT_LE(test.origin_copies(), 3.2) << seed;
+        EXPECT_LE(test.fleet.origin_refusals, 3U * 3U * chunks) << seed;
+    }
+}
+
 // One importer alone cannot reach the origin. It must hand its chunks on, or
 // its whole region would wait for as long as its way is closed.
 TEST(bursts, an_importer_without_a_way_to_the_origin_hands_on)
--- a/libs/node/src/endpoint_client.cpp
+++ b/libs/node/src/endpoint_client.cpp
@@ -34,6 +34,10 @@
     request.body = run.body();
     request.timeout = milliseconds(run.time_left_ms());
     request.headers["X-Request-Id"] = run.request_id();
+    if (run.resume_from() > 0)
+    {
+        request.headers["X-Resume-From"] = std::to_string(run.resume_from());
+    }
     return request;
 }
 
@@ -107,7 +111,8 @@
 {
     {
         std::lock_guard const lock(this->mutex);
-        this->active.insert(work.attempt);
+        this->active.emplace(
+            work.attempt, std::make_shared<http::call_control>());
     }
     this->work_pool.run(
         [this, work = std::move(work)]
@@ -119,9 +124,11 @@
 void endpoint_client::cancel(base::attempt_id attempt)
 {
     std::lock_guard const lock(this->mutex);
-    if (this->active.contains(attempt))
+    auto const call = this->active.find(attempt);
+    if (call != this->active.end())
     {
         this->cancelled.insert(attempt);
+        call->second->cancel();
     }
 }
 
@@ -139,8 +146,12 @@
             std::nullopt});
         return !this->is_cancelled(attempt);
     };
-    auto const answer = http::stream(
-        make_request(this->addresses.endpoint, work.run), on_piece);
+    auto request = make_request(this->addresses.endpoint, work.run);
+    {
+        std::lock_guard const lock(this->mutex);
+        request.control = this->active.at(attempt);
+    }
+    auto const answer = http::stream(request, on_piece);
     if (!ended)
     {
         auto const failure =
@@ -225,11 +236,13 @@
             request.base = this->addresses.endpoint;
             request.path = "/state";
             request.timeout = poll_timeout;
+            auto const asked = std::chrono::steady_clock::now();
             auto const answer = http::call(request);
             auto const failed = failure_of(answer, "endpoint").has_value();
-            this->deliver(
-                failed ? agent_core::endpoint_report{}
-                       : read_report(answer.value().body));
+            auto report = failed ? agent_core::endpoint_report{}
+                                 : read_report(answer.value().body);
+            report.asked = asked;
+            this->deliver(std::move(report));
         });
 }
 
