--- a/standins/src/plain_service.cpp
+++ b/standins/src/plain_service.cpp
@@ -47,6 +47,7 @@
             std::lock_guard const lock(this->mutex);
             value["runs"] = this->runs;
             value["last_begin_ms"] = this->last_begin_ms;
+            value["begun"] = this->begun.to_json();
         }
         return http::send_text(reply, 200, json_type, value.dump());
     }
@@ -57,6 +58,7 @@
         std::lock_guard const lock(this->mutex);
         ++this->runs[id];
         this->last_begin_ms = wall_clock_ms();
+        this->begun.add(id);
     }
     std::this_thread::sleep_for(this->work_time);
     http::send_text(
