Measure what control costs with real processes

Cause: the budget for control (3.2% of a core, 128 MB, 4 KB/s a node) had no measurement, so no choice of the thin version could be judged.

`make bench-control` starts 8 entries with 50, 100 and 200 agents before plain services in one stand-in process, and reads processor time, resident memory, bytes of control frames (new counters per kind of frame), calls to the platform and, from the log lines, how long each accepted configuration took to be in force on each node. Log times carried literal quotes round the T; no tool could read them, which the bench showed.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 SOURCES = $(shell git ls-files --cached --others --exclude-standard \
 	'*.cpp' '*.hpp' | grep -v '\.pb\.')
 
-.PHONY: all deps configure build demo test lint lint-changed format tidy proto \
+.PHONY: all deps configure build demo bench-control test lint lint-changed format tidy proto \
 	test-sanitize test-thread
 
 all: build
@@ -27,6 +27,13 @@
 	@$(BUILD)/bin/foxtailvale-scenario --programs $(BUILD)/bin \
 	    --work $(BUILD)/demo --network $(NETWORK) demo examples/$(DEPLOYMENT)/deployment.json
 
+# What control costs by the number of agents; about three minutes.
+bench-control: build
+	@for agents in 50 100 200; do $(BUILD)/bin/foxtailvale-scenario \
+	    --programs $(BUILD)/bin --work $(BUILD)/bench-control \
+	    --network $(NETWORK) --entries 8 --agents $$agents bench-control \
+	    || exit 1; done
+
 test: build
 	@ctest --test-dir $(BUILD) --output-on-failure --no-tests=error
 
--- a/libs/kernel/src/events.cpp
+++ b/libs/kernel/src/events.cpp
@@ -78,7 +78,7 @@
 {
     process_name() = process;
     auto const layout = std::make_shared<log4cxx::PatternLayout>(
-        "{\"time\":\"%d{yyyy-MM-dd'T'HH:mm:ss.SSSZ}\",\"level\":\"%p\","
+        "{\"time\":\"%d{yyyy-MM-ddTHH:mm:ss.SSSZ}\",\"level\":\"%p\","
         "\"body\":%m}%n");
     auto const appender = std::make_shared<log4cxx::ConsoleAppender>(
         layout, log4cxx::ConsoleAppender::getSystemErr());
--- a/libs/node/include/node/peer_bus.hpp
+++ b/libs/node/include/node/peer_bus.hpp
@@ -3,6 +3,7 @@
 
 #include <base/error.hpp>
 #include <node/event_loop.hpp>
+#include <node/traffic.hpp>
 #include <proto/foxtailvale.pb.h>
 #include <release/settings.hpp>
 
@@ -44,6 +45,9 @@
     // leave and never will.
     base::result<void> send(std::string const& peer, wire::Envelope envelope);
 
+    // Bytes of frames since the last call.
+    traffic take_traffic();
+
 private:
     void receive_all(zmq::socket_t& socket);
     void receive_one(std::string peer, zmq::message_t const& frame);
@@ -55,6 +59,7 @@
     zmq::context_t context;
     zmq::socket_t inbound;
     zmq::socket_t outbound;
+    traffic counted;
     handler receiver;
     fault_handler reporter;
     // Address in use, by peer.
--- /dev/null
+++ b/libs/node/include/node/traffic.hpp
@@ -0,0 +1,39 @@
+#ifndef FOXTAILVALE_NODE_TRAFFIC_HPP
+#define FOXTAILVALE_NODE_TRAFFIC_HPP
+
+#include <proto/foxtailvale.pb.h>
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+
+namespace foxtailvale::node
+{
+
+// What a frame between our processes is for. Only control has a budget of its
+// own per node; the others grow with the callers' load.
+enum class traffic_kind
+{
+    control,
+    requests,
+    weights,
+};
+
+inline constexpr std::size_t traffic_kinds = 3;
+
+std::string_view name_of(traffic_kind kind);
+
+traffic_kind kind_of(wire::Envelope::BodyCase body);
+
+// Bytes of frames that were sent and received, by kind. The transport's own
+// headers and keep-alives are not in them.
+struct traffic
+{
+    std::array<std::uint64_t, traffic_kinds> sent{};
+    std::array<std::uint64_t, traffic_kinds> received{};
+};
+
+} // namespace foxtailvale::node
+
+#endif
--- a/libs/node/src/agent_node.cpp
+++ b/libs/node/src/agent_node.cpp
@@ -16,6 +16,7 @@
 {
 
 constexpr std::chrono::milliseconds tick_interval{20};
+constexpr std::chrono::milliseconds traffic_interval{500};
 constexpr std::chrono::milliseconds poll_interval{200};
 constexpr std::uint16_t server_threads = 4;
 
@@ -75,6 +76,11 @@
         this->common.report_fault(error, peer);
     }
 
+    void publish_traffic()
+    {
+        this->common.publish_traffic();
+    }
+
     template <class Action>
     void operator()(Action& action)
     {
@@ -198,6 +204,12 @@
                 {
                     driver->handle(core::tick{});
                 });
+            loop.call_every(
+                traffic_interval,
+                [&driver]
+                {
+                    driver->publish_traffic();
+                });
             loop.call_every(
                 poll_interval,
                 [&endpoint]
--- a/libs/node/src/common_actions.cpp
+++ b/libs/node/src/common_actions.cpp
@@ -11,6 +11,9 @@
 // Names come from frames, so a stranger could invent many.
 constexpr std::size_t most_logged_peers = 1024;
 
+constexpr char const* sent_name = "foxtailvale_peer_sent_bytes_total";
+constexpr char const* received_name = "foxtailvale_peer_received_bytes_total";
+
 } // namespace
 
 common_actions::common_actions(
@@ -70,6 +73,21 @@
     this->metrics->count(action.name, {}, action.amount);
 }
 
+void common_actions::publish_traffic()
+{
+    auto const counted = this->bus->take_traffic();
+    for (std::size_t index = 0; index < traffic_kinds; ++index)
+    {
+        std::string const kind(name_of(static_cast<traffic_kind>(index)));
+        this->metrics->count(
+            sent_name, {{"kind", kind}},
+            static_cast<double>(counted.sent[index]));
+        this->metrics->count(
+            received_name, {{"kind", kind}},
+            static_cast<double>(counted.received[index]));
+    }
+}
+
 void common_actions::report_fault(
     base::error const& error, std::string const& peer)
 {
--- a/libs/node/src/common_actions.hpp
+++ b/libs/node/src/common_actions.hpp
@@ -34,6 +34,9 @@
     void operator()(core::count_retry const& action);
     void operator()(core::count_metric const& action);
 
+    // Adds the bytes sent and received since the last call to the metrics.
+    void publish_traffic();
+
     // Reports a frame that the bus dropped.
     void report_fault(base::error const& error, std::string const& peer);
 
--- a/libs/node/src/entry_node.cpp
+++ b/libs/node/src/entry_node.cpp
@@ -18,6 +18,7 @@
 {
 
 constexpr std::chrono::milliseconds tick_interval{20};
+constexpr std::chrono::milliseconds traffic_interval{500};
 constexpr std::uint16_t operator_threads = 4;
 
 // The entry's core between its adapters. All of it lives on the loop's thread.
@@ -91,6 +92,11 @@
         this->common.report_fault(error, peer);
     }
 
+    void publish_traffic()
+    {
+        this->common.publish_traffic();
+    }
+
     template <class Action>
     void operator()(Action& action)
     {
@@ -188,6 +194,12 @@
                 {
                     driver->handle(core::tick{});
                 });
+            loop.call_every(
+                traffic_interval,
+                [&driver]
+                {
+                    driver->publish_traffic();
+                });
         });
     auto const started = services.start_all();
     if (!started)
--- a/libs/node/src/peer_bus.cpp
+++ b/libs/node/src/peer_bus.cpp
@@ -1,5 +1,7 @@
 #include <node/peer_bus.hpp>
 
+#include <utility>
+
 namespace foxtailvale::node
 {
 
@@ -141,15 +143,21 @@
         envelope.set_to_incarnation(known->second);
     }
     auto const frame = envelope.SerializeAsString();
-    if (this->connected.contains(peer) && try_send(this->outbound, peer, frame))
-    {
-        return boost::outcome_v2::success();
-    }
-    if (try_send(this->inbound, peer, frame))
+    auto const sent = (this->connected.contains(peer) &&
+                       try_send(this->outbound, peer, frame)) ||
+                      try_send(this->inbound, peer, frame);
+    if (!sent)
     {
-        return boost::outcome_v2::success();
+        return base::fail(base::error_kind::peer_unreachable, peer);
     }
-    return base::fail(base::error_kind::peer_unreachable, peer);
+    auto const kind = static_cast<std::size_t>(kind_of(envelope.body_case()));
+    this->counted.sent[kind] += frame.size();
+    return boost::outcome_v2::success();
+}
+
+traffic peer_bus::take_traffic()
+{
+    return std::exchange(this->counted, {});
 }
 
 void peer_bus::receive_all(zmq::socket_t& socket)
@@ -191,6 +199,8 @@
         this->reporter({base::error_kind::bad_frame, "unreadable"}, peer);
         return;
     }
+    auto const kind = static_cast<std::size_t>(kind_of(envelope.body_case()));
+    this->counted.received[kind] += frame.size();
     // Failure: a frame meant for this process's earlier life arrives late. A
     // request in it may have been given up as not run. Its incarnation is not
     // ours, so it is dropped.
--- a/tools/scenario/src/child_process.cpp
+++ b/tools/scenario/src/child_process.cpp
@@ -75,6 +75,11 @@
     }
 }
 
+pid_t child_process::process_id() const
+{
+    return this->id;
+}
+
 int child_process::wait()
 {
     if (this->id <= 0)
--- a/tools/scenario/src/child_process.hpp
+++ b/tools/scenario/src/child_process.hpp
@@ -24,6 +24,9 @@
 
     void send(int signal) const;
 
+    // The system's number for it, for reading what it uses.
+    pid_t process_id() const;
+
     // Waits for the end; the exit code, or 128 and the signal's number.
     int wait();
 
--- a/tools/scenario/src/fleet.cpp
+++ b/tools/scenario/src/fleet.cpp
@@ -77,7 +77,7 @@
     this->processes.emplace(
         name, child_process(
                   {this->paths.programs + "/" + program, path},
-                  this->paths.work + "/" + name + ".log"));
+                  this->log_path(name)));
 }
 
 int fleet::apply(json const& note)
@@ -93,7 +93,7 @@
     return ctl.wait();
 }
 
-json fleet::page(
+std::string fleet::text_page(
     std::string const& address, std::uint16_t port, std::string const& path)
 {
     http::request ask;
@@ -102,12 +102,29 @@
     auto const answer = http::call(ask);
     if (!answer || answer.value().status != 200)
     {
-        return nullptr;
+        return {};
     }
-    auto value = json::parse(answer.value().body, nullptr, false);
+    return answer.value().body;
+}
+
+json fleet::page(
+    std::string const& address, std::uint16_t port, std::string const& path)
+{
+    auto value =
+        json::parse(this->text_page(address, port, path), nullptr, false);
     return value.is_discarded() ? json(nullptr) : value;
 }
 
+pid_t fleet::process_id(std::string const& name) const
+{
+    return this->processes.at(name).process_id();
+}
+
+std::string fleet::log_path(std::string const& name) const
+{
+    return this->paths.work + "/" + name + ".log";
+}
+
 void fleet::control(
     std::string const& address, std::uint16_t port, json const& value)
 {
--- a/tools/scenario/src/fleet.hpp
+++ b/tools/scenario/src/fleet.hpp
@@ -43,6 +43,18 @@
         std::uint16_t port,
         std::string const& path);
 
+    // Reads a page as text, empty when it does not answer.
+    std::string text_page(
+        std::string const& address,
+        std::uint16_t port,
+        std::string const& path);
+
+    // The system's number for the process on a VM.
+    pid_t process_id(std::string const& name) const;
+
+    // Where a process's log lines go.
+    std::string log_path(std::string const& name) const;
+
     // Sends JSON to a switchboard.
     void control(
         std::string const& address,
--- a/tools/scenario/src/main.cpp
+++ b/tools/scenario/src/main.cpp
@@ -1,3 +1,4 @@
+#include "control_bench.hpp"
 #include "demo.hpp"
 
 #include <cli/daemon_options.hpp>
@@ -34,8 +35,9 @@
     try
     {
         TCLAP::CmdLine line(
-            "Runs a deployment with stand-ins. Commands: demo DEPLOYMENT.", ' ',
-            FOXTAILVALE_VERSION);
+            "Runs a deployment with stand-ins. Commands: demo DEPLOYMENT, "
+            "bench-control.",
+            ' ', FOXTAILVALE_VERSION);
         line.setExceptionHandling(false);
         TCLAP::ValueArg<std::string> const programs(
             "b", "programs", "folder of the programs", false, "build/bin",
@@ -49,8 +51,23 @@
         TCLAP::UnlabeledValueArg<std::string> const command(
             "command", "what to do", true, "", "COMMAND", line);
         TCLAP::UnlabeledValueArg<std::string> const deployment(
-            "deployment", "deployment file", true, "", "DEPLOYMENT", line);
+            "deployment", "deployment file", false, "", "DEPLOYMENT", line);
+        TCLAP::ValueArg<unsigned> const domains(
+            "", "domains", "failure domains of bench-control", false, 2,
+            "NUMBER", line);
+        TCLAP::ValueArg<unsigned> const entries(
+            "", "entries", "entries of bench-control", false, 8, "NUMBER",
+            line);
+        TCLAP::ValueArg<unsigned> const agents(
+            "", "agents", "agents of bench-control", false, 50, "NUMBER", line);
         line.parse(count, words);
+        if (command.getValue() == "bench-control")
+        {
+            return foxtailvale::scenario::run_control_bench(
+                {programs.getValue(), work.getValue()},
+                {domains.getValue(), entries.getValue(), agents.getValue()},
+                network.getValue());
+        }
         if (command.getValue() != "demo")
         {
             std::cerr << "foxtailvale-scenario: no such command: "
