Let few entries watch the platform and each agent speak to three

Now, all by rendezvous hash over the list of VMs and who is alive, so that nothing has to be agreed: - two entries of a failure domain watch release, list and lease; the next in order follow on silence or at once on a farewell - changes go down a tree with fan-out 4, to agents by the entry that reports them; digests repair what was lost; another domain's entries push too, so a domain without the platform gets the news - agents send heartbeats to three entries, brief unless something changed; one of the three reports to the other entries what changed (news in 200 ms, load every 4 s); whoever still hears an agent contradicts a wrong suspicion - of other domains an entry knows eight endpoints a model - the list of VMs has a version and travels as a difference - calls to the platform take from a token bucket; pauses after failures are drawn at random - an entry that starts asks its peers before it trusts the platform

Ruled out: load reports once a second among the entries of a domain (59 frames in and out a second, over the budget at 60 entries by themselves).

The test of an older configuration starts with a peer that has answered, since a process that has just started no longer trusts the platform at once; what it asserts is unchanged. ZeroMQ's keep-alives went from one to fifteen seconds; unacknowledged bytes close a connection after three.

--- a/libs/agent_core/include/agent_core/agent_core.hpp
+++ b/libs/agent_core/include/agent_core/agent_core.hpp
@@ -88,6 +88,13 @@
 struct listener
 {
     base::time_point heard;
+    // A new one knows nothing of what the one before was told.
+    std::uint64_t incarnation = 0;
+    std::chrono::milliseconds interval{1000};
+    base::time_point last_beat;
+    // Hash of what the last whole heartbeat said, and brief ones since then.
+    std::uint64_t detail_hash = 0;
+    std::uint32_t brief_beats = 0;
 };
 
 struct control_state
@@ -95,7 +102,8 @@
     release::configuration configuration;
     weights::plan_set plans;
     std::map<std::string, listener> listeners;
-    base::time_point last_heartbeat;
+    // Something changed that the listeners should know at once.
+    bool has_news = false;
     bool stopping = false;
     bool endpoint_reachable = false;
     bool endpoint_cold = true;
--- a/libs/agent_core/src/agent_core.cpp
+++ b/libs/agent_core/src/agent_core.cpp
@@ -26,7 +26,7 @@
     case body::kPlanPush:
         return on_plan_push(state, envelope.plan_push(), now, out);
     case body::kConfigurationDigest:
-        return on_configuration_digest(state, peer, now, out);
+        return on_configuration_digest(state, message, now, out);
     case body::kChunkRequest:
         return on_chunk_request(state, peer, envelope.chunk_request(), out);
     case body::kChunkReply:
@@ -60,6 +60,7 @@
     void operator()(core::send_failed const& event)
     {
         on_weights_send_failed(this->core, event, this->out);
+        on_control_send_failed(this->core, event);
     }
 
     void operator()(core::tick const& /*event*/)
--- a/libs/agent_core/src/control_flow.cpp
+++ b/libs/agent_core/src/control_flow.cpp
@@ -1,5 +1,6 @@
 #include "flows.hpp"
 
+#include <base/digest.hpp>
 #include <control/membership.hpp>
 
 namespace foxtailvale::agent_core
@@ -9,7 +10,11 @@
 {
 
 // An entry that has not asked for this long gets no more heartbeats.
-constexpr std::chrono::milliseconds listener_limit{10'000};
+constexpr std::chrono::milliseconds listener_limit{16'000};
+
+// A heartbeat says all again after so many brief ones, in case that the last
+// whole one was lost.
+constexpr std::uint32_t most_brief_beats = 15;
 
 std::uint64_t own_plan_version(state const& state)
 {
@@ -17,20 +22,25 @@
     return found == state.control.plans.end() ? 0 : found->second.version;
 }
 
-wire::Heartbeat make_heartbeat(state const& state)
+// What changes seldom; brief heartbeats leave it out.
+void add_detail(state const& state, wire::Heartbeat& beat)
 {
-    auto const& gate = state.requests.gate;
-    wire::Heartbeat beat;
     beat.set_failure_domain(state.self.failure_domain);
     beat.set_region(state.self.region);
     beat.set_service(state.self.service);
-    beat.set_engine_instance(gate.instance);
+    beat.set_engine_instance(state.requests.gate.instance);
     for (auto const& [model, digest] : state.weights.serving)
     {
         auto* const loaded = beat.add_loaded();
         loaded->set_model(model);
         loaded->set_digest(digest);
     }
+}
+
+wire::Heartbeat make_heartbeat(state const& state)
+{
+    auto const& gate = state.requests.gate;
+    wire::Heartbeat beat;
     auto const usable = state.control.endpoint_reachable;
     beat.set_limit(usable ? gate.limit : 0);
     beat.set_running(static_cast<std::uint32_t>(gate.running.size()));
@@ -48,10 +58,21 @@
     return beat;
 }
 
+std::uint64_t plans_hash(state const& state)
+{
+    std::string text;
+    for (auto const& [domain, plan] : state.control.plans)
+    {
+        text += domain + '=' + std::to_string(plan.version) + ';';
+    }
+    return base::stable_hash(text);
+}
+
 wire::ConfigurationDigest make_digest(state const& state)
 {
     wire::ConfigurationDigest digest;
     digest.set_generation(state.control.configuration.generation);
+    digest.set_whole(true);
     for (auto const& [domain, plan] : state.control.plans)
     {
         (*digest.mutable_plan_versions())[domain] = plan.version;
@@ -59,11 +80,34 @@
     return digest;
 }
 
-void send_heartbeat(state const& state, std::string const& entry, actions& out)
+void send_heartbeat(
+    state const& state,
+    std::string const& entry,
+    listener& to,
+    base::time_point now,
+    actions& out)
 {
-    core::send_message beat{entry, {}};
-    *beat.envelope.mutable_heartbeat() = make_heartbeat(state);
-    out.push_back(std::move(beat));
+    wire::Heartbeat detail;
+    add_detail(state, detail);
+    auto const hash = base::stable_hash(detail.SerializeAsString());
+    auto beat = make_heartbeat(state);
+    auto const brief =
+        hash == to.detail_hash && to.brief_beats < most_brief_beats;
+    if (brief)
+    {
+        beat.set_brief(true);
+        ++to.brief_beats;
+    }
+    else
+    {
+        beat.MergeFrom(detail);
+        to.detail_hash = hash;
+        to.brief_beats = 0;
+    }
+    to.last_beat = now;
+    core::send_message message{entry, {}};
+    *message.envelope.mutable_heartbeat() = std::move(beat);
+    out.push_back(std::move(message));
 }
 
 void log_domain_change(
@@ -140,17 +184,37 @@
 }
 
 void on_configuration_digest(
-    state& state, std::string const& peer, base::time_point now, actions& out)
+    state& state,
+    core::message_received const& message,
+    base::time_point now,
+    actions& out)
 {
-    auto const added =
-        state.control.listeners.insert_or_assign(peer, listener{now}).second;
-    if (added)
+    auto const& digest = message.envelope.configuration_digest();
+    auto const incarnation = message.envelope.from_incarnation();
+    auto const [place, added] =
+        state.control.listeners.try_emplace(message.peer);
+    auto& to = place->second;
+    auto const is_new = added || to.incarnation != incarnation;
+    to.heard = now;
+    to.incarnation = incarnation;
+    if (digest.heartbeat_ms() > 0)
+    {
+        to.interval = std::chrono::milliseconds(digest.heartbeat_ms());
+    }
+    if (is_new)
+    {
+        to.detail_hash = 0;
+        send_heartbeat(state, message.peer, to, now, out);
+    }
+    auto const same =
+        digest.generation() == state.control.configuration.generation &&
+        digest.plans_hash() == plans_hash(state);
+    if (!same)
     {
-        send_heartbeat(state, peer, out);
+        core::send_message answer{message.peer, {}};
+        *answer.envelope.mutable_configuration_digest() = make_digest(state);
+        out.push_back(std::move(answer));
     }
-    core::send_message answer{peer, {}};
-    *answer.envelope.mutable_configuration_digest() = make_digest(state);
-    out.push_back(std::move(answer));
 }
 
 void on_endpoint_report(
@@ -188,16 +252,16 @@
         out.push_back(core::write_log{
             kernel::event_id::weights_activated,
             {{"serving", state.weights.serving}}});
-        control.last_heartbeat = {};
+        control.has_news = true;
     }
 }
 
 void send_heartbeats(state& state, base::time_point now, actions& out)
 {
-    state.control.last_heartbeat = now;
-    for (auto const& [entry, heard] : state.control.listeners)
+    state.control.has_news = false;
+    for (auto& [entry, to] : state.control.listeners)
     {
-        send_heartbeat(state, entry, out);
+        send_heartbeat(state, entry, to, now, out);
     }
 }
 
@@ -210,9 +274,28 @@
         {
             return now - entry.second.heard > listener_limit;
         });
-    if (now - control.last_heartbeat >= control::heartbeat_interval)
+    if (control.has_news)
     {
         send_heartbeats(state, now, out);
+        return;
+    }
+    for (auto& [entry, to] : control.listeners)
+    {
+        if (now - to.last_beat >= to.interval)
+        {
+            send_heartbeat(state, entry, to, now, out);
+        }
+    }
+}
+
+void on_control_send_failed(state& state, core::send_failed const& failed)
+{
+    auto const found = state.control.listeners.find(failed.peer);
+    if (found != state.control.listeners.end() &&
+        failed.envelope.has_heartbeat())
+    {
+        // It did not hear what was said last.
+        found->second.detail_hash = 0;
     }
 }
 
--- a/libs/agent_core/src/flows.hpp
+++ b/libs/agent_core/src/flows.hpp
@@ -66,10 +66,14 @@
     base::time_point now,
     actions& out);
 void on_configuration_digest(
-    state& state, std::string const& peer, base::time_point now, actions& out);
+    state& state,
+    core::message_received const& message,
+    base::time_point now,
+    actions& out);
 void on_endpoint_report(
     state& state, endpoint_report const& report, actions& out);
 void on_control_tick(state& state, base::time_point now, actions& out);
+void on_control_send_failed(state& state, core::send_failed const& failed);
 void on_stop(state& state, base::time_point now, actions& out);
 // Tells every listening entry at once how this agent stands.
 void send_heartbeats(state& state, base::time_point now, actions& out);
--- a/libs/control/include/control/membership.hpp
+++ b/libs/control/include/control/membership.hpp
@@ -33,6 +33,8 @@
     // For an agent: memory of its engine; zero for a plain service.
     std::uint32_t memory_mib = 0;
     bool leaving = false;
+
+    bool operator==(listed_vm const&) const = default;
 };
 
 // Reads the platform's list; bad_frame when it is not one.
@@ -49,27 +51,58 @@
     leaving,
 };
 
+// A heartbeat comes each second; three missed in a row are silence. Fewer
+// would suspect a VM that is only slow, more would keep sending to a dead one.
+inline constexpr std::chrono::milliseconds heartbeat_interval{1000};
+inline constexpr std::chrono::milliseconds silence_limit{3500};
+
 struct member
 {
     listed_vm vm;
     liveness state = liveness::unheard;
+    // When it was last heard, or listed first.
     base::time_point heard;
+    // Whether its silence says anything: it sends its heartbeats here. What
+    // others report of a member is believed without a time limit.
+    bool first_hand = true;
+    // Silence for longer than this is suspected.
+    std::chrono::milliseconds patience = silence_limit;
 };
 
 // Members by name, from the lagging list, heartbeats and farewells.
 struct membership
 {
     std::map<std::string, member> members;
+    // Version of the list that was applied last.
+    std::uint64_t list_version = 0;
 };
 
-// A heartbeat comes each second; three missed in a row are silence. Fewer
-// would suspect a VM that is only slow, more would keep sending to a dead one.
-inline constexpr std::chrono::milliseconds heartbeat_interval{1000};
-inline constexpr std::chrono::milliseconds silence_limit{3500};
+// What differs between two lists.
+struct list_change
+{
+    std::uint64_t version = 0;
+    // Version that the change applies to; zero when the list is whole.
+    std::uint64_t base_version = 0;
+    std::vector<listed_vm> vms;
+    std::vector<std::string> removed;
+};
 
-// Takes over a new list: adds, updates, removes. Liveness that was heard at
-// first hand is kept, since the list lags; a listed farewell is believed.
-void apply_list(membership& state, std::vector<listed_vm> const& list);
+// What a new list changes; its version must be above the applied one.
+list_change diff_list(
+    membership const& state,
+    std::vector<listed_vm> const& list,
+    std::uint64_t version);
+
+// The list as it is applied, whole, for a peer that has another version.
+list_change whole_list(membership const& state);
+
+// Takes over a change: adds, updates, removes. False when it is not newer or
+// does not fit the list that is applied. Liveness that was heard at first hand
+// is kept, since the list lags; a listed farewell is believed. A VM that
+// comes back under its name at another address is unheard again: it is
+// another VM.
+bool apply_change(
+    membership& state, list_change const& change, base::time_point now);
 
 // Notes a heartbeat; a name that is not listed (yet) is ignored and answered
 // with false.
@@ -79,6 +112,9 @@
     bool leaving,
     base::time_point now);
 
+// Takes over what another process reports of a member.
+void note_report(membership& state, std::string const& name, liveness reported);
+
 // Suspects all that have been silent too long; returns the newly suspected.
 std::vector<std::string>
 suspect_silent(membership& state, base::time_point now);
--- a/libs/control/src/membership.cpp
+++ b/libs/control/src/membership.cpp
@@ -28,6 +28,25 @@
     return vm;
 }
 
+void apply_vm(membership& state, listed_vm const& vm, base::time_point now)
+{
+    auto const [place, added] = state.members.try_emplace(vm.name);
+    auto& known = place->second;
+    // Failure: a VM is replaced and its name given to another one. What was
+    // heard of the first, a farewell or heartbeats, says nothing of the
+    // second; the address tells them apart.
+    if (added || known.vm.address != vm.address)
+    {
+        known = {};
+        known.heard = now;
+    }
+    known.vm = vm;
+    if (vm.leaving)
+    {
+        known.state = liveness::leaving;
+    }
+}
+
 } // namespace
 
 base::result<std::vector<listed_vm>> parse_vm_list(std::string const& text)
@@ -48,25 +67,75 @@
     return list;
 }
 
-void apply_list(membership& state, std::vector<listed_vm> const& list)
+list_change diff_list(
+    membership const& state,
+    std::vector<listed_vm> const& list,
+    std::uint64_t version)
 {
+    list_change change;
+    change.version = version;
+    change.base_version = state.list_version;
     std::set<std::string> names;
     for (auto const& vm : list)
     {
         names.insert(vm.name);
-        auto& known = state.members[vm.name];
-        known.vm = vm;
-        if (vm.leaving)
+        auto const known = state.members.find(vm.name);
+        if (known == state.members.end() || known->second.vm != vm)
         {
-            known.state = liveness::leaving;
+            change.vms.push_back(vm);
         }
     }
-    std::erase_if(
-        state.members,
-        [&names](auto const& entry)
+    for (auto const& [name, known] : state.members)
+    {
+        if (!names.contains(name))
         {
-            return !names.contains(entry.first);
-        });
+            change.removed.push_back(name);
+        }
+    }
+    return change;
+}
+
+list_change whole_list(membership const& state)
+{
+    list_change change;
+    change.version = state.list_version;
+    for (auto const& [name, known] : state.members)
+    {
+        change.vms.push_back(known.vm);
+    }
+    return change;
+}
+
+bool apply_change(
+    membership& state, list_change const& change, base::time_point now)
+{
+    auto const fits =
+        change.base_version == 0 || change.base_version == state.list_version;
+    if (change.version <= state.list_version || !fits)
+    {
+        return false;
+    }
+    state.list_version = change.version;
+    std::set<std::string> names;
+    for (auto const& vm : change.vms)
+    {
+        names.insert(vm.name);
+        apply_vm(state, vm, now);
+    }
+    for (auto const& name : change.removed)
+    {
+        state.members.erase(name);
+    }
+    if (change.base_version == 0)
+    {
+        std::erase_if(
+            state.members,
+            [&names](auto const& entry)
+            {
+                return !names.contains(entry.first);
+            });
+    }
+    return true;
 }
 
 bool note_heartbeat(
@@ -87,12 +156,25 @@
     return true;
 }
 
+void note_report(membership& state, std::string const& name, liveness reported)
+{
+    auto const found = state.members.find(name);
+    if (found == state.members.end())
+    {
+        return;
+    }
+    found->second.state =
+        found->second.vm.leaving ? liveness::leaving : reported;
+}
+
 std::vector<std::string> suspect_silent(membership& state, base::time_point now)
 {
     std::vector<std::string> suspects;
     for (auto& [name, known] : state.members)
     {
-        if (known.state == liveness::alive && now - known.heard > silence_limit)
+        auto const silent =
+            known.first_hand && now - known.heard > known.patience;
+        if (known.state == liveness::alive && silent)
         {
             known.state = liveness::suspected;
             suspects.push_back(name);
--- a/libs/control/tests/membership_tests.cpp
+++ b/libs/control/tests/membership_tests.cpp
@@ -12,14 +12,15 @@
 TEST(membership, silence_is_suspected_and_a_heartbeat_clears_it)
 {
     membership state;
-    apply_list(state, {{.name = "agent-1"}});
     base::time_point const start{};
+    listed_vm const vm{.name = "agent-1", .address = "10.0.0.1:7000"};
+    EXPECT_TRUE(apply_change(state, diff_list(state, {vm}, 1), start));
     EXPECT_TRUE(note_heartbeat(state, "agent-1", false, start));
     EXPECT_FALSE(note_heartbeat(state, "stranger", false, start));
     EXPECT_TRUE(suspect_silent(state, start + silence_limit).empty());
     auto const later = start + silence_limit + milliseconds(1);
     EXPECT_EQ(suspect_silent(state, later).size(), 1U);
-    apply_list(state, {{.name = "agent-1"}});
+    EXPECT_TRUE(apply_change(state, diff_list(state, {vm}, 2), later));
     EXPECT_EQ(state.members["agent-1"].state, liveness::suspected);
     note_heartbeat(state, "agent-1", false, later);
     EXPECT_EQ(state.members["agent-1"].state, liveness::alive);
--- a/libs/core/include/core/platform.hpp
+++ b/libs/core/include/core/platform.hpp
@@ -23,7 +23,8 @@
     // All objects whose name begins with the path, as one JSON object
     // {"objects": [{"path", "version", "value"}]}.
     list,
-    // The platform's list of VMs.
+    // The platform's list of VMs; not_found when its version is still the
+    // expected one.
     vms,
 };
 
--- a/libs/entry_core/include/entry_core/entry_core.hpp
+++ b/libs/entry_core/include/entry_core/entry_core.hpp
@@ -2,6 +2,7 @@
 #define FOXTAILVALE_ENTRY_CORE_ENTRY_CORE_HPP
 
 #include <base/random.hpp>
+#include <control/call_budget.hpp>
 #include <control/lease.hpp>
 #include <control/membership.hpp>
 #include <control/plan.hpp>
@@ -87,9 +88,53 @@
     std::optional<control::domain_plan> plan;
 };
 
+// How an endpoint was last reported to the other entries of the domain.
+struct reported_endpoint
+{
+    std::uint32_t limit = 0;
+    std::uint32_t running = 0;
+    bool leaving = false;
+    bool suspected = false;
+    std::uint32_t chunks_held = 0;
+    std::uint64_t detail_hash = 0;
+};
+
+// Whom this entry talks to and what it told them.
+struct gossip_state
+{
+    // Entries of the domain that look alive, in order of succession.
+    std::vector<std::string> order;
+    // Agents whose heartbeats come here, and those of them that this entry
+    // reports to the others.
+    std::set<std::string> listened;
+    std::set<std::string> reported;
+    // Agents of other failure domains that it may send work to.
+    std::set<std::string> far;
+    // Agents that it hears although their reporter suspects them.
+    std::set<std::string> contradicted;
+    std::map<std::string, reported_endpoint> told;
+    // Agents of the domain by the hash that stands for their names.
+    std::map<std::uint64_t, std::string> names;
+    // Incarnation that each entry last spoke with.
+    std::map<std::string, std::uint64_t> lives;
+    std::optional<base::time_point> started;
+    // Whether any entry has answered since the start.
+    bool peer_answered = false;
+    std::uint64_t round = 0;
+    base::time_point last_round;
+    base::time_point last_report;
+    base::time_point last_load_report;
+    base::time_point last_check;
+    base::time_point last_whole_digest;
+    base::time_point adopted;
+    bool topology_stale = true;
+};
+
 struct control_state
 {
     release::configuration configuration;
+    // Version of the object that holds it; another number than the generation.
+    std::uint64_t release_version = 0;
     control::membership members;
     std::map<std::string, endpoint_view> endpoints;
     // Plans by failure domain, and the object version of our own.
@@ -102,8 +147,11 @@
     std::uint64_t last_call = 0;
     // When each purpose may be called for next.
     std::map<call_purpose, base::time_point> next_call;
+    control::call_budget budget;
+    // Agents and entries with a connection, and the address of each.
     std::set<std::string> connected;
-    base::time_point last_hello;
+    std::map<std::string, std::string> addresses;
+    gossip_state gossip;
     bool stopping = false;
 };
 
--- a/libs/entry_core/src/control_flow.cpp
+++ b/libs/entry_core/src/control_flow.cpp
@@ -1,5 +1,6 @@
 #include "flows.hpp"
 
+#include <control/topology.hpp>
 #include <release/object_reader.hpp>
 
 namespace foxtailvale::entry_core
@@ -10,19 +11,16 @@
 
 using std::chrono::milliseconds;
 
-// How often each thing is read again, and after a failure.
-constexpr milliseconds list_interval{1000};
-constexpr milliseconds plan_interval{1000};
 constexpr milliseconds watch_length{10'000};
-constexpr milliseconds failure_pause{500};
-// An agent that hears this sends heartbeats for a while.
-constexpr milliseconds hello_interval{1000};
-
-bool is_due(state const& state, call_purpose purpose, base::time_point now)
-{
-    auto const next = state.control.next_call.find(purpose);
-    return next == state.control.next_call.end() || now >= next->second;
-}
+// How often a watcher looks at the list of VMs. The list lags by itself; more
+// often would cost calls and show nothing sooner.
+constexpr milliseconds list_interval{2000};
+// How often all plans are read again. Peers push them; reading repairs what a
+// cut between domains kept from them, and costs all plans' bytes.
+constexpr milliseconds plan_interval{60'000};
+// An entry that starts asks its peers first and trusts the platform alone
+// only when none of them has answered for this long.
+constexpr milliseconds peer_patience{2000};
 
 bool is_pending(state const& state, call_purpose purpose)
 {
@@ -36,6 +34,12 @@
     return false;
 }
 
+bool is_due(state const& state, call_purpose purpose, base::time_point now)
+{
+    auto const next = state.control.next_call.find(purpose);
+    return next == state.control.next_call.end() || now >= next->second;
+}
+
 void call_when_due(
     state& state,
     call_purpose purpose,
@@ -43,65 +47,23 @@
     base::time_point now,
     actions& out)
 {
-    if (is_due(state, purpose, now) && !is_pending(state, purpose))
+    if (may_call(state, purpose, now))
     {
         call_platform(state, std::move(call), {purpose, now, 0, {}}, out);
     }
 }
 
-void push_configuration(
-    state const& state, std::string const& peer, actions& out)
-{
-    auto const& configuration = state.control.configuration;
-    core::send_message message{peer, {}};
-    auto* const push = message.envelope.mutable_configuration_push();
-    push->set_generation(configuration.generation);
-    push->set_document(to_text(configuration));
-    out.push_back(std::move(message));
-}
-
-void push_plan_to(
-    control::domain_plan const& plan, std::string const& peer, actions& out)
-{
-    core::send_message message{peer, {}};
-    auto* const push = message.envelope.mutable_plan_push();
-    push->set_failure_domain(plan.failure_domain);
-    push->set_version(plan.version);
-    push->set_document(to_text(plan));
-    out.push_back(std::move(message));
-}
-
-std::vector<std::string> own_agents(state const& state)
-{
-    std::vector<std::string> names;
-    for (auto const& [name, member] : state.control.members.members)
-    {
-        if (member.vm.role == control::vm_role::agent &&
-            member.vm.failure_domain == state.self.failure_domain)
-        {
-            names.push_back(name);
-        }
-    }
-    return names;
-}
-
-// Adopts a configuration, upwards only, and passes it on.
-void adopt(state& state, release::configuration next, actions& out)
+// Failure: the platform answers a process that has just started from an old
+// copy; trusting it, the entry would route by a configuration that its peers
+// have replaced, and an accepted change would seem to revert. So peers answer
+// first, if there are any.
+bool trusts_platform(state const& state, base::time_point now)
 {
-    // Failure: after an outage the platform answers with an older version
-    // than peers have shown. Adopted, an accepted configuration would revert.
-    if (next.generation <= state.control.configuration.generation)
-    {
-        return;
-    }
-    state.control.configuration = std::move(next);
-    out.push_back(core::write_log{
-        kernel::event_id::configuration_adopted,
-        {{"generation", state.control.configuration.generation}}});
-    for (auto const& agent : own_agents(state))
-    {
-        push_configuration(state, agent, out);
-    }
+    auto const& control = state.control;
+    auto const waited =
+        control.gossip.started && now - *control.gossip.started > peer_patience;
+    return control.configuration.generation > 0 ||
+           control.gossip.peer_answered || waited;
 }
 
 void on_release(
@@ -110,76 +72,21 @@
     base::time_point now,
     actions& out)
 {
-    auto& next = state.control.next_call[call_purpose::release_watch];
     if (!answer.ok)
     {
-        auto const waited = answer.error == base::error_kind::not_found;
-        next = waited ? now : now + failure_pause;
         return;
     }
-    next = now;
     auto parsed = release::parse_configuration(answer.value);
     if (!parsed)
     {
         out.push_back(core::report_error{parsed.error(), {}});
-        next = now + failure_pause;
+        state.control.next_call[call_purpose::release_watch] =
+            now + control::longest_pause;
         return;
     }
-    adopt(state, std::move(parsed.value()), out);
-}
-
-void connect_members(state& state, base::time_point now, actions& out)
-{
-    std::set<std::string> wanted;
-    for (auto const& [name, member] : state.control.members.members)
-    {
-        if (member.vm.role == control::vm_role::agent)
-        {
-            wanted.insert(name);
-        }
-    }
-    for (auto const& name : wanted)
-    {
-        if (state.control.connected.insert(name).second)
-        {
-            auto const& vm = state.control.members.members.at(name).vm;
-            out.push_back(core::connect_peer{name, vm.address});
-        }
-    }
-    std::erase_if(
-        state.control.connected,
-        [&](std::string const& name)
-        {
-            if (wanted.contains(name))
-            {
-                return false;
-            }
-            out.push_back(core::disconnect_peer{name});
-            state.control.endpoints.erase(name);
-            on_endpoint_lost(state, name, now, out);
-            return true;
-        });
-}
-
-void on_vm_list(
-    state& state,
-    core::platform_answer const& answer,
-    base::time_point now,
-    actions& out)
-{
-    state.control.next_call[call_purpose::vm_list] = now + list_interval;
-    if (!answer.ok)
-    {
-        return;
-    }
-    auto const list = control::parse_vm_list(answer.value);
-    if (!list)
-    {
-        out.push_back(core::report_error{list.error(), {}});
-        return;
-    }
-    control::apply_list(state.control.members, list.value());
-    connect_members(state, now, out);
+    auto& known = state.control.release_version;
+    known = std::max(known, answer.version);
+    adopt(state, std::move(parsed.value()), now, out);
 }
 
 void note_plan(state& state, release::object_reader entry, actions& out)
@@ -196,14 +103,7 @@
     {
         state.control.plan_object_version = version;
     }
-    auto const known = state.control.plans.find(plan.failure_domain);
-    if (known != state.control.plans.end() &&
-        known->second.version >= plan.version)
-    {
-        return;
-    }
-    push_plan(state, plan, out);
-    state.control.plans[plan.failure_domain] = std::move(plan);
+    adopt_plan(state, std::move(plan), out);
 }
 
 void on_plan_list(
@@ -212,11 +112,11 @@
     base::time_point now,
     actions& out)
 {
-    state.control.next_call[call_purpose::plan_list] = now + plan_interval;
     if (!answer.ok)
     {
         return;
     }
+    state.control.next_call[call_purpose::plan_list] = now + plan_interval;
     auto const source = release::parse_document("plans", answer.value);
     auto faults = source.faults;
     release::object_reader reader(source, "", faults);
@@ -227,102 +127,77 @@
     state.control.plans_read = true;
 }
 
-void say_hello(state& state, base::time_point now, actions& out)
+// "Not found" and a lost race are answers too.
+bool was_answered(core::platform_answer const& answer)
 {
-    if (now - state.control.last_hello < hello_interval)
-    {
-        return;
-    }
-    state.control.last_hello = now;
-    for (auto const& name : state.control.connected)
-    {
-        core::send_message message{name, {}};
-        message.envelope.mutable_configuration_digest()->set_generation(
-            state.control.configuration.generation);
-        out.push_back(std::move(message));
-    }
+    return answer.ok || answer.error == base::error_kind::not_found ||
+           answer.error == base::error_kind::platform_conflict;
 }
 
-} // namespace
-
-void call_platform(
-    state& state, core::platform_call call, pending_call pending, actions& out)
-{
-    call.id = ++state.control.last_call;
-    state.control.calls.emplace(call.id, std::move(pending));
-    out.push_back(std::move(call));
-}
-
-void push_plan(
-    state const& state, control::domain_plan const& plan, actions& out)
+void pace(
+    state& state,
+    call_purpose purpose,
+    core::platform_answer const& answer,
+    base::time_point now)
 {
-    for (auto const& agent : own_agents(state))
+    auto& control = state.control;
+    auto const pause =
+        control::note_call(control.budget, was_answered(answer), state.random);
+    if (pause > milliseconds(0))
     {
-        push_plan_to(plan, agent, out);
+        control.next_call[purpose] = now + pause;
     }
 }
 
-void on_heartbeat(
-    state& state,
-    std::string const& peer,
-    wire::Heartbeat const& beat,
-    base::time_point now,
-    actions& out)
+void watch_platform(state& state, base::time_point now, actions& out)
 {
-    if (!control::note_heartbeat(
-            state.control.members, peer, beat.leaving(), now))
+    if (trusts_platform(state, now))
     {
-        return;
+        call_when_due(
+            state, call_purpose::release_watch,
+            {.method = core::platform_method::watch,
+             .path = core::release_path,
+             .expected = state.control.release_version,
+             .wait = watch_length},
+            now, out);
     }
-    auto& view = state.control.endpoints[peer];
-    if (beat.leaving() && !view.leaving)
+    // Plans are read again when a write's outcome is in doubt, and now and
+    // then in case that a cut kept a peer's push away.
+    auto& next = state.control.next_call;
+    if (!state.control.plans_read && next.contains(call_purpose::plan_list) &&
+        next[call_purpose::plan_list] > now + control::longest_pause)
     {
-        out.push_back(
-            core::write_log{kernel::event_id::peer_leaving, {{"peer", peer}}});
+        next[call_purpose::plan_list] = now;
     }
-    view.service = beat.service();
-    view.failure_domain = beat.failure_domain();
-    view.serving.clear();
-    for (auto const& loaded : beat.loaded())
-    {
-        view.serving[loaded.model()] = loaded.digest();
-    }
-    view.limit = beat.limit();
-    view.running = beat.running();
-    view.leaving = beat.leaving();
-    view.generation = beat.generation();
-    view.chunks_held = beat.chunks_held();
-    view.chunks_wanted = beat.chunks_wanted();
+    call_when_due(
+        state, call_purpose::plan_list,
+        {.method = core::platform_method::list, .path = core::plans_prefix},
+        now, out);
 }
 
-void on_configuration_digest(
-    state& state,
-    std::string const& peer,
-    wire::ConfigurationDigest const& digest,
-    actions& out)
+void read_list(state& state, base::time_point now, actions& out)
 {
-    auto const member = state.control.members.members.find(peer);
-    if (member == state.control.members.members.end())
-    {
-        return;
-    }
-    if (digest.generation() < state.control.configuration.generation)
-    {
-        push_configuration(state, peer, out);
-    }
-    if (member->second.vm.failure_domain != state.self.failure_domain)
-    {
-        return;
-    }
-    for (auto const& [domain, plan] : state.control.plans)
-    {
-        auto const known = digest.plan_versions().find(domain);
-        if (known == digest.plan_versions().end() ||
-            known->second < plan.version)
-        {
-            push_plan_to(plan, peer, out);
-        }
-    }
+    call_when_due(
+        state, call_purpose::vm_list,
+        {.method = core::platform_method::vms,
+         .expected = state.control.members.list_version},
+        now, out);
+}
+
+} // namespace
+
+bool may_call(state& state, call_purpose purpose, base::time_point now)
+{
+    return is_due(state, purpose, now) && !is_pending(state, purpose) &&
+           control::take_call(state.control.budget, now);
+}
+
+void call_platform(
+    state& state, core::platform_call call, pending_call pending, actions& out)
+{
+    call.id = ++state.control.last_call;
+    state.control.calls.emplace(call.id, std::move(pending));
+    out.push_back(std::move(call));
 }
 
 void on_platform_answer(
@@ -341,10 +216,14 @@
     switch (call.purpose)
     {
     case call_purpose::vm_list:
+        state.control.next_call[call.purpose] = now + list_interval;
+        pace(state, call.purpose, answer, now);
         return on_vm_list(state, answer, now, out);
     case call_purpose::release_watch:
+        pace(state, call.purpose, answer, now);
         return on_release(state, answer, now, out);
     case call_purpose::plan_list:
+        pace(state, call.purpose, answer, now);
         return on_plan_list(state, answer, now, out);
     case call_purpose::lease_read:
         return on_lease_read(state, answer, now);
@@ -357,26 +236,23 @@
 
 void on_control_tick(state& state, base::time_point now, actions& out)
 {
-    call_when_due(
-        state, call_purpose::vm_list, {.method = core::platform_method::vms},
-        now, out);
-    call_when_due(
-        state, call_purpose::release_watch,
-        {.method = core::platform_method::watch,
-         .path = core::release_path,
-         .expected = state.control.configuration.generation,
-         .wait = watch_length},
-        now, out);
-    call_when_due(
-        state, call_purpose::plan_list,
-        {.method = core::platform_method::list, .path = core::plans_prefix},
-        now, out);
-    say_hello(state, now, out);
-    for (auto const& name : control::suspect_silent(state.control.members, now))
+    auto& gossip = state.control.gossip;
+    if (!gossip.started)
+    {
+        gossip.started = now;
+    }
+    check_members(state, now, out);
+    // Without a list an entry knows no peers, so it reads one itself.
+    if (state.control.members.list_version == 0 || is_watcher(state))
+    {
+        read_list(state, now, out);
+    }
+    if (is_watcher(state))
     {
-        out.push_back(core::write_log{
-            kernel::event_id::peer_suspected, {{"peer", name}}});
+        watch_platform(state, now, out);
     }
+    say_hello(state, now, out);
+    report_endpoints(state, now, out);
 }
 
 } // namespace foxtailvale::entry_core
--- a/libs/entry_core/src/entry_core.cpp
+++ b/libs/entry_core/src/entry_core.cpp
@@ -22,8 +22,18 @@
     case body::kHeartbeat:
         return on_heartbeat(state, peer, envelope.heartbeat(), now, out);
     case body::kConfigurationDigest:
-        return on_configuration_digest(
-            state, peer, envelope.configuration_digest(), out);
+        return on_configuration_digest(state, message, now, out);
+    case body::kConfigurationPush:
+        return on_configuration_push(
+            state, envelope.configuration_push(), now, out);
+    case body::kPlanPush:
+        return on_plan_push(state, envelope.plan_push(), out);
+    case body::kEndpointGossip:
+        return on_endpoint_gossip(state, envelope.endpoint_gossip(), now);
+    case body::kVmListPush:
+        return on_vm_list_push(state, envelope.vm_list_push(), now, out);
+    case body::kLeaving:
+        return on_leaving(state, peer, now, out);
     default:
         out.push_back(core::report_error{
             {base::error_kind::bad_frame, "no use for this message"},
@@ -64,6 +74,7 @@
         this->core.control.stopping = true;
         this->out.push_back(
             core::write_log{kernel::event_id::process_stopping, {}});
+        announce_leaving(this->core, this->out);
         check_drained(this->core, this->out);
     }
 
--- a/libs/entry_core/src/planner_flow.cpp
+++ b/libs/entry_core/src/planner_flow.cpp
@@ -38,19 +38,6 @@
         {call_purpose::lease_write, now, control.lease.version, {}}, out);
 }
 
-bool is_due(state const& state, call_purpose purpose, base::time_point now)
-{
-    for (auto const& [id, call] : state.control.calls)
-    {
-        if (call.purpose == purpose)
-        {
-            return false;
-        }
-    }
-    auto const next = state.control.next_call.find(purpose);
-    return next == state.control.next_call.end() || now >= next->second;
-}
-
 // Engine endpoints of this domain that a plan may use.
 std::vector<control::plan_member> plan_members(state const& state)
 {
@@ -76,7 +63,8 @@
     auto const& previous = control.plans[domain];
     auto next = control::make_plan(
         control.configuration, domain, plan_members(state), previous);
-    if (control::same_orders(next, previous))
+    if (control::same_orders(next, previous) ||
+        !may_call(state, call_purpose::plan_write, now))
     {
         return;
     }
@@ -149,8 +137,7 @@
         return;
     }
     state.control.plan_object_version = answer.version;
-    state.control.plans[state.self.failure_domain] = *call.plan;
-    push_plan(state, *call.plan, out);
+    adopt_plan(state, *call.plan, out);
     out.push_back(core::write_log{
         kernel::event_id::plan_written, {{"version", call.plan->version}}});
 }
@@ -158,24 +145,25 @@
 void on_planner_tick(state& state, base::time_point now, actions& out)
 {
     auto& control = state.control;
-    if (control.stopping)
+    // Only watchers compete: others would read the lease for nothing, and
+    // calls would grow with the entries.
+    if (control.stopping || !is_watcher(state) || !control.gossip.started)
     {
         return;
     }
     control.lease.self = state.self.name;
     if (!control::holds_lease(control.lease, now) &&
-        is_due(state, call_purpose::lease_read, now))
+        may_call(state, call_purpose::lease_read, now))
     {
         read_lease(state, now, out);
     }
     if (control::may_take_lease(control.lease, now) &&
-        is_due(state, call_purpose::lease_write, now))
+        may_call(state, call_purpose::lease_write, now))
     {
         write_lease(state, now, out);
     }
     if (control::holds_lease(control.lease, now) && control.plans_read &&
-        control.configuration.generation > 0 &&
-        is_due(state, call_purpose::plan_write, now))
+        control.configuration.generation > 0)
     {
         plan_now(state, now, out);
     }
--- /dev/null
+++ b/libs/entry_core/src/replication_flow.cpp
@@ -0,0 +1,482 @@
+#include "flows.hpp"
+
+#include <base/digest.hpp>
+#include <control/topology.hpp>
+
+#include <algorithm>
+
+namespace foxtailvale::entry_core
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds round_interval{1000};
+
+// Each entry of the domain hears each other one within this many rounds.
+constexpr std::size_t rounds_per_sweep = 5;
+
+// Entries that are greeted each round at least.
+constexpr std::size_t least_greeted = 3;
+
+// Rounds between two greetings of an agent that sends its heartbeats here, and
+// of one in another failure domain.
+constexpr std::uint64_t listened_rounds = 3;
+constexpr std::uint64_t far_rounds = 5;
+
+// Heartbeats of agents in other failure domains: their load matters only when
+// the own domain has no room, and lines between regions are thin.
+constexpr milliseconds far_heartbeat{5000};
+
+// Whole digests are sent at most this often: a process that lags is greeted by
+// many peers at once and needs each document from one of them.
+constexpr milliseconds whole_digest_pause{200};
+
+// Heartbeats missed before silence is suspected, as a share of the interval.
+milliseconds patience_for(milliseconds interval)
+{
+    return interval * 7 / 2;
+}
+
+std::uint64_t plans_hash(state const& state)
+{
+    std::string text;
+    for (auto const& [domain, plan] : state.control.plans)
+    {
+        text += domain + '=' + std::to_string(plan.version) + ';';
+    }
+    return base::stable_hash(text);
+}
+
+core::send_message make_digest(state const& state, std::string const& peer)
+{
+    core::send_message message{peer, {}};
+    auto* const digest = message.envelope.mutable_configuration_digest();
+    digest->set_generation(state.control.configuration.generation);
+    digest->set_plans_hash(plans_hash(state));
+    digest->set_list_version(state.control.members.list_version);
+    return message;
+}
+
+void greet(state const& state, std::string const& peer, actions& out)
+{
+    out.push_back(make_digest(state, peer));
+}
+
+void greet_agent(
+    state const& state,
+    std::string const& agent,
+    milliseconds heartbeat,
+    actions& out)
+{
+    auto message = make_digest(state, agent);
+    message.envelope.mutable_configuration_digest()->set_heartbeat_ms(
+        static_cast<std::uint32_t>(heartbeat.count()));
+    out.push_back(std::move(message));
+}
+
+void send_whole_digest(
+    state const& state, std::string const& peer, bool answer, actions& out)
+{
+    auto message = make_digest(state, peer);
+    auto* const digest = message.envelope.mutable_configuration_digest();
+    digest->set_whole(true);
+    digest->set_answer(answer);
+    for (auto const& [domain, plan] : state.control.plans)
+    {
+        (*digest->mutable_plan_versions())[domain] = plan.version;
+    }
+    out.push_back(std::move(message));
+}
+
+core::send_message make_plan_push(control::domain_plan const& plan)
+{
+    core::send_message message;
+    auto* const push = message.envelope.mutable_plan_push();
+    push->set_failure_domain(plan.failure_domain);
+    push->set_version(plan.version);
+    push->set_document(to_text(plan));
+    return message;
+}
+
+// Pushes a change down the domain's tree and to the agents that this entry
+// reports. One that adopted it out of turn tells the root as well.
+void spread(
+    state const& state,
+    core::send_message message,
+    std::uint64_t seed,
+    actions& out)
+{
+    auto const& gossip = state.control.gossip;
+    auto const& self = state.self.name;
+    if (gossip.order.empty())
+    {
+        return;
+    }
+    std::set<std::string> targets = gossip.reported;
+    auto const children = control::push_children(gossip.order, self, seed);
+    targets.insert(children.begin(), children.end());
+    if (is_watcher(state))
+    {
+        targets.insert(control::push_root(gossip.order, seed));
+        targets.erase(self);
+    }
+    for (auto const& target : targets)
+    {
+        message.peer = target;
+        out.push_back(message);
+    }
+}
+
+// Pushes every plan that the sender of a whole digest lacks; tells whether the
+// sender has newer ones.
+bool push_missing_plans(
+    state const& state,
+    std::string const& peer,
+    wire::ConfigurationDigest const& digest,
+    actions& out)
+{
+    auto const& versions = digest.plan_versions();
+    for (auto const& [domain, plan] : state.control.plans)
+    {
+        auto const theirs = versions.find(domain);
+        if (theirs == versions.end() || theirs->second < plan.version)
+        {
+            auto message = make_plan_push(plan);
+            message.peer = peer;
+            out.push_back(std::move(message));
+        }
+    }
+    return std::ranges::any_of(
+        versions,
+        [&state](auto const& theirs)
+        {
+            auto const own = state.control.plans.find(theirs.first);
+            return own == state.control.plans.end() ||
+                   own->second.version < theirs.second;
+        });
+}
+
+// Notes that an entry spoke, and tells a new life of it all it needs.
+void note_entry(
+    state& state,
+    std::string const& peer,
+    std::uint64_t incarnation,
+    base::time_point now,
+    actions& out)
+{
+    auto& gossip = state.control.gossip;
+    auto const found = state.control.members.members.find(peer);
+    if (found == state.control.members.members.end())
+    {
+        return;
+    }
+    auto& known = found->second;
+    // Entries elsewhere are greeted in turn; their silence says nothing.
+    if (known.vm.failure_domain != state.self.failure_domain)
+    {
+        return;
+    }
+    auto const is_back = known.state != control::liveness::alive;
+    control::note_heartbeat(state.control.members, peer, false, now);
+    auto const both_candidates =
+        control::is_among_first(
+            gossip.order, peer, control::watcher_candidates) &&
+        control::is_among_first(
+            gossip.order, state.self.name, control::watcher_candidates);
+    auto const sweep = gossip.order.size() <= least_greeted + 1
+                           ? std::size_t{1}
+                           : rounds_per_sweep;
+    known.patience = patience_for(
+        both_candidates ? round_interval
+                        : round_interval * static_cast<int>(sweep));
+    auto& life = gossip.lives[peer];
+    if (life != incarnation || is_back)
+    {
+        report_whole(state, peer, out);
+    }
+    life = incarnation;
+}
+
+void settle_differences(
+    state& state,
+    std::string const& peer,
+    wire::ConfigurationDigest const& digest,
+    base::time_point now,
+    actions& out)
+{
+    auto& control = state.control;
+    if (digest.generation() < control.configuration.generation)
+    {
+        push_configuration(state, peer, out);
+    }
+    if (digest.list_version() < control.members.list_version)
+    {
+        push_whole_list(state, peer, out);
+    }
+    if (digest.whole())
+    {
+        auto const behind = push_missing_plans(state, peer, digest, out);
+        if (behind && !digest.answer())
+        {
+            send_whole_digest(state, peer, true, out);
+        }
+        return;
+    }
+    auto const differs =
+        digest.generation() > control.configuration.generation ||
+        digest.list_version() > control.members.list_version ||
+        digest.plans_hash() != plans_hash(state);
+    if (differs && now - control.gossip.last_whole_digest >= whole_digest_pause)
+    {
+        control.gossip.last_whole_digest = now;
+        send_whole_digest(state, peer, false, out);
+    }
+}
+
+void greet_entries(state& state, actions& out)
+{
+    auto& gossip = state.control.gossip;
+    auto const& self = state.self.name;
+    auto const& order = gossip.order;
+    std::set<std::string> greeted;
+    if (control::is_among_first(order, self, control::watcher_candidates))
+    {
+        auto const count = std::min(order.size(), control::watcher_candidates);
+        greeted.insert(
+            order.begin(), order.begin() + static_cast<std::ptrdiff_t>(count));
+    }
+    auto const share = std::max(
+        least_greeted,
+        (order.size() + rounds_per_sweep - 1) / rounds_per_sweep);
+    for (std::size_t index = 0; index < std::min(share, order.size()); ++index)
+    {
+        auto const turn = gossip.round * share + index;
+        greeted.insert(order[static_cast<std::size_t>(turn % order.size())]);
+    }
+    greeted.erase(self);
+    for (auto const& peer : greeted)
+    {
+        greet(state, peer, out);
+    }
+}
+
+// Suspected entries are greeted too, one a round: nobody else would find that
+// they are back.
+void greet_suspected(state& state, actions& out)
+{
+    std::vector<std::string> suspected;
+    for (auto const& [name, known] : state.control.members.members)
+    {
+        auto const is_silent = known.state == control::liveness::suspected ||
+                               known.state == control::liveness::unheard;
+        if (is_silent && known.vm.role == control::vm_role::entry &&
+            known.vm.failure_domain == state.self.failure_domain &&
+            name != state.self.name)
+        {
+            suspected.push_back(name);
+        }
+    }
+    if (!suspected.empty())
+    {
+        greet(
+            state, suspected[state.control.gossip.round % suspected.size()],
+            out);
+    }
+}
+
+// Each round one entry of each other failure domain, so that a domain that was
+// cut off has the news within two seconds of the cut's end, with or without
+// the platform.
+void greet_domains(state& state, actions& out)
+{
+    if (!is_watcher(state))
+    {
+        return;
+    }
+    std::map<std::string, std::vector<std::string>> contacts;
+    for (auto const& name : state.control.connected)
+    {
+        auto const& vm = state.control.members.members.at(name).vm;
+        if (vm.role == control::vm_role::entry &&
+            vm.failure_domain != state.self.failure_domain)
+        {
+            contacts[vm.failure_domain].push_back(name);
+        }
+    }
+    for (auto const& [domain, names] : contacts)
+    {
+        greet(
+            state, names[base::random_below(state.random, names.size())], out);
+    }
+}
+
+void greet_agents(
+    state& state,
+    std::set<std::string> const& agents,
+    std::uint64_t rounds,
+    milliseconds heartbeat,
+    actions& out)
+{
+    auto& gossip = state.control.gossip;
+    for (auto const& name : agents)
+    {
+        auto const turn = base::stable_hash(name) % rounds;
+        auto const is_new = !state.control.endpoints.contains(name);
+        if (is_new || gossip.round % rounds == turn)
+        {
+            greet_agent(state, name, heartbeat, out);
+        }
+    }
+}
+
+} // namespace
+
+void push_configuration(
+    state const& state, std::string const& peer, actions& out)
+{
+    auto const& configuration = state.control.configuration;
+    core::send_message message{peer, {}};
+    auto* const push = message.envelope.mutable_configuration_push();
+    push->set_generation(configuration.generation);
+    push->set_document(to_text(configuration));
+    out.push_back(std::move(message));
+}
+
+void adopt(
+    state& state,
+    release::configuration next,
+    base::time_point now,
+    actions& out)
+{
+    // Failure: after an outage the platform answers with an older version
+    // than peers have shown, or a peer that was cut off pushes what it has.
+    // Adopted, an accepted configuration would revert. The generation only
+    // grows, so comparing it holds for any order of arrival.
+    if (next.generation <= state.control.configuration.generation)
+    {
+        return;
+    }
+    state.control.configuration = std::move(next);
+    state.control.gossip.adopted = now;
+    auto const generation = state.control.configuration.generation;
+    out.push_back(core::write_log{
+        kernel::event_id::configuration_adopted, {{"generation", generation}}});
+    core::send_message message;
+    auto* const push = message.envelope.mutable_configuration_push();
+    push->set_generation(generation);
+    push->set_document(to_text(state.control.configuration));
+    spread(state, std::move(message), generation, out);
+}
+
+void adopt_plan(state& state, control::domain_plan plan, actions& out)
+{
+    auto const known = state.control.plans.find(plan.failure_domain);
+    if (known != state.control.plans.end() &&
+        known->second.version >= plan.version)
+    {
+        return;
+    }
+    auto const version = plan.version;
+    auto message = make_plan_push(plan);
+    auto const domain = plan.failure_domain;
+    state.control.plans[domain] = std::move(plan);
+    if (domain != state.self.failure_domain)
+    {
+        // Which endpoints there may get work depends on the plan.
+        state.control.gossip.topology_stale = true;
+    }
+    spread(state, std::move(message), version, out);
+}
+
+void on_configuration_push(
+    state& state,
+    wire::ConfigurationPush const& push,
+    base::time_point now,
+    actions& out)
+{
+    if (push.generation() <= state.control.configuration.generation)
+    {
+        return;
+    }
+    auto parsed = release::parse_configuration(push.document());
+    if (!parsed || parsed.value().generation != push.generation())
+    {
+        out.push_back(core::report_error{
+            {base::error_kind::bad_frame, "configuration"}, {}});
+        return;
+    }
+    adopt(state, std::move(parsed.value()), now, out);
+}
+
+void on_plan_push(state& state, wire::PlanPush const& push, actions& out)
+{
+    auto parsed = control::parse_plan(push.document());
+    if (!parsed || parsed.value().version != push.version() ||
+        parsed.value().failure_domain != push.failure_domain())
+    {
+        out.push_back(
+            core::report_error{{base::error_kind::bad_frame, "plan"}, {}});
+        return;
+    }
+    adopt_plan(state, std::move(parsed.value()), out);
+}
+
+void on_configuration_digest(
+    state& state,
+    core::message_received const& message,
+    base::time_point now,
+    actions& out)
+{
+    auto& control = state.control;
+    auto const& digest = message.envelope.configuration_digest();
+    auto const found = control.members.members.find(message.peer);
+    // A process that knows no list yet cannot tell who is a member; it takes
+    // what it is given, upwards only.
+    if (found == control.members.members.end() &&
+        control.members.list_version > 0)
+    {
+        return;
+    }
+    auto const is_entry = found == control.members.members.end() ||
+                          found->second.vm.role == control::vm_role::entry;
+    if (is_entry)
+    {
+        control.gossip.peer_answered = true;
+        note_entry(
+            state, message.peer, message.envelope.from_incarnation(), now, out);
+        settle_differences(state, message.peer, digest, now, out);
+        return;
+    }
+    if (digest.generation() < control.configuration.generation)
+    {
+        push_configuration(state, message.peer, out);
+    }
+    push_missing_plans(state, message.peer, digest, out);
+}
+
+void say_hello(state& state, base::time_point now, actions& out)
+{
+    auto& gossip = state.control.gossip;
+    if (now - gossip.last_round < round_interval)
+    {
+        return;
+    }
+    gossip.last_round = now;
+    ++gossip.round;
+    // One that leaves has said so; a greeting would take it back.
+    if (!state.control.stopping)
+    {
+        greet_entries(state, out);
+        greet_suspected(state, out);
+        greet_domains(state, out);
+    }
+    greet_agents(
+        state, gossip.listened, listened_rounds, control::heartbeat_interval,
+        out);
+    greet_agents(state, gossip.far, far_rounds, far_heartbeat, out);
+}
+
+} // namespace foxtailvale::entry_core
--- a/libs/entry_core/tests/control_flow_tests.cpp
+++ b/libs/entry_core/tests/control_flow_tests.cpp
@@ -43,7 +43,8 @@
 {
     state entry;
     entry.self = {"entry-1", "split-a", "dalmacija", 100};
-    base::time_point now{};
+    base::time_point now{std::chrono::hours(1)};
+    entry.control.gossip.peer_answered = true;
     auto const first = step(entry, core::tick{}, now);
     auto const watch = call_id(first, core::platform_method::watch);
     step(entry, release_answer(watch, 5), now);
--- a/libs/node/src/peer_bus.cpp
+++ b/libs/node/src/peer_bus.cpp
@@ -11,9 +11,20 @@
 // Largest frame: the largest chunk with room for its envelope, in bytes.
 constexpr std::int64_t largest_frame = 80LL * 1024 * 1024;
 
-// ZeroMQ's own heartbeats find dead connections, in milliseconds.
-constexpr int heartbeat_interval = 1000;
-constexpr int heartbeat_timeout = 4000;
+// ZeroMQ's own heartbeats find dead connections that carry nothing, in
+// milliseconds. Made for an entry with 300 connections: at one a second they
+// alone would cost more bytes than all control may. Connections in use are
+// found dead sooner, by what stays unacknowledged.
+constexpr int heartbeat_interval = 15'000;
+constexpr int heartbeat_timeout = 30'000;
+
+// Failure: a cut swallows frames; when it heals, TCP waits for its next
+// retransmission, by then many seconds away, and peers seem cut off for that
+// long. A connection with bytes unacknowledged for this long is closed, and a
+// connection attempt given up, so that a fresh one is made within a second of
+// the cut's end. In milliseconds.
+constexpr int unacknowledged_limit = 3000;
+constexpr int connect_limit = 1000;
 
 // Frames queued for one peer at most. The protocols above bound what is under
 // way per peer well below it; past it a send fails rather than waits.
@@ -29,6 +40,8 @@
     socket.set(zmq::sockopt::maxmsgsize, largest_frame);
     socket.set(zmq::sockopt::heartbeat_ivl, heartbeat_interval);
     socket.set(zmq::sockopt::heartbeat_timeout, heartbeat_timeout);
+    socket.set(zmq::sockopt::tcp_maxrt, unacknowledged_limit);
+    socket.set(zmq::sockopt::connect_timeout, connect_limit);
     socket.set(zmq::sockopt::sndhwm, queue_length);
     socket.set(zmq::sockopt::rcvhwm, queue_length);
     // Failure: a frame queued for a peer that is gone goes out after the
--- a/libs/node/src/platform_client.cpp
+++ b/libs/node/src/platform_client.cpp
@@ -46,6 +46,7 @@
         break;
     case platform_method::vms:
         request.path = "/vms";
+        request.headers["If-None-Match"] = std::to_string(call.expected);
         break;
     }
     return request;
@@ -57,6 +58,7 @@
     {
     case 404:
     case 204:
+    case 304:
         return base::error_kind::not_found;
     case 412:
         return base::error_kind::platform_conflict;
--- a/standins/include/standins/object_api.hpp
+++ b/standins/include/standins/object_api.hpp
@@ -49,7 +49,7 @@
     void remove(std::string const& path, response& reply);
     void watch(std::string const& uri, response& reply);
     void list(std::string const& prefix, response& reply);
-    void send_vms(response& reply);
+    void send_vms(request& ask, response& reply);
     void control(request& ask, response& reply);
     void send_counters(response& reply);
     void send_object(object const& found, response& reply);
@@ -62,6 +62,7 @@
     std::uint64_t last_version = 0;
     faults fault;
     nlohmann::json vms;
+    std::uint64_t vms_version = 1;
     http::server listener;
 };
 
--- a/standins/src/object_api.cpp
+++ b/standins/src/object_api.cpp
@@ -75,7 +75,7 @@
     std::string path;
     if (uri == "/vms")
     {
-        this->send_vms(reply);
+        this->send_vms(ask, reply);
     }
     else if (take_prefix(uri, "/objects/", path))
     {
@@ -263,13 +263,28 @@
         reply, 200, json_type, json{{"objects", std::move(found)}}.dump());
 }
 
-void object_api::send_vms(response& reply)
+void object_api::send_vms(request& ask, response& reply)
 {
+    auto const known =
+        std::strtoull(ask.get("If-None-Match", "0").c_str(), nullptr, 10);
     std::string text;
+    std::uint64_t version = 0;
     {
         std::lock_guard const lock(this->mutex);
         ++this->counters["reads"];
-        text = json{{"vms", this->vms}}.dump();
+        version = this->vms_version;
+        if (version != known)
+        {
+            text = json{{"vms", this->vms}}.dump();
+        }
+    }
+    reply.set("X-Version", std::to_string(version));
+    if (version == known)
+    {
+        reply.setStatusAndReason(Poco::Net::HTTPResponse::HTTP_NOT_MODIFIED);
+        reply.setContentLength(0);
+        reply.send();
+        return;
     }
     http::send_text(reply, 200, json_type, text);
 }
@@ -294,6 +309,7 @@
         if (value.contains("vms"))
         {
             this->vms = value["vms"];
+            ++this->vms_version;
         }
     }
     this->changed.notify_all();
