--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,8 @@
 SOURCES = $(shell git ls-files --cached --others --exclude-standard \
 	'*.cpp' '*.hpp' | grep -v '\.pb\.')
 
-.PHONY: all deps configure build demo bench-control test lint lint-changed format tidy proto \
+.PHONY: all deps configure build demo bench-control capacity test lint \
+	lint-changed format tidy proto \
 	test-sanitize test-thread
 
 all: build
@@ -34,6 +35,12 @@
 	    --network $(NETWORK) --entries 8 --agents $$agents bench-control \
 	    || exit 1; done
 
+# Measures how things grow with the fleet and rewrites docs/CAPACITY.md's
+# tables; about two minutes.
+capacity: build
+	@$(BUILD)/bin/foxtailvale-capacity --programs $(BUILD)/bin \
+	    --work $(BUILD)/capacity --network $(NETWORK)
+
 test: build
 	@ctest --test-dir $(BUILD) --output-on-failure --no-tests=error
 
--- a/libs/agent_core/include/agent_core/agent_core.hpp
+++ b/libs/agent_core/include/agent_core/agent_core.hpp
@@ -7,6 +7,9 @@
 #include <request/gate.hpp>
 #include <weights/chunk_store.hpp>
 #include <weights/forest.hpp>
+#include <weights/origin_pace.hpp>
+#include <weights/source_book.hpp>
+#include <weights/upload_queue.hpp>
 
 #include <map>
 #include <set>
@@ -51,6 +54,8 @@
     // Empty for the origin.
     std::string agent;
     base::time_point asked;
+    // Since when the source is known to hold it.
+    std::optional<base::time_point> held_since;
 };
 
 // One version on its way to this agent.
@@ -58,27 +63,78 @@
 {
     std::string digest;
     base::time_point started;
-    bool manifest_asked = false;
-    base::time_point manifest_time;
+    // When the manifest came and when it was last asked for.
+    base::time_point described;
+    base::time_point manifest_asked;
+    bool manifest_drawn = false;
+    // When a chunk came last, from anywhere.
+    base::time_point last_chunk;
     std::map<std::uint32_t, pending_chunk> pending;
-    // How often each chunk has been asked for in vain.
-    std::map<std::uint32_t, std::uint32_t> failures;
+    // Sources that will not give a chunk, and until when.
+    std::map<std::uint32_t, std::map<std::string, base::time_point>> declined;
+    // Chunks that other agents said they hold, by agent.
+    std::map<std::string, std::vector<bool>> holders;
+    // How often the origin sent other bytes than a chunk's.
+    std::map<std::uint32_t, std::uint32_t> corrupt_draws;
+    // Agents that refuse the version because the origin's bytes are wrong.
+    std::set<std::string> refusals;
+    bool refused = false;
 };
 
-// An order that the engine has not answered.
+// How chunks are distributed; all but the forest are baselines to measure it
+// against.
+enum class distribution
+{
+    forest,
+    swarm,
+    origin,
+};
+
+// An order that is under way.
 struct pending_order
 {
     order_engine order;
     base::time_point sent;
+    bool answered = false;
+    // Reports to come before the engine's state is taken as known: one may
+    // have been read before the order took effect.
+    int reports_awaited = 0;
+};
+
+// Whose move a move to another version waits for.
+struct activation_wait
+{
+    base::time_point asked;
+    // When the agent waited for was first asked, or was heard last.
+    base::time_point heard;
+    // Agents further up that were passed over because they were silent.
+    std::size_t skipped = 0;
+    bool predecessor_done = false;
 };
 
 struct weights_state
 {
     weights::chunk_store store;
+    distribution how = distribution::forest;
+    weights::source_book book;
+    weights::origin_pace origin;
+    weights::upload_queue uploads;
+    base::time_point last_progress_note;
+    // Agents that asked for a manifest before it was there, by digest.
+    std::map<std::string, std::set<std::string>> manifest_waiters;
     std::map<std::string, transfer> transfers;
     // Digest that serves, by model; as the engine reported it.
     std::map<std::string, std::string> serving;
     std::optional<pending_order> order;
+    base::time_point order_not_before;
+    // When the first plan came.
+    std::optional<base::time_point> first_plan;
+    // Models whose gate is closed: they are drained or their engine is ordered.
+    std::set<std::string> switching;
+    // By digest.
+    std::map<std::string, activation_wait> waits;
+    // Agents that moved before this one, which was not ready, by digest.
+    std::map<std::string, std::set<std::string>> passed;
     std::uint64_t last_order = 0;
     // Peers that we have connected to for chunks.
     std::set<std::string> connected;
--- a/libs/agent_core/src/control_flow.cpp
+++ b/libs/agent_core/src/control_flow.cpp
@@ -31,6 +31,10 @@
     beat.set_engine_instance(state.requests.gate.instance);
     for (auto const& [model, digest] : state.weights.serving)
     {
+        if (state.weights.switching.contains(model))
+        {
+            continue;
+        }
         auto* const loaded = beat.add_loaded();
         loaded->set_model(model);
         loaded->set_digest(digest);
--- a/libs/control/include/control/call_budget.hpp
+++ b/libs/control/include/control/call_budget.hpp
@@ -10,23 +10,23 @@
 namespace foxtailvale::control
 {
 
+// Calls that may be made at once, and each second after that. A watcher makes
+// about two a second, all others none; one more covers a plan's writes.
+inline constexpr double call_burst = 8;
+inline constexpr double calls_per_second = 4;
+
 // A token bucket for calls to the platform, which counts each one and whose
 // rates grow more slowly than the fleet. Made for 410 nodes that all come back
 // at the end of an outage: without it each would retry as fast as the platform
 // refuses.
 struct call_budget
 {
-    double tokens = 0;
+    double tokens = call_burst;
     base::time_point filled;
     // Calls in a row that failed.
     std::uint32_t failures = 0;
 };
 
-// Calls that may be made at once, and each second after that. A watcher makes
-// about two a second, all others none; one more covers a plan's writes.
-inline constexpr double call_burst = 8;
-inline constexpr double calls_per_second = 4;
-
 // Takes a token; false when there is none.
 bool take_call(call_budget& budget, base::time_point now);
 
--- a/libs/entry_core/include/entry_core/entry_core.hpp
+++ b/libs/entry_core/include/entry_core/entry_core.hpp
@@ -133,8 +133,8 @@
 struct control_state
 {
     release::configuration configuration;
-    // Version of the object that holds it; another number than the generation.
-    std::uint64_t release_version = 0;
+    // Version of the release's object that was last answered.
+    std::uint64_t release_object_version = 0;
     control::membership members;
     std::map<std::string, endpoint_view> endpoints;
     // Plans by failure domain, and the object version of our own.
--- a/libs/entry_core/src/control_flow.cpp
+++ b/libs/entry_core/src/control_flow.cpp
@@ -84,7 +84,7 @@
             now + control::longest_pause;
         return;
     }
-    auto& known = state.control.release_version;
+    auto& known = state.control.release_object_version;
     known = std::max(known, answer.version);
     adopt(state, std::move(parsed.value()), now, out);
 }
@@ -157,7 +157,7 @@
             state, call_purpose::release_watch,
             {.method = core::platform_method::watch,
              .path = core::release_path,
-             .expected = state.control.release_version,
+             .expected = state.control.release_object_version,
              .wait = watch_length},
             now, out);
     }
@@ -240,6 +240,12 @@
     if (!gossip.started)
     {
         gossip.started = now;
+        auto const long_ago = now - std::chrono::hours(1);
+        gossip.last_check = long_ago;
+        gossip.last_round = long_ago;
+        gossip.last_report = long_ago;
+        gossip.last_load_report = long_ago;
+        gossip.last_whole_digest = long_ago;
     }
     check_members(state, now, out);
     // Without a list an entry knows no peers, so it reads one itself.
