Put control through its failures; three faults found and mended

Faults they found: - entries that saw each other at different places in the order of succession expected greetings more often than they were sent, suspected each other and took over as watchers: 461 calls a minute with 12 entries a domain against 328 with 3. The greeting now says when the next one comes. - a restarted entry trusted the platform as soon as one peer had greeted it, before that peer's newer configuration arrived, and showed the older one for a moment. It now waits two seconds from when it knows its peers. - each starting entry thought itself the only one and read plans and lease; it now waits for the list.

The two tests of the watch state since when peers are known in place of a peer that has answered, as the rule changed; what they assert is the same.

--- a/libs/agent_core/src/control_flow.cpp
+++ b/libs/agent_core/src/control_flow.cpp
@@ -67,7 +67,8 @@
     std::string text;
     for (auto const& [domain, plan] : state.control.plans)
     {
-        text += domain + '=' + std::to_string(plan.version) + ';';
+        text.append(domain).append("=");
+        text.append(std::to_string(plan.version)).append(";");
     }
     return base::stable_hash(text);
 }
--- a/libs/entry_core/include/entry_core/entry_core.hpp
+++ b/libs/entry_core/include/entry_core/entry_core.hpp
@@ -118,8 +118,8 @@
     // Incarnation that each entry last spoke with.
     std::map<std::string, std::uint64_t> lives;
     std::optional<base::time_point> started;
-    // Whether any entry has answered since the start.
-    bool peer_answered = false;
+    // Since when it knows its peers and they can answer.
+    std::optional<base::time_point> listed_since;
     std::uint64_t round = 0;
     base::time_point last_round;
     base::time_point last_report;
--- a/libs/entry_core/src/control_flow.cpp
+++ b/libs/entry_core/src/control_flow.cpp
@@ -18,8 +18,8 @@
 // How often all plans are read again. Peers push them; reading repairs what a
 // cut between domains kept from them, and costs all plans' bytes.
 constexpr milliseconds plan_interval{60'000};
-// An entry that starts asks its peers first and trusts the platform alone
-// only when none of them has answered for this long.
+// An entry that starts gives its peers this long to tell it what is in force,
+// before it trusts the platform. They greet it within a second.
 constexpr milliseconds peer_patience{2000};
 
 bool is_pending(state const& state, call_purpose purpose)
@@ -55,15 +55,14 @@
 
 // Failure: the platform answers a process that has just started from an old
 // copy; trusting it, the entry would route by a configuration that its peers
-// have replaced, and an accepted change would seem to revert. So peers answer
-// first, if there are any.
+// have replaced, and an accepted change would seem to revert. So peers speak
+// first. What stays: peers that are all silent for the whole patience.
 bool trusts_platform(state const& state, base::time_point now)
 {
     auto const& control = state.control;
-    auto const waited =
-        control.gossip.started && now - *control.gossip.started > peer_patience;
+    auto const since = control.gossip.listed_since;
     return control.configuration.generation > 0 ||
-           control.gossip.peer_answered || waited;
+           (since && now - *since > peer_patience);
 }
 
 void on_release(
@@ -249,11 +248,12 @@
     }
     check_members(state, now, out);
     // Without a list an entry knows no peers, so it reads one itself.
-    if (state.control.members.list_version == 0 || is_watcher(state))
+    auto const is_listed = state.control.members.list_version > 0;
+    if (!is_listed || is_watcher(state))
     {
         read_list(state, now, out);
     }
-    if (is_watcher(state))
+    if (is_listed && is_watcher(state))
     {
         watch_platform(state, now, out);
     }
--- a/libs/entry_core/src/endpoint_flow.cpp
+++ b/libs/entry_core/src/endpoint_flow.cpp
@@ -33,7 +33,7 @@
     std::string text = view.service + '\n' + std::to_string(view.generation);
     for (auto const& [model, digest] : view.serving)
     {
-        text += '\n' + model + '=' + digest;
+        text.append("\n").append(model).append("=").append(digest);
     }
     return base::stable_hash(text);
 }
--- a/libs/entry_core/src/membership_flow.cpp
+++ b/libs/entry_core/src/membership_flow.cpp
@@ -230,7 +230,9 @@
     {
         return;
     }
-    state.control.gossip.topology_stale = true;
+    auto& gossip = state.control.gossip;
+    gossip.topology_stale = true;
+    gossip.listed_since = gossip.listed_since.value_or(now);
     renew_topology(state, now, out);
     pass_on(state, change, out);
 }
--- a/libs/entry_core/src/planner_flow.cpp
+++ b/libs/entry_core/src/planner_flow.cpp
@@ -147,7 +147,8 @@
     auto& control = state.control;
     // Only watchers compete: others would read the lease for nothing, and
     // calls would grow with the entries.
-    if (control.stopping || !is_watcher(state) || !control.gossip.started)
+    if (control.stopping || control.members.list_version == 0 ||
+        !is_watcher(state))
     {
         return;
     }
--- a/libs/entry_core/src/replication_flow.cpp
+++ b/libs/entry_core/src/replication_flow.cpp
@@ -45,7 +45,8 @@
     std::string text;
     for (auto const& [domain, plan] : state.control.plans)
     {
-        text += domain + '=' + std::to_string(plan.version) + ';';
+        text.append(domain).append("=");
+        text.append(std::to_string(plan.version)).append(";");
     }
     return base::stable_hash(text);
 }
@@ -60,9 +61,17 @@
     return message;
 }
 
-void greet(state const& state, std::string const& peer, actions& out)
+// Greets another entry and promises when it will be greeted again.
+void greet(
+    state const& state,
+    std::string const& peer,
+    milliseconds again,
+    actions& out)
 {
-    out.push_back(make_digest(state, peer));
+    auto message = make_digest(state, peer);
+    message.envelope.mutable_configuration_digest()->set_heartbeat_ms(
+        static_cast<std::uint32_t>(again.count()));
+    out.push_back(std::move(message));
 }
 
 void greet_agent(
@@ -162,12 +171,14 @@
 // Notes that an entry spoke, and tells a new life of it all it needs.
 void note_entry(
     state& state,
-    std::string const& peer,
-    std::uint64_t incarnation,
+    core::message_received const& message,
     base::time_point now,
     actions& out)
 {
     auto& gossip = state.control.gossip;
+    auto const& peer = message.peer;
+    auto const& digest = message.envelope.configuration_digest();
+    auto const incarnation = message.envelope.from_incarnation();
     auto const found = state.control.members.members.find(peer);
     if (found == state.control.members.members.end())
     {
@@ -181,17 +192,14 @@
     }
     auto const is_back = known.state != control::liveness::alive;
     control::note_heartbeat(state.control.members, peer, false, now);
-    auto const both_candidates =
-        control::is_among_first(
-            gossip.order, peer, control::watcher_candidates) &&
-        control::is_among_first(
-            gossip.order, state.self.name, control::watcher_candidates);
-    auto const sweep = gossip.order.size() <= least_greeted + 1
-                           ? std::size_t{1}
-                           : rounds_per_sweep;
-    known.patience = patience_for(
-        both_candidates ? round_interval
-                        : round_interval * static_cast<int>(sweep));
+    // Failure: two entries see each other at different places in the order,
+    // so one waits for greetings every second that the other sends every five,
+    // suspects it, takes its place as a watcher and so on round the domain.
+    // The sender's promise holds whatever the receiver thinks of the order.
+    if (digest.heartbeat_ms() > 0)
+    {
+        known.patience = patience_for(milliseconds(digest.heartbeat_ms()));
+    }
     auto& life = gossip.lives[peer];
     if (life != incarnation || is_back)
     {
@@ -241,25 +249,29 @@
     auto& gossip = state.control.gossip;
     auto const& self = state.self.name;
     auto const& order = gossip.order;
-    std::set<std::string> greeted;
-    if (control::is_among_first(order, self, control::watcher_candidates))
-    {
-        auto const count = std::min(order.size(), control::watcher_candidates);
-        greeted.insert(
-            order.begin(), order.begin() + static_cast<std::ptrdiff_t>(count));
-    }
     auto const share = std::max(
         least_greeted,
         (order.size() + rounds_per_sweep - 1) / rounds_per_sweep);
+    auto const rounds = (order.size() + share - 1) / share;
+    std::map<std::string, milliseconds> greeted;
     for (std::size_t index = 0; index < std::min(share, order.size()); ++index)
     {
         auto const turn = gossip.round * share + index;
-        greeted.insert(order[static_cast<std::size_t>(turn % order.size())]);
+        greeted[order[static_cast<std::size_t>(turn % order.size())]] =
+            round_interval * static_cast<int>(rounds);
+    }
+    auto const is_candidate =
+        control::is_among_first(order, self, control::watcher_candidates);
+    auto const candidates =
+        is_candidate ? std::min(order.size(), control::watcher_candidates) : 0;
+    for (std::size_t index = 0; index < candidates; ++index)
+    {
+        greeted[order[index]] = round_interval;
     }
     greeted.erase(self);
-    for (auto const& peer : greeted)
+    for (auto const& [peer, again] : greeted)
     {
-        greet(state, peer, out);
+        greet(state, peer, again, out);
     }
 }
 
@@ -281,9 +293,8 @@
     }
     if (!suspected.empty())
     {
-        greet(
-            state, suspected[state.control.gossip.round % suspected.size()],
-            out);
+        auto const turn = state.control.gossip.round % suspected.size();
+        greet(state, suspected[turn], {}, out);
     }
 }
 
@@ -308,8 +319,8 @@
     }
     for (auto const& [domain, names] : contacts)
     {
-        greet(
-            state, names[base::random_below(state.random, names.size())], out);
+        auto const turn = base::random_below(state.random, names.size());
+        greet(state, names[turn], {}, out);
     }
 }
 
@@ -444,9 +455,7 @@
                           found->second.vm.role == control::vm_role::entry;
     if (is_entry)
     {
-        control.gossip.peer_answered = true;
-        note_entry(
-            state, message.peer, message.envelope.from_incarnation(), now, out);
+        note_entry(state, message, now, out);
         settle_differences(state, message.peer, digest, now, out);
         return;
     }
--- a/libs/entry_core/tests/control_flow_tests.cpp
+++ b/libs/entry_core/tests/control_flow_tests.cpp
@@ -43,7 +43,9 @@
 {
     state entry;
     entry.self = {"entry-1", "split-a", "dalmacija", 100};
-    entry.control.gossip.peer_answered = true;
+    entry.control.gossip.listed_since =
+        base::time_point{} - std::chrono::minutes(1);
+    entry.control.members.list_version = 1;
     base::time_point now{};
     auto const first = step(entry, core::tick{}, now);
     auto const watch = call_id(first, core::platform_method::watch);
@@ -64,7 +66,9 @@
 {
     state entry;
     entry.self = {"entry-1", "split-a", "dalmacija", 100};
-    entry.control.gossip.peer_answered = true;
+    entry.control.gossip.listed_since =
+        base::time_point{} - std::chrono::minutes(1);
+    entry.control.members.list_version = 1;
     base::time_point now{};
     auto const first = step(entry, core::tick{}, now);
     auto answer =
