--- a/libs/agent_core/src/agent_core.cpp
+++ b/libs/agent_core/src/agent_core.cpp
@@ -39,7 +39,7 @@
     case body::kPlanPush:
         return on_plan_push(state, envelope.plan_push(), now, out);
     case body::kConfigurationDigest:
-        return on_configuration_digest(state, peer, now, out);
+        return on_configuration_digest(state, message, now, out);
     case body::kChunkRequest:
         return on_chunk_request(
             state, peer, envelope.chunk_request(), now, out);
@@ -88,6 +88,7 @@
             on_output_undelivered(
                 this->core, event.envelope.run_output(), this->out);
         }
+        on_control_send_failed(this->core, event);
     }
 
     void operator()(core::tick const& /*event*/)
--- a/libs/entry_core/src/attempt_flow.cpp
+++ b/libs/entry_core/src/attempt_flow.cpp
@@ -563,20 +563,4 @@
     }
 }
 
-void note_incarnation(
-    state& state,
-    std::string const& peer,
-    std::uint64_t incarnation,
-    base::time_point now,
-    actions& out)
-{
-    auto const known =
-        state.requests.incarnations.try_emplace(peer, incarnation).first;
-    if (known->second != incarnation)
-    {
-        known->second = incarnation;
-        on_endpoint_lost(state, peer, now, out);
-    }
-}
-
 } // namespace foxtailvale::entry_core
--- a/libs/entry_core/src/request_flow.cpp
+++ b/libs/entry_core/src/request_flow.cpp
@@ -224,6 +224,7 @@
             end_stage(state, open->second, now, out);
         }
     }
+    probe_silent_agents(state, now, out);
     request::expire(state.requests.suspects, now);
     refuse_late(state, now, out);
     serve_waiting(state, now, out);
--- a/libs/node/include/node/peer_bus.hpp
+++ b/libs/node/include/node/peer_bus.hpp
@@ -3,6 +3,7 @@
 
 #include <base/error.hpp>
 #include <node/event_loop.hpp>
+#include <node/traffic.hpp>
 #include <proto/foxtailvale.pb.h>
 #include <release/settings.hpp>
 
@@ -45,6 +46,9 @@
     // leave and never will.
     base::result<void> send(std::string const& peer, wire::Envelope envelope);
 
+    // Bytes of frames since the last call.
+    traffic take_traffic();
+
     // From now on the end of the bus waits a moment for frames that are on
     // their way. Failure: an agent ends right after its last answer; dropped in
     // the transport's queue, that answer would be lost to its caller.
@@ -62,6 +66,7 @@
     zmq::context_t context;
     zmq::socket_t inbound;
     zmq::socket_t outbound;
+    traffic counted;
     handler receiver;
     fault_handler reporter;
     // Address in use, by peer.
--- a/libs/node/src/entry_node.cpp
+++ b/libs/node/src/entry_node.cpp
@@ -18,6 +18,7 @@
 {
 
 constexpr std::chrono::milliseconds tick_interval{20};
+constexpr std::chrono::milliseconds traffic_interval{500};
 // For how long a stopping entry waits for callers that read slowly.
 constexpr std::chrono::milliseconds last_answers_limit{30'000};
 constexpr std::uint16_t operator_threads = 4;
@@ -94,6 +95,11 @@
         this->common.report_fault(error, peer);
     }
 
+    void publish_traffic()
+    {
+        this->common.publish_traffic();
+    }
+
     template <class Action>
     void operator()(Action& action)
     {
@@ -208,6 +214,12 @@
                 {
                     driver->handle(core::tick{});
                 });
+            loop.call_every(
+                traffic_interval,
+                [&driver]
+                {
+                    driver->publish_traffic();
+                });
         });
     auto const started = services.start_all();
     if (!started)
--- a/libs/node/src/peer_bus.cpp
+++ b/libs/node/src/peer_bus.cpp
@@ -1,6 +1,7 @@
 #include <node/peer_bus.hpp>
 
 #include <stdexcept>
+#include <utility>
 
 namespace foxtailvale::node
 {
@@ -11,9 +12,20 @@
 // Largest frame: the largest chunk with room for its envelope, in bytes.
 constexpr std::int64_t largest_frame = 80LL * 1024 * 1024;
 
-// ZeroMQ's own heartbeats find dead connections, in milliseconds.
-constexpr int heartbeat_interval = 1000;
-constexpr int heartbeat_timeout = 4000;
+// ZeroMQ's own heartbeats find dead connections that carry nothing, in
+// milliseconds. Made for an entry with 300 connections: at one a second they
+// alone would cost more bytes than all control may. Connections in use are
+// found dead sooner, by what stays unacknowledged.
+constexpr int heartbeat_interval = 15'000;
+constexpr int heartbeat_timeout = 30'000;
+
+// Failure: a cut swallows frames; when it heals, TCP waits for its next
+// retransmission, by then many seconds away, and peers seem cut off for that
+// long. A connection with bytes unacknowledged for this long is closed, and a
+// connection attempt given up, so that a fresh one is made within a second of
+// the cut's end. In milliseconds.
+constexpr int unacknowledged_limit = 3000;
+constexpr int connect_limit = 1000;
 
 // Frames queued for one peer at most. The protocols above bound what is under
 // way per peer well below it; past it a send fails rather than waits.
@@ -32,6 +44,8 @@
     socket.set(zmq::sockopt::maxmsgsize, largest_frame);
     socket.set(zmq::sockopt::heartbeat_ivl, heartbeat_interval);
     socket.set(zmq::sockopt::heartbeat_timeout, heartbeat_timeout);
+    socket.set(zmq::sockopt::tcp_maxrt, unacknowledged_limit);
+    socket.set(zmq::sockopt::connect_timeout, connect_limit);
     socket.set(zmq::sockopt::sndhwm, queue_length);
     socket.set(zmq::sockopt::rcvhwm, queue_length);
     // Failure: a frame queued for a peer that is gone goes out after the
@@ -164,15 +178,21 @@
         envelope.set_to_incarnation(known->second);
     }
     auto const frame = envelope.SerializeAsString();
-    if (this->connected.contains(peer) && try_send(this->outbound, peer, frame))
-    {
-        return boost::outcome_v2::success();
-    }
-    if (try_send(this->inbound, peer, frame))
+    auto const sent = (this->connected.contains(peer) &&
+                       try_send(this->outbound, peer, frame)) ||
+                      try_send(this->inbound, peer, frame);
+    if (!sent)
     {
-        return boost::outcome_v2::success();
+        return base::fail(base::error_kind::peer_unreachable, peer);
     }
-    return base::fail(base::error_kind::peer_unreachable, peer);
+    auto const kind = static_cast<std::size_t>(kind_of(envelope.body_case()));
+    this->counted.sent[kind] += frame.size();
+    return boost::outcome_v2::success();
+}
+
+traffic peer_bus::take_traffic()
+{
+    return std::exchange(this->counted, {});
 }
 
 void peer_bus::flush_on_close()
@@ -220,6 +240,8 @@
         this->reporter({base::error_kind::bad_frame, "unreadable"}, peer);
         return;
     }
+    auto const kind = static_cast<std::size_t>(kind_of(envelope.body_case()));
+    this->counted.received[kind] += frame.size();
     // Failure: a frame meant for this process's earlier life arrives late. A
     // request in it may have been given up as not run. Its incarnation is not
     // ours, so it is dropped.
--- a/standins/include/standins/object_api.hpp
+++ b/standins/include/standins/object_api.hpp
@@ -53,7 +53,7 @@
     void remove(std::string const& path, response& reply);
     void watch(std::string const& uri, response& reply);
     void list(std::string const& prefix, response& reply);
-    void send_vms(response& reply);
+    void send_vms(request& ask, response& reply);
     void control(request& ask, response& reply);
     void send_counters(response& reply);
     void send_object(object const& found, response& reply);
@@ -71,6 +71,7 @@
     token_bucket read_rate;
     token_bucket write_rate;
     nlohmann::json vms;
+    std::uint64_t vms_version = 1;
     http::server listener;
 };
 
--- a/tools/scenario/src/fleet.hpp
+++ b/tools/scenario/src/fleet.hpp
@@ -47,6 +47,12 @@
     // Counters of all links, between regions and inside them.
     std::vector<nlohmann::json> link_counters();
 
+    // Reads a page as text, empty when it does not answer.
+    std::string text_page(
+        std::string const& address,
+        std::uint16_t port,
+        std::string const& path);
+
     // Whether a page answers with status 200.
     bool answers(
         std::string const& address,
@@ -59,6 +65,8 @@
         std::string const& address,
         std::uint16_t port,
         std::string const& path);
+    // Where a process's log lines go.
+    std::string log_path(std::string const& name) const;
 
     // Sends JSON to a switchboard.
     void control(
--- a/tools/scenario/src/main.cpp
+++ b/tools/scenario/src/main.cpp
@@ -1,4 +1,5 @@
 #include "chaos.hpp"
+#include "control_bench.hpp"
 #include "demo.hpp"
 #include "scenario_run.hpp"
 
@@ -89,7 +90,7 @@
     {
         TCLAP::CmdLine line(
             "Runs a deployment with stand-ins. Commands: demo DEPLOYMENT, "
-            "run SCENARIO, chaos DEPLOYMENT.",
+            "run SCENARIO, chaos DEPLOYMENT, bench-control.",
             ' ', FOXTAILVALE_VERSION);
         line.setExceptionHandling(false);
         TCLAP::ValueArg<std::string> const programs(
@@ -104,13 +105,29 @@
         TCLAP::UnlabeledValueArg<std::string> const command(
             "command", "what to do", true, "", "COMMAND", line);
         TCLAP::UnlabeledValueArg<std::string> const deployment(
-            "deployment", "deployment file", true, "", "DEPLOYMENT", line);
+            "deployment", "deployment or scenario file", false, "", "FILE",
+            line);
         TCLAP::ValueArg<std::uint64_t> const seed(
             "s", "seed", "first seed of chaos", false, 1, "NUMBER", line);
         TCLAP::ValueArg<unsigned> const length(
             "t", "seconds", "how long chaos goes on", false, 60, "NUMBER",
             line);
+        TCLAP::ValueArg<unsigned> const domains(
+            "", "domains", "failure domains of bench-control", false, 2,
+            "NUMBER", line);
+        TCLAP::ValueArg<unsigned> const entries(
+            "", "entries", "entries of bench-control", false, 8, "NUMBER",
+            line);
+        TCLAP::ValueArg<unsigned> const agents(
+            "", "agents", "agents of bench-control", false, 50, "NUMBER", line);
         line.parse(count, words);
+        if (command.getValue() == "bench-control")
+        {
+            return foxtailvale::scenario::run_control_bench(
+                {programs.getValue(), work.getValue()},
+                {domains.getValue(), entries.getValue(), agents.getValue()},
+                network.getValue());
+        }
         if (command.getValue() == "chaos")
         {
             return run_chaos(
