--- a/libs/agent_core/include/agent_core/agent_core.hpp
+++ b/libs/agent_core/include/agent_core/agent_core.hpp
@@ -13,6 +13,7 @@
 
 #include <core/drain.hpp>
 
+#include <deque>
 #include <map>
 #include <set>
 #include <string>
@@ -42,6 +43,31 @@
     std::string model;
     std::string digest;
     std::uint32_t next_sequence = 0;
+    // Set when it came with a token: its outcome is remembered.
+    bool remembered = false;
+    std::uint64_t fingerprint = 0;
+};
+
+// An attempt that the endpoint broke off.
+struct lost_attempt
+{
+    std::uint64_t fingerprint = 0;
+    base::time_point time;
+};
+
+// A slot that waits for the body of a non-idempotent request.
+struct reservation
+{
+    std::string entry;
+    std::uint64_t token = 0;
+    base::time_point expires;
+};
+
+// What became of a non-idempotent attempt.
+struct outcome
+{
+    wire::OutcomeReply answer;
+    base::time_point ended;
 };
 
 // Requests: the gate and what runs behind it.
@@ -49,6 +75,12 @@
 {
     request::gate gate;
     std::map<base::attempt_id, running_attempt> running;
+    std::map<base::attempt_id, reservation> reservations;
+    std::map<base::attempt_id, outcome> outcomes;
+    // Oldest first, for forgetting.
+    std::deque<base::attempt_id> outcome_order;
+    std::size_t outcome_bytes = 0;
+    std::deque<lost_attempt> losses;
 };
 
 // A chunk that was asked for and has not come.
--- a/libs/node/include/node/platform_client.hpp
+++ b/libs/node/include/node/platform_client.hpp
@@ -4,20 +4,23 @@
 #include <node/worker_pool.hpp>
 
 #include <core/platform.hpp>
+#include <http/http_client.hpp>
 
-#include <atomic>
 #include <functional>
+#include <memory>
+#include <mutex>
+#include <set>
 #include <string>
 
 namespace foxtailvale::node
 {
 
 // Makes one call to the platform's object API and waits for its answer.
-// A waiting watch ends soon after `cancelled` turns true.
+// With a control it can be broken off.
 core::platform_answer call_platform(
     std::string const& base,
     core::platform_call const& call,
-    std::atomic<bool> const* cancelled = nullptr);
+    std::shared_ptr<http::call_control> control = nullptr);
 
 // Calls the platform on threads of its own and answers on the loop.
 class platform_client
@@ -36,10 +39,17 @@
     void call(core::platform_call call);
 
 private:
+    // Nothing when the client is ending.
+    std::shared_ptr<http::call_control> begin_call();
+    void end_call(std::shared_ptr<http::call_control> const& control);
+
     event_loop& loop;
     std::string base;
     handler receiver;
-    std::atomic<bool> stopping{false};
+    std::mutex mutex;
+    bool stopping = false;
+    // The calls under way.
+    std::set<std::shared_ptr<http::call_control>> open;
     worker_pool pool;
 };
 
--- a/libs/node/src/platform_client.cpp
+++ b/libs/node/src/platform_client.cpp
@@ -11,8 +11,9 @@
 {
 
 // Calls under way at once: a waiting watch holds one, and the others must not
-// wait behind it.
-constexpr std::size_t most_calls = 6;
+// wait behind it. A claim takes some milliseconds, so this bears several
+// thousand of them a second, more than the platform does.
+constexpr std::size_t most_calls = 16;
 
 constexpr std::chrono::milliseconds watch_grace{1000};
 
@@ -84,12 +85,12 @@
 core::platform_answer call_platform(
     std::string const& base,
     core::platform_call const& call,
-    std::atomic<bool> const* cancelled)
+    std::shared_ptr<http::call_control> control)
 {
     core::platform_answer answer;
     answer.id = call.id;
     auto request = make_request(base, call);
-    request.cancelled = cancelled;
+    request.control = std::move(control);
     auto const response = http::call(request);
     if (!response)
     {
@@ -114,7 +115,29 @@
 
 platform_client::~platform_client()
 {
+    std::lock_guard const lock(this->mutex);
     this->stopping = true;
+    for (auto const& control : this->open)
+    {
+        control->cancel();
+    }
+}
+
+std::shared_ptr<http::call_control> platform_client::begin_call()
+{
+    std::lock_guard const lock(this->mutex);
+    if (this->stopping)
+    {
+        return nullptr;
+    }
+    return *this->open.insert(std::make_shared<http::call_control>()).first;
+}
+
+void platform_client::end_call(
+    std::shared_ptr<http::call_control> const& control)
+{
+    std::lock_guard const lock(this->mutex);
+    this->open.erase(control);
 }
 
 void platform_client::call(core::platform_call call)
@@ -122,7 +145,13 @@
     this->pool.run(
         [this, call = std::move(call)]
         {
-            auto answer = call_platform(this->base, call, &this->stopping);
+            auto const control = this->begin_call();
+            if (control == nullptr)
+            {
+                return;
+            }
+            auto answer = call_platform(this->base, call, control);
+            this->end_call(control);
             this->loop.post(
                 [this, answer = std::move(answer)]() mutable
                 {
