--- a/libs/node/include/node/platform_client.hpp
+++ b/libs/node/include/node/platform_client.hpp
@@ -16,7 +16,7 @@
 {
 
 // Makes one call to the platform's object API and waits for its answer.
-// With a control it can be broken off.
+// A waiting watch ends when the control cancels it.
 core::platform_answer call_platform(
     std::string const& base,
     core::platform_call const& call,
@@ -39,17 +39,15 @@
     void call(core::platform_call call);
 
 private:
-    // Nothing when the client is ending.
-    std::shared_ptr<http::call_control> begin_call();
-    void end_call(std::shared_ptr<http::call_control> const& control);
+    std::shared_ptr<http::call_control> begin();
+    void end(std::shared_ptr<http::call_control> const& control);
 
     event_loop& loop;
     std::string base;
     handler receiver;
     std::mutex mutex;
     bool stopping = false;
-    // The calls under way.
-    std::set<std::shared_ptr<http::call_control>> open;
+    std::set<std::shared_ptr<http::call_control>> active;
     worker_pool pool;
 };
 
--- a/libs/node/src/platform_client.cpp
+++ b/libs/node/src/platform_client.cpp
@@ -117,27 +117,28 @@
 {
     std::lock_guard const lock(this->mutex);
     this->stopping = true;
-    for (auto const& control : this->open)
+    for (auto const& control : this->active)
     {
         control->cancel();
     }
 }
 
-std::shared_ptr<http::call_control> platform_client::begin_call()
+std::shared_ptr<http::call_control> platform_client::begin()
 {
+    auto control = std::make_shared<http::call_control>();
     std::lock_guard const lock(this->mutex);
     if (this->stopping)
     {
-        return nullptr;
+        control->cancel();
     }
-    return *this->open.insert(std::make_shared<http::call_control>()).first;
+    this->active.insert(control);
+    return control;
 }
 
-void platform_client::end_call(
-    std::shared_ptr<http::call_control> const& control)
+void platform_client::end(std::shared_ptr<http::call_control> const& control)
 {
     std::lock_guard const lock(this->mutex);
-    this->open.erase(control);
+    this->active.erase(control);
 }
 
 void platform_client::call(core::platform_call call)
@@ -145,13 +146,9 @@
     this->pool.run(
         [this, call = std::move(call)]
         {
-            auto const control = this->begin_call();
-            if (control == nullptr)
-            {
-                return;
-            }
+            auto const control = this->begin();
             auto answer = call_platform(this->base, call, control);
-            this->end_call(control);
+            this->end(control);
             this->loop.post(
                 [this, answer = std::move(answer)]() mutable
                 {
--- a/standins/include/standins/plain_service.hpp
+++ b/standins/include/standins/plain_service.hpp
@@ -2,6 +2,7 @@
 #define FOXTAILVALE_STANDINS_PLAIN_SERVICE_HPP
 
 #include <http/http_server.hpp>
+#include <standins/begun_log.hpp>
 
 #include <chrono>
 #include <cstdint>
@@ -34,6 +35,7 @@
     std::map<std::string, std::uint64_t> runs;
     // Milliseconds since the epoch at which a call last began.
     std::int64_t last_begin_ms = 0;
+    begun_log begun;
     http::server listener;
 };
 
--- a/tools/scenario/src/settings_writer.cpp
+++ b/tools/scenario/src/settings_writer.cpp
@@ -208,6 +208,7 @@
     auto const origin =
         through_link(from, region_index(from, place.region), machine.address);
     settings["origin"] = "http://" + origin + ":" + std::to_string(origin_port);
+    settings["distribution"] = from.distribution;
     if (place.region != from.store_region)
     {
         settings["origin_link_mbit"] = from.region_bits_per_second / 1'000'000;
