Late plans of other domains no longer cost a copy for each domain

Plans of other domains reach an agent up to a second after its own; until then each domain's importers took themselves for the region's.

Ruled out: asking all domains for plans at once, since the release is there before any plan.

--- a/libs/agent_core/src/weights_parts.hpp
+++ b/libs/agent_core/src/weights_parts.hpp
@@ -64,6 +64,16 @@
 // Tells some agents at random what this one holds, as a swarm does.
 void gossip_holdings(state& state, actions& out);
 
+// Whether a bitmap has the chunk.
+bool holds(std::vector<bool> const& held, std::uint32_t index);
+
+// A chunk that was asked for is no longer awaited.
+void drop_pending(state& state, transfer& transfer, std::uint32_t index);
+
+// Asks for missing chunks, each from its best source, as far as the limits go.
+void ask_for_more(
+    state& state, transfer& transfer, base::time_point now, actions& out);
+
 // The source from which the plans and what is known now would have a chunk
 // drawn; nothing when the plan does not give the version to this agent.
 std::optional<weights::chunk_source> best_source(
--- a/libs/agent_core/tests/burst_tests.cpp
+++ b/libs/agent_core/tests/burst_tests.cpp
@@ -77,6 +77,33 @@
     EXPECT_EQ(two.origin_copies(), 2);
 }
 
+// Four domains of a region hear of each other's plans a second late. Until
+// then each could take itself for the only one, and the origin's link would
+// carry a copy for each domain.
+TEST(bursts, late_plans_of_other_domains_cost_no_copies)
+{
+    for (auto const seed : seeds)
+    {
+        burst test(
+            {{"a", "r", 4}, {"b", "r", 4}, {"c", "r", 4}, {"d", "r", 4}}, seed);
+        test.fleet.foreign_plan_delay = seconds(1);
+        test.fleet.origin_chunk_time = milliseconds(5);
+        for (auto const& name : test.fleet.names())
+        {
+            auto& release = test.fleet.core(name).control.configuration;
+            release.models["m"].digest = test.version.digest;
+            for (auto const* const domain : {"a", "b", "c", "d"})
+            {
+                release.models["m"].replicas[domain] = 4;
+                release.domains[domain].region = "r";
+                release.domains[domain].in = true;
+            }
+        }
+        ASSERT_TRUE(test.finishes_within(seconds(10))) << seed;
+        EXPECT_EQ(test.origin_copies(), 1) << seed;
+    }
+}
+
 // The importer of some chunks dies with draws under way. Those below it would
 // wait for ever; they notice its silence, and one other draws its chunks.
 TEST(bursts, an_importer_dies_mid_chunk)
--- a/libs/agent_core/tests/fake_fleet.cpp
+++ b/libs/agent_core/tests/fake_fleet.cpp
@@ -84,9 +84,17 @@
 
 void fake_fleet::push_plans(std::string const& name)
 {
+    auto const& own = this->machines[name].core.self.failure_domain;
     for (auto const& domain : this->layout)
     {
-        this->push_plan(name, domain, this->plan_version, this->assigned);
+        auto const foreign = domain.name != own;
+        this->later(
+            name, foreign ? this->foreign_plan_delay : milliseconds(0),
+            [this, name, domain, version = this->plan_version,
+             models = this->assigned]
+            {
+                this->push_plan(name, domain, version, models);
+            });
     }
 }
 
--- a/libs/agent_core/tests/fake_fleet.hpp
+++ b/libs/agent_core/tests/fake_fleet.hpp
@@ -107,6 +107,9 @@
     std::chrono::milliseconds origin_chunk_time{50};
     std::chrono::milliseconds load_time{200};
 
+    // Plans of other domains come this much later than the own one.
+    std::chrono::milliseconds foreign_plan_delay{0};
+
     // What was seen.
     std::map<std::string, int> draws;
     std::uint64_t origin_calls = 0;
--- a/libs/weights/include/weights/forest.hpp
+++ b/libs/weights/include/weights/forest.hpp
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -51,15 +52,22 @@
     // Importers, and those who would take their place, of the region's domains
     // that stand before the own one.
     std::vector<chunk_source> outside;
+    // A domain that stands before the own one is expected to want the version,
+    // but its plan is not known yet.
+    bool incomplete = false;
 };
 
-// Nothing when the plans do not give the version to the agent.
+// Nothing when the plans do not give the version to the agent. The expected
+// domains are those of the agent's region that want the version according to
+// the release: they keep their places in the order while their plans, which
+// come by way of other domains' entries, are still on their way.
 std::optional<chunk_sources> sources_of(
     plan_set const& plans,
     std::string const& failure_domain,
     std::string const& agent,
     std::string const& digest,
-    std::uint32_t chunk);
+    std::uint32_t chunk,
+    std::set<std::string> const& expected = {});
 
 // What an agent knows of a source with regard to one chunk.
 struct source_view
--- a/libs/weights/src/forest.cpp
+++ b/libs/weights/src/forest.cpp
@@ -60,21 +60,22 @@
     return {endpoint.agent, endpoint.address};
 }
 
-// Domains of a region that want the version, in the chunk's order.
-std::vector<control::domain_plan const*> domain_order(
+// Names of a region's domains that want the version, in the chunk's order.
+std::vector<std::string> domain_order(
     plan_set const& plans,
     std::string const& region,
     std::string const& digest,
-    std::uint32_t chunk)
+    std::uint32_t chunk,
+    std::set<std::string> wanting)
 {
-    std::vector<control::domain_plan const*> domains;
     for (auto const& [name, plan] : plans)
     {
         if (plan.region == region && !control::holders(plan, digest).empty())
         {
-            domains.push_back(&plan);
+            wanting.insert(name);
         }
     }
+    std::vector<std::string> domains(wanting.begin(), wanting.end());
     if (!domains.empty())
     {
         auto const shift = chunk % domains.size();
@@ -114,16 +115,21 @@
     plan_set const& plans,
     control::domain_plan const& own,
     std::string const& digest,
-    std::uint32_t chunk)
+    std::uint32_t chunk,
+    std::set<std::string> const& expected)
 {
-    for (auto const* const domain :
-         domain_order(plans, own.region, digest, chunk))
+    for (auto const& name :
+         domain_order(plans, own.region, digest, chunk, expected))
     {
-        if (domain->failure_domain == own.failure_domain)
+        if (name == own.failure_domain)
         {
             return;
         }
-        auto const order = chunk_order(*domain, digest, chunk);
+        auto const plan = plans.find(name);
+        auto const order = plan == plans.end()
+                               ? ring{}
+                               : chunk_order(plan->second, digest, chunk);
+        sources.incomplete = sources.incomplete || order.empty();
         auto const count = std::min(order.size(), most_outside);
         for (std::size_t place = 0; place < count; ++place)
         {
@@ -151,7 +157,8 @@
     std::string const& failure_domain,
     std::string const& agent,
     std::string const& digest,
-    std::uint32_t chunk)
+    std::uint32_t chunk,
+    std::set<std::string> const& expected)
 {
     auto const own = plans.find(failure_domain);
     if (own == plans.end())
@@ -169,7 +176,7 @@
     sources.place = static_cast<std::size_t>(self - order.begin());
     add_ancestors(sources, order);
     add_standbys(sources, order);
-    add_outside(sources, plans, own->second, digest, chunk);
+    add_outside(sources, plans, own->second, digest, chunk, expected);
     return sources;
 }
 
