--- a/libs/node/src/peer_bus.cpp
+++ b/libs/node/src/peer_bus.cpp
@@ -1,5 +1,7 @@
 #include <node/peer_bus.hpp>
 
+#include <stdexcept>
+
 namespace foxtailvale::node
 {
 
@@ -38,6 +40,19 @@
     socket.set(zmq::sockopt::immediate, true);
 }
 
+void listen_at(zmq::socket_t& socket, std::string const& address)
+{
+    try
+    {
+        socket.bind(address);
+    }
+    catch (zmq::error_t const& fault)
+    {
+        throw std::runtime_error(
+            "cannot listen at " + address + ": " + fault.what());
+    }
+}
+
 bool try_send(
     zmq::socket_t& socket, std::string const& peer, std::string const& frame)
 {
@@ -62,13 +77,15 @@
     event_loop& loop,
     release::node_settings const& settings,
     std::uint64_t life)
-    : name(settings.name), incarnation(life), rewrites(settings.rewrites),
-      context(1), inbound(this->context, zmq::socket_type::router),
+    : name(settings.name), own_address(settings.address), incarnation(life),
+      rewrites(settings.rewrites), context(1),
+      inbound(this->context, zmq::socket_type::router),
       outbound(this->context, zmq::socket_type::router)
 {
     configure(this->inbound, this->name);
     configure(this->outbound, this->name);
-    this->inbound.bind(
+    listen_at(
+        this->inbound,
         "tcp://" + settings.address + ":" + std::to_string(settings.peer_port));
     loop.watch(
         this->inbound,
@@ -108,7 +125,10 @@
 
 void peer_bus::connect(std::string const& peer, std::string const& address)
 {
-    auto const target = "tcp://" + this->rewritten(address);
+    // Leaves from the own address also where a machine has several, so that
+    // peers and links can tell whose traffic it is.
+    auto const target =
+        "tcp://" + this->own_address + ":0;" + this->rewritten(address);
     auto const known = this->connected.find(peer);
     if (known != this->connected.end())
     {
--- a/libs/node/src/platform_client.cpp
+++ b/libs/node/src/platform_client.cpp
@@ -82,12 +82,16 @@
 
 } // namespace
 
-core::platform_answer
-call_platform(std::string const& base, core::platform_call const& call)
+core::platform_answer call_platform(
+    std::string const& base,
+    core::platform_call const& call,
+    std::shared_ptr<http::call_control> control)
 {
     core::platform_answer answer;
     answer.id = call.id;
-    auto const response = http::call(make_request(base, call));
+    auto request = make_request(base, call);
+    request.control = std::move(control);
+    auto const response = http::call(request);
     if (!response)
     {
         return answer;
@@ -109,12 +113,42 @@
 {
 }
 
+platform_client::~platform_client()
+{
+    std::lock_guard const lock(this->mutex);
+    this->stopping = true;
+    for (auto const& control : this->active)
+    {
+        control->cancel();
+    }
+}
+
+std::shared_ptr<http::call_control> platform_client::begin()
+{
+    auto control = std::make_shared<http::call_control>();
+    std::lock_guard const lock(this->mutex);
+    if (this->stopping)
+    {
+        control->cancel();
+    }
+    this->active.insert(control);
+    return control;
+}
+
+void platform_client::end(std::shared_ptr<http::call_control> const& control)
+{
+    std::lock_guard const lock(this->mutex);
+    this->active.erase(control);
+}
+
 void platform_client::call(core::platform_call call)
 {
     this->pool.run(
         [this, call = std::move(call)]
         {
-            auto answer = call_platform(this->base, call);
+            auto const control = this->begin();
+            auto answer = call_platform(this->base, call, control);
+            this->end(control);
             this->loop.post(
                 [this, answer = std::move(answer)]() mutable
                 {
--- a/standins/src/engine.cpp
+++ b/standins/src/engine.cpp
@@ -4,10 +4,12 @@
 #include <http/http_client.hpp>
 #include <standins/engine.hpp>
 #include <standins/synthetic.hpp>
+#include <standins/wall_clock.hpp>
 
 #include <algorithm>
 #include <ostream>
 #include <thread>
+#include <utility>
 
 namespace foxtailvale::standins
 {
@@ -80,13 +82,6 @@
     return true;
 }
 
-std::int64_t wall_clock_ms()
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(
-               std::chrono::system_clock::now().time_since_epoch())
-        .count();
-}
-
 } // namespace
 
 engine::engine(http::server_options const& options, engine_options how)
@@ -147,20 +142,15 @@
     {
         return http::send_text(reply, 503, json_type, "{}");
     }
-    auto whole = false;
     try
     {
         this->run_chat(wanted, reply);
-        whole = true;
     }
     catch (std::exception const&)
     {
         reply.setKeepAlive(false);
-    }
-    this->end(wanted, whole);
-    if (!whole)
-    {
-        throw std::runtime_error("the answer was broken off");
+        this->end(wanted, false);
+        throw;
     }
 }
 
@@ -174,10 +164,12 @@
         ++this->counters["unknown_model"];
         return false;
     }
+    this->begun.add(ask.id);
     ask.life = this->life;
     auto const cold = this->answers_since_start < this->behaviour.warm_after;
-    if (ask.prompt.find(crash_mark) != std::string::npos ||
-        (cold && this->running >= this->behaviour.cold_bears))
+    auto const overloaded = cold && this->running >= this->behaviour.cold_bears;
+    this->counters["overloaded_cold"] += overloaded ? 1 : 0;
+    if (ask.prompt.find(crash_mark) != std::string::npos || overloaded)
     {
         this->fall_over();
         return false;
@@ -200,11 +192,12 @@
     return true;
 }
 
-void engine::end(chat const& ask, bool whole)
+void engine::end(chat& ask, bool whole)
 {
     {
         std::lock_guard const lock(this->mutex);
-        if (ask.life == this->life)
+        auto const first_time = !std::exchange(ask.ended, true);
+        if (first_time && ask.life == this->life)
         {
             --this->running;
             this->answers_since_start += whole ? 1 : 0;
@@ -270,7 +263,7 @@
     return true;
 }
 
-void engine::run_chat(chat const& ask, response& reply)
+void engine::run_chat(chat& ask, response& reply)
 {
     std::string text;
     std::ostream* body = nullptr;
@@ -298,6 +291,9 @@
             throw std::runtime_error("the reader went away");
         }
     }
+    // The batch's slot is free with the last token; whoever reads the end may
+    // use it at once.
+    this->end(ask, true);
     if (body != nullptr)
     {
         *body << "data: [DONE]\n\n" << std::flush;
@@ -376,6 +372,7 @@
         std::lock_guard const lock(this->mutex);
         value = this->counters;
         value["last_begin_ms"] = this->last_begin_ms;
+        value["begun"] = this->begun.to_json();
     }
     http::send_text(reply, 200, json_type, value.dump());
 }
--- a/tools/load/src/requests.hpp
+++ b/tools/load/src/requests.hpp
@@ -32,6 +32,8 @@
     std::string id;
     bool booking = false;
     outcome ended = outcome::lost;
+    // The connection was refused: nothing of the request left.
+    bool unreachable = false;
     // Stable error name, when there was one.
     std::string error;
     std::string ran;
@@ -39,6 +41,10 @@
     std::chrono::microseconds whole{0};
     // From the start of the run.
     std::chrono::milliseconds begun{0};
+    std::string entry;
+    // From the answer's headers; 0 and empty when there were none.
+    std::uint64_t generation = 0;
+    std::string digest;
 };
 
 // One request to make.
@@ -49,6 +55,7 @@
     std::string workspace;
     std::string prompt;
     bool booking = false;
+    bool slow_reader = false;
 };
 
 request_record
--- a/tools/scenario/src/main.cpp
+++ b/tools/scenario/src/main.cpp
@@ -1,8 +1,11 @@
+#include "chaos.hpp"
 #include "demo.hpp"
+#include "scenario_run.hpp"
 
 #include <cli/daemon_options.hpp>
 #include <tclap/CmdLine.h>
 
+#include <filesystem>
 #include <iostream>
 
 namespace
@@ -24,7 +27,58 @@
     }
     deployment.network = network;
     std::cout << "demo of " << deployment.name << "\n";
-    return scenario::run_demo(to, deployment);
+    auto const examples = std::filesystem::path(path).parent_path();
+    return scenario::run_demo(to, deployment, examples.string());
+}
+
+int run_script(
+    std::string const& path,
+    unsigned network,
+    foxtailvale::scenario::fleet_paths const& to)
+{
+    using namespace foxtailvale;
+    std::string faults;
+    auto script = scenario::load_scenario(path, faults);
+    if (!script)
+    {
+        std::cerr << faults;
+        return cli::exit_bad_input;
+    }
+    script->fleet.network = network;
+    return scenario::run_scenario(to, *script);
+}
+
+// One seed after the other until the time is over; 1 when one broke a promise.
+int run_chaos(
+    std::string const& deployment_path,
+    unsigned network,
+    foxtailvale::scenario::fleet_paths const& to,
+    std::uint64_t seed,
+    std::chrono::seconds length)
+{
+    using namespace foxtailvale;
+    auto source = release::load_document(deployment_path);
+    auto layout = source.faults.empty() ? scenario::read_deployment(source)
+                                        : scenario::deployment{};
+    if (!source.faults.empty())
+    {
+        std::cerr << describe(source, source.faults);
+        return cli::exit_bad_input;
+    }
+    layout.network = network;
+    auto const start = std::chrono::steady_clock::now();
+    auto code = 0;
+    for (; std::chrono::steady_clock::now() - start < length; ++seed)
+    {
+        auto const script = scenario::make_chaos(layout, seed);
+        if (scenario::run_scenario(to, script) != 0)
+        {
+            code = 1;
+            std::cout << scenario::to_text(script, deployment_path)
+                      << std::endl;
+        }
+    }
+    return code;
 }
 
 } // namespace
@@ -34,8 +88,9 @@
     try
     {
         TCLAP::CmdLine line(
-            "Runs a deployment with stand-ins. Commands: demo DEPLOYMENT.", ' ',
-            FOXTAILVALE_VERSION);
+            "Runs a deployment with stand-ins. Commands: demo DEPLOYMENT, "
+            "run SCENARIO, chaos DEPLOYMENT.",
+            ' ', FOXTAILVALE_VERSION);
         line.setExceptionHandling(false);
         TCLAP::ValueArg<std::string> const programs(
             "b", "programs", "folder of the programs", false, "build/bin",
@@ -50,7 +105,25 @@
             "command", "what to do", true, "", "COMMAND", line);
         TCLAP::UnlabeledValueArg<std::string> const deployment(
             "deployment", "deployment file", true, "", "DEPLOYMENT", line);
+        TCLAP::ValueArg<std::uint64_t> const seed(
+            "s", "seed", "first seed of chaos", false, 1, "NUMBER", line);
+        TCLAP::ValueArg<unsigned> const length(
+            "t", "seconds", "how long chaos goes on", false, 60, "NUMBER",
+            line);
         line.parse(count, words);
+        if (command.getValue() == "chaos")
+        {
+            return run_chaos(
+                deployment.getValue(), network.getValue(),
+                {programs.getValue(), work.getValue()}, seed.getValue(),
+                std::chrono::seconds(length.getValue()));
+        }
+        if (command.getValue() == "run")
+        {
+            return run_script(
+                deployment.getValue(), network.getValue(),
+                {programs.getValue(), work.getValue()});
+        }
         if (command.getValue() != "demo")
         {
             std::cerr << "foxtailvale-scenario: no such command: "
