--- a/tools/scenario/src/scenario_run.cpp
+++ b/tools/scenario/src/scenario_run.cpp
@@ -12,6 +12,7 @@
 #include <functional>
 #include <future>
 #include <iostream>
+#include <mutex>
 #include <set>
 #include <thread>
 
@@ -93,6 +94,10 @@
             });
         this->carry_out(clock::now());
         auto const report = live.get();
+        if (this->note_work.valid())
+        {
+            this->note_work.wait();
+        }
         for (auto& sent : this->marked)
         {
             sent.wait();
@@ -171,6 +176,7 @@
             return false;
         }
         this->notes = number;
+        std::lock_guard const lock(this->seen_mutex);
         this->seen.notes.push_back(
             {static_cast<std::uint64_t>(number),
              wall_now(),
@@ -178,6 +184,22 @@
         return true;
     }
 
+    // Notes follow on each other on a thread of their own: one that an outage
+    // holds up must not hold up the step that ends the outage.
+    void queue_note(std::function<void()> work)
+    {
+        this->note_work = std::async(
+            std::launch::async,
+            [before = std::move(this->note_work), work = std::move(work)]
+            {
+                if (before.valid())
+                {
+                    before.wait();
+                }
+                work();
+            });
+    }
+
     // A note during an outage is refused or unanswered; the operator repeats.
     void apply_again(json const& note)
     {
@@ -366,18 +388,26 @@
             this->start_again(step.target);
             break;
         case step_kind::domain_out:
-            this->take_out(step.target);
+            this->queue_note(
+                [this, &step]
+                {
+                    this->take_out(step.target);
+                });
             break;
         case step_kind::domain_in:
-            this->bring_back(step.target);
+            this->queue_return(step.target);
             break;
         case step_kind::new_version:
-            this->apply_again(
-                {{"changed",
-                  {{"models",
-                    {{this->script.fleet.model,
-                      this->model_clause(this->second.digest)}}}}}});
             this->newest = this->second.digest;
+            this->queue_note(
+                [this]
+                {
+                    this->apply_again(
+                        {{"changed",
+                          {{"models",
+                            {{this->script.fleet.model,
+                              this->model_clause(this->second.digest)}}}}}});
+                });
             break;
         default:
             this->begin_outside(step);
@@ -435,7 +465,7 @@
             this->running.signal(step.target, SIGCONT);
             break;
         case step_kind::domain_out:
-            this->bring_back(step.target);
+            this->queue_return(step.target);
             break;
         case step_kind::cut_links:
             this->to_links({{"cut", "none"}});
@@ -480,17 +510,33 @@
     {
         this->apply_again({{"failure_domains", {{domain, "out"}}}});
         auto const now = wall_now();
+        std::lock_guard const lock(this->seen_mutex);
         this->seen.domains_out.push_back({domain, now, now + longest_wait});
     }
 
-    void bring_back(std::string const& domain)
+    void queue_return(std::string const& domain)
     {
+        this->queue_note(
+            [this, domain]
+            {
+                this->bring_back(domain);
+            });
+    }
+
+    void end_absence(std::string const& domain)
+    {
+        std::lock_guard const lock(this->seen_mutex);
         // From the moment the note may have been accepted work is allowed.
         for (auto& gone : this->seen.domains_out)
         {
             gone.until = gone.of == domain ? std::min(gone.until, wall_now())
                                            : gone.until;
         }
+    }
+
+    void bring_back(std::string const& domain)
+    {
+        this->end_absence(domain);
         this->apply_again({{"failure_domains", {{domain, "in"}}}});
     }
 
@@ -627,6 +673,9 @@
     std::set<std::string> down;
     std::vector<std::string> failures;
     std::vector<std::future<void>> marked;
+    std::future<void> note_work;
+    // Guards what the notes' thread and the steps both add to the evidence.
+    std::mutex seen_mutex;
     int notes = 0;
 };
 
