--- a/libs/node/include/node/peer_bus.hpp
+++ b/libs/node/include/node/peer_bus.hpp
@@ -26,7 +26,8 @@
     using handler = std::function<void(std::string, wire::Envelope)>;
     using fault_handler = std::function<void(base::error, std::string)>;
 
-    // Listens at the settings' peer address. The loop must outlive the bus.
+    // Listens at the settings' peer address; throws std::runtime_error that
+    // names it when that fails. The loop must outlive the bus.
     peer_bus(
         event_loop& loop,
         release::node_settings const& settings,
@@ -55,6 +56,7 @@
     std::string rewritten(std::string const& address) const;
 
     std::string name;
+    std::string own_address;
     std::uint64_t incarnation;
     std::vector<release::address_rewrite> rewrites;
     zmq::context_t context;
--- a/libs/node/include/node/platform_client.hpp
+++ b/libs/node/include/node/platform_client.hpp
@@ -4,16 +4,23 @@
 #include <node/worker_pool.hpp>
 
 #include <core/platform.hpp>
+#include <http/http_client.hpp>
 
 #include <functional>
+#include <memory>
+#include <mutex>
+#include <set>
 #include <string>
 
 namespace foxtailvale::node
 {
 
 // Makes one call to the platform's object API and waits for its answer.
-core::platform_answer
-call_platform(std::string const& base, core::platform_call const& call);
+// A waiting watch ends when the control cancels it.
+core::platform_answer call_platform(
+    std::string const& base,
+    core::platform_call const& call,
+    std::shared_ptr<http::call_control> control = nullptr);
 
 // Calls the platform on threads of its own and answers on the loop.
 class platform_client
@@ -23,12 +30,24 @@
 
     platform_client(event_loop& loop, std::string base, handler answer);
 
+    // Does not wait for the end of a watch: an entry that was told to stop
+    // would hold its VM for as long.
+    ~platform_client();
+    platform_client(platform_client const&) = delete;
+    platform_client& operator=(platform_client const&) = delete;
+
     void call(core::platform_call call);
 
 private:
+    std::shared_ptr<http::call_control> begin();
+    void end(std::shared_ptr<http::call_control> const& control);
+
     event_loop& loop;
     std::string base;
     handler receiver;
+    std::mutex mutex;
+    bool stopping = false;
+    std::set<std::shared_ptr<http::call_control>> active;
     worker_pool pool;
 };
 
