--- a/libs/agent_core/src/agent_core.cpp
+++ b/libs/agent_core/src/agent_core.cpp
@@ -18,8 +18,20 @@
     using body = wire::Envelope;
     switch (envelope.body_case())
     {
+    case body::BODY_NOT_SET:
+        // Only tells the peer's new incarnation.
+        return;
     case body::kRun:
-        return on_run(state, peer, envelope.run(), out);
+        return on_run(state, peer, envelope.run(), now, out);
+    case body::kReserve:
+        return on_reserve(state, peer, envelope.reserve(), now, out);
+    case body::kConfirmNotRun:
+        return on_confirm_not_run(
+            state, peer, envelope.confirm_not_run(), now, out);
+    case body::kOutcomeQuery:
+        return on_outcome_query(state, peer, envelope.outcome_query(), out);
+    case body::kSuspectNotice:
+        return on_suspect_notice(state, peer, envelope.suspect_notice(), out);
     case body::kCancel:
         return on_cancel(state, envelope.cancel(), out);
     case body::kConfigurationPush:
@@ -72,6 +84,11 @@
     {
         on_weights_send_failed(this->core, event, this->now);
         on_control_send_failed(this->core, event);
+        if (event.envelope.has_run_output())
+        {
+            on_output_undelivered(
+                this->core, event.envelope.run_output(), this->out);
+        }
     }
 
     void operator()(core::tick const& /*event*/)
@@ -80,6 +97,7 @@
         on_transfer_tick(this->core, this->now, this->out);
         on_upload_tick(this->core, this->now, this->out);
         on_activation_tick(this->core, this->now, this->out);
+        on_reservation_tick(this->core, this->now);
         check_drained(this->core, this->now, this->out);
     }
 
@@ -90,12 +108,12 @@
 
     void operator()(work_output const& event)
     {
-        on_work_output(this->core, event, this->out);
+        on_work_output(this->core, event, this->now, this->out);
     }
 
     void operator()(endpoint_report const& event)
     {
-        on_endpoint_report(this->core, event, this->out);
+        on_endpoint_report(this->core, event, this->now, this->out);
         on_engine_reported(this->core, event);
     }
 
--- a/libs/agent_core/src/control_flow.cpp
+++ b/libs/agent_core/src/control_flow.cpp
@@ -132,6 +132,16 @@
         {{"generation", next.generation}}});
 }
 
+// Takes over what the endpoint reports.
+void note_loaded(state& state, endpoint_report const& report)
+{
+    state.weights.serving.clear();
+    for (auto const& loaded : report.loaded)
+    {
+        state.weights.serving[loaded.model] = loaded.digest;
+    }
+}
+
 } // namespace
 
 void on_configuration_push(
@@ -223,7 +233,10 @@
 }
 
 void on_endpoint_report(
-    state& state, endpoint_report const& report, actions& out)
+    state& state,
+    endpoint_report const& report,
+    base::time_point now,
+    actions& out)
 {
     auto& control = state.control;
     control.endpoint_reachable = report.reachable;
@@ -232,15 +245,15 @@
         return;
     }
     auto& gate = state.requests.gate;
+    if (!gate.instance.empty() && report.instance != gate.instance)
+    {
+        report_crash(state, now, out);
+    }
     auto const turned = report.instance != gate.instance ||
                         (report.cold && !control.endpoint_cold);
     control.endpoint_cold = report.cold;
     auto const before = state.weights.serving;
-    state.weights.serving.clear();
-    for (auto const& loaded : report.loaded)
-    {
-        state.weights.serving[loaded.model] = loaded.digest;
-    }
+    note_loaded(state, report);
     on_release_changed(state);
     // Failure: the endpoint restarted or went cold without a word; under the
     // load that it bore when warm it would fall over and every caller on it
--- a/libs/entry_core/src/control_flow.cpp
+++ b/libs/entry_core/src/control_flow.cpp
@@ -230,6 +230,12 @@
         return on_lease_write(state, answer, call, out);
     case call_purpose::plan_write:
         return on_plan_write(state, answer, call, out);
+    case call_purpose::claim_read:
+        return on_claim_read(state, answer, call, now, out);
+    case call_purpose::claim_write:
+        return on_claim_written(state, answer, call, now, out);
+    case call_purpose::claim_close:
+        return on_claim_closed(state, answer, call, now);
     }
 }
 
--- a/libs/entry_core/src/membership_flow.cpp
+++ b/libs/entry_core/src/membership_flow.cpp
@@ -170,6 +170,7 @@
     out.push_back(core::disconnect_peer{name});
     state.control.addresses.erase(name);
     state.control.gossip.lives.erase(name);
+    state.requests.incarnations.erase(name);
     if (state.control.endpoints.erase(name) > 0)
     {
         on_endpoint_lost(state, name, now, out);
--- a/libs/entry_core/src/replication_flow.cpp
+++ b/libs/entry_core/src/replication_flow.cpp
@@ -22,8 +22,10 @@
 constexpr std::size_t least_greeted = 3;
 
 // Rounds between two greetings of an agent that sends its heartbeats here, and
-// of one in another failure domain.
-constexpr std::uint64_t listened_rounds = 3;
+// of one in another failure domain. An agent that restarts knows nobody until
+// it is greeted; later, its callers would wait for lost answers until their
+// deadlines.
+constexpr std::uint64_t listened_rounds = 1;
 constexpr std::uint64_t far_rounds = 5;
 
 // Heartbeats of agents in other failure domains: their load matters only when
@@ -157,6 +159,25 @@
     }
 }
 
+void keep_previous_digests(state& state, release::configuration const& next)
+{
+    for (auto const& [name, model] : next.models)
+    {
+        auto const old = state.control.configuration.models.find(name);
+        if (old != state.control.configuration.models.end() &&
+            old->second.digest != model.digest)
+        {
+            state.control.previous_digests[name] = old->second.digest;
+        }
+    }
+    std::erase_if(
+        state.control.previous_digests,
+        [&next](auto const& entry)
+        {
+            return !next.models.contains(entry.first);
+        });
+}
+
 // Pushes every plan that the sender of a whole digest lacks; tells whether the
 // sender has newer ones.
 bool push_missing_plans(
@@ -388,6 +409,7 @@
     {
         return;
     }
+    keep_previous_digests(state, next);
     state.control.configuration = std::move(next);
     state.control.gossip.adopted = now;
     auto const generation = state.control.configuration.generation;
