Ramp cold gates by the engine's word, let cut streams wait, keep connections

Cause: the first bench of the whole path (64 engines, 500 streams at once) cut 2 of 500: gates had doubled to the warm limit after six answers while the engines called themselves cold until the eighth, an engine fell over, and the streams it took along found no free slot at that moment and ended with the refusal. - The gate keeps the cold limit while the endpoint reports itself cold. - A cut stream waits for room at an endpoint of its digest, before all others. - The agent keeps connections to its endpoint open for calls that may run twice; a call that may not gets a new one, since nobody could say whether a closed one took it. - Four malloc arenas, and only the first piece of a stream carries its head. - `make bench-requests`.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 SOURCES = $(shell git ls-files --cached --others --exclude-standard \
 	'*.cpp' '*.hpp' | grep -v '\.pb\.')
 
-.PHONY: all deps configure build demo capacity test lint lint-changed format tidy proto \
+.PHONY: all deps configure build demo capacity bench-requests test lint lint-changed format tidy proto \
 	test-sanitize test-thread
 
 all: build
@@ -33,6 +33,12 @@
 	@$(BUILD)/bin/foxtailvale-capacity --programs $(BUILD)/bin \
 	    --work $(BUILD)/capacity --network $(NETWORK)
 
+# About a minute and a half; the table goes to the build folder.
+bench-requests: build
+	@$(BUILD)/bin/foxtailvale-bench-requests --programs $(BUILD)/bin \
+	    --work $(BUILD)/bench-requests --network $(NETWORK) \
+	    --page $(BUILD)/bench-requests.md
+
 test: build
 	@ctest --test-dir $(BUILD) --output-on-failure --no-tests=error
 
--- a/libs/agent_core/src/control_flow.cpp
+++ b/libs/agent_core/src/control_flow.cpp
@@ -194,6 +194,7 @@
     auto const turned = report.instance != gate.instance ||
                         (report.cold && !control.endpoint_cold);
     control.endpoint_cold = report.cold;
+    gate.cold = report.cold;
     auto const before = state.weights.serving;
     note_loaded(state, report);
     on_release_changed(state);
--- a/libs/entry_core/include/entry_core/entry_core.hpp
+++ b/libs/entry_core/include/entry_core/entry_core.hpp
@@ -117,6 +117,10 @@
 struct request_pool
 {
     request::admission_queue queue;
+    // Cut streams that wait for room at an endpoint of their digest. Their
+    // callers read already, so they go before all others, and none of them
+    // holds up those that may run on any digest.
+    std::set<caller_handle> resuming;
     // When an endpoint last could have served it, whether or not it had room.
     std::optional<base::time_point> last_served;
 };
--- a/libs/entry_core/include/entry_core/events.hpp
+++ b/libs/entry_core/include/entry_core/events.hpp
@@ -68,6 +68,7 @@
 struct reply
 {
     caller_handle caller = 0;
+    // Status, content type, generation and digest come with the first piece.
     std::uint32_t status = 0;
     std::string content_type;
     std::string body;
--- a/libs/entry_core/src/attempt_flow.cpp
+++ b/libs/entry_core/src/attempt_flow.cpp
@@ -201,9 +201,13 @@
         // The caller has nothing of that version: any released one will do.
         open.digest.clear();
     }
-    if (is_full(error.kind) && may_move)
+    if (is_full(error.kind))
     {
         out.push_back(core::count_retry{error.kind});
+        if (!may_move)
+        {
+            return wait_to_resume(state, open);
+        }
         readmit(state, open, now, out);
         return true;
     }
@@ -225,7 +229,7 @@
     }
     if (!may_move)
     {
-        return false;
+        return wait_to_resume(state, open);
     }
     readmit(state, open, now, out);
     return true;
@@ -257,15 +261,20 @@
     actions& out)
 {
     ++open.next_sequence;
-    ++open.relayed;
     reply piece;
     piece.caller = open.request.caller;
-    piece.status = output.status();
-    piece.content_type = output.content_type();
     piece.body = output.body();
     piece.last = output.last();
-    piece.generation = open.generation;
-    piece.digest = output.digest();
+    if (open.relayed == 0)
+    {
+        // The head; the pieces of 500 streams wait in memory, and carried by
+        // each it would be the larger half of them.
+        piece.status = output.status();
+        piece.content_type = output.content_type();
+        piece.generation = open.generation;
+        piece.digest = output.digest();
+    }
+    ++open.relayed;
     auto const told = open.detached;
     if (output.last())
     {
--- a/libs/entry_core/src/flows.hpp
+++ b/libs/entry_core/src/flows.hpp
@@ -47,6 +47,9 @@
 // Puts a request back that a gate had no room for.
 void readmit(
     state& state, open_request& open, base::time_point now, actions& out);
+// Lets a cut stream wait for an endpoint of its digest; false when there is
+// none.
+bool wait_to_resume(state& state, open_request& open);
 // Starts what waits, as far as there is room.
 void serve_waiting(state& state, base::time_point now, actions& out);
 // Refuses at once what cannot be answered in time any more.
--- a/libs/entry_core/src/queue_flow.cpp
+++ b/libs/entry_core/src/queue_flow.cpp
@@ -69,9 +69,31 @@
     }
 }
 
+void resume_streams(
+    state& state, request_pool& pool, base::time_point now, actions& out)
+{
+    auto const waiting = pool.resuming;
+    for (auto const caller : waiting)
+    {
+        auto& open = state.requests.open.at(caller);
+        if (place(state, open, now, out))
+        {
+            pool.resuming.erase(caller);
+        }
+        else if (!is_served(state, open))
+        {
+            end_with_error(
+                state, open,
+                {base::error_kind::endpoint_lost, "no endpoint of its version"},
+                now, out);
+        }
+    }
+}
+
 void serve_pool(
     state& state, request_pool& pool, base::time_point now, actions& out)
 {
+    resume_streams(state, pool, now, out);
     while (auto const waiting = request::next(pool.queue))
     {
         auto& open = state.requests.open.at(waiting->id);
@@ -112,6 +134,7 @@
 {
     if (open.stage == request_stage::waiting)
     {
+        pool_of(state, open).resuming.erase(open.request.caller);
         request::withdraw(pool_of(state, open).queue, as_waiting(state, open));
     }
 }
@@ -163,6 +186,18 @@
     serve_pool(state, pool, now, out);
 }
 
+bool wait_to_resume(state& state, open_request& open)
+{
+    open.stage = request_stage::waiting;
+    open.tried.clear();
+    if (!is_served(state, open))
+    {
+        return false;
+    }
+    pool_of(state, open).resuming.insert(open.request.caller);
+    return true;
+}
+
 void serve_waiting(state& state, base::time_point now, actions& out)
 {
     for (auto& [name, pool] : state.requests.pools)
--- a/libs/entry_core/tests/request_flow_tests.cpp
+++ b/libs/entry_core/tests/request_flow_tests.cpp
@@ -159,6 +159,40 @@
     EXPECT_TRUE(find<reply>(step(entry, last, {}))->last);
 }
 
+// A stream is cut and no other endpoint has room at that moment. It waits for a
+// slot, before all others, rather than end half read.
+TEST(entry_requests, a_cut_stream_waits_for_room)
+{
+    auto entry = make_entry();
+    auto const first = step(entry, chat(1), {});
+    auto const* const run = find<core::send_message>(first);
+    auto piece = answer_to(*run, 0, "");
+    piece.envelope.mutable_run_output()->set_last(false);
+    step(entry, piece, {});
+    for (auto& [name, view] : entry.control.endpoints)
+    {
+        view.limit = 0;
+    }
+    auto const lost = step(entry, answer_to(*run, 1, "endpoint_lost"), {});
+    EXPECT_EQ(find<core::send_message>(lost), nullptr);
+    EXPECT_EQ(find<refuse>(lost), nullptr);
+    step(entry, chat(2), {});
+    entry.control.endpoints.at("agent-1").limit = 1;
+    auto const served = step(entry, core::tick{}, {});
+    core::send_message const* resumed = nullptr;
+    for (auto const& ordered : served)
+    {
+        auto const* const sent = std::get_if<core::send_message>(&ordered);
+        if (sent != nullptr && sent->envelope.has_run())
+        {
+            EXPECT_EQ(resumed, nullptr);
+            resumed = sent;
+        }
+    }
+    ASSERT_NE(resumed, nullptr);
+    EXPECT_EQ(resumed->envelope.run().resume_from(), 1U);
+}
+
 // The gates of all endpoints are full. The caller waits for a moment instead
 // of being sent away, and is served when a slot comes free.
 TEST(entry_requests, a_request_waits_for_room)
--- a/libs/http/include/http/http_client.hpp
+++ b/libs/http/include/http/http_client.hpp
@@ -19,6 +19,7 @@
 {
 public:
     void cancel();
+    bool is_cancelled();
 
     // From the call: what to shut down. False when it is cancelled already.
     bool attach(std::function<void()> shut_down);
@@ -30,6 +31,12 @@
     bool cancelled = false;
 };
 
+class kept_connections;
+
+// Makes a place for connections that are kept open between calls to one
+// address. Shared by several threads.
+std::shared_ptr<kept_connections> make_kept_connections();
+
 struct request
 {
     // "http://IP:PORT".
@@ -42,6 +49,11 @@
     std::chrono::milliseconds timeout{1000};
     // Set for a call that may be broken off.
     std::shared_ptr<call_control> control;
+    // Set for a call that may go over a connection which an earlier call left
+    // open. The other side may have closed it just now, and then nobody can say
+    // whether the call arrived: it is made again over a new one. Only for calls
+    // that may run twice.
+    std::shared_ptr<kept_connections> kept;
 };
 
 struct response
--- a/libs/http/src/http_client.cpp
+++ b/libs/http/src/http_client.cpp
@@ -8,8 +8,8 @@
 
 #include <istream>
 #include <iterator>
-#include <optional>
 #include <ostream>
+#include <vector>
 
 namespace foxtailvale::http
 {
@@ -109,6 +109,7 @@
     Poco::Net::HTTPResponse answer;
     auto& body = session.receiveResponse(answer);
     auto const head = read_head(answer);
+    session.setKeepAlive(answer.getKeepAlive());
     if (head.content_type.starts_with("text/event-stream"))
     {
         relay_events(body, head, handle);
@@ -172,6 +173,101 @@
 
 } // namespace
 
+// Sessions by age, the youngest last.
+class kept_connections
+{
+public:
+    std::unique_ptr<HTTPClientSession> take()
+    {
+        std::lock_guard const lock(this->mutex);
+        if (this->idle.empty() ||
+            clock::now() - this->idle.back().since > longest_idle)
+        {
+            this->idle.clear();
+            return nullptr;
+        }
+        auto session = std::move(this->idle.back().session);
+        this->idle.pop_back();
+        return session;
+    }
+
+    void give_back(std::unique_ptr<HTTPClientSession> session)
+    {
+        std::lock_guard const lock(this->mutex);
+        if (this->idle.size() < most_idle)
+        {
+            this->idle.push_back({std::move(session), clock::now()});
+        }
+    }
+
+private:
+    using clock = std::chrono::steady_clock;
+
+    // Well below the time after which servers close idle connections.
+    static constexpr std::chrono::milliseconds longest_idle{2000};
+    static constexpr std::size_t most_idle = 64;
+
+    struct idle_session
+    {
+        std::unique_ptr<HTTPClientSession> session;
+        clock::time_point since;
+    };
+
+    std::mutex mutex;
+    std::vector<idle_session> idle;
+};
+
+namespace
+{
+
+bool is_cancelled(request const& ask)
+{
+    return ask.control && ask.control->is_cancelled();
+}
+
+// Makes the call over an open connection, which is kept afterwards if the
+// answer was read whole and both sides agree.
+base::result<response> run_call(
+    request const& ask,
+    std::unique_ptr<HTTPClientSession> session,
+    piece_handler const& handle)
+{
+    controlled_call const controlled(ask, session->socket());
+    if (!controlled.wanted)
+    {
+        return base::fail(base::error_kind::peer_unreachable, "cancelled");
+    }
+    try
+    {
+        session->setTimeout(timespan(ask.timeout));
+        session->setKeepAlive(ask.kept != nullptr);
+        send_request(*session, ask);
+        auto whole = true;
+        auto answer = read_answer(
+            *session,
+            [&](response const& head, std::string piece)
+            {
+                whole = handle(head, std::move(piece));
+                return whole;
+            });
+        if (answer && whole && ask.kept && session->getKeepAlive())
+        {
+            ask.kept->give_back(std::move(session));
+        }
+        return answer;
+    }
+    catch (Poco::Exception const& fault)
+    {
+        return base::fail(base::error_kind::endpoint_lost, fault.displayText());
+    }
+    catch (std::exception const& fault)
+    {
+        return base::fail(base::error_kind::endpoint_lost, fault.what());
+    }
+}
+
+} // namespace
+
 void call_control::cancel()
 {
     std::lock_guard const lock(this->mutex);
@@ -182,6 +278,12 @@
     }
 }
 
+bool call_control::is_cancelled()
+{
+    std::lock_guard const lock(this->mutex);
+    return this->cancelled;
+}
+
 bool call_control::attach(std::function<void()> shut_down)
 {
     std::lock_guard const lock(this->mutex);
@@ -195,37 +297,37 @@
     this->stop = nullptr;
 }
 
+std::shared_ptr<kept_connections> make_kept_connections()
+{
+    return std::make_shared<kept_connections>();
+}
+
 base::result<response> stream(request const& ask, piece_handler const& on_piece)
 {
-    std::optional<Poco::Net::StreamSocket> socket;
-    try
+    auto kept = ask.kept ? ask.kept->take() : nullptr;
+    if (kept)
     {
-        socket = open_socket(ask);
-    }
-    catch (Poco::Exception const& fault)
-    {
-        return base::fail(
-            base::error_kind::peer_unreachable, fault.displayText());
-    }
-    controlled_call const controlled(ask, *socket);
-    if (!controlled.wanted)
-    {
-        return base::fail(base::error_kind::peer_unreachable, "cancelled");
+        auto begun = false;
+        auto const watch = [&](response const& head, std::string piece)
+        {
+            begun = true;
+            return on_piece(head, std::move(piece));
+        };
+        auto const answer = run_call(ask, std::move(kept), watch);
+        if (answer || begun || is_cancelled(ask))
+        {
+            return answer;
+        }
     }
     try
     {
-        HTTPClientSession session(*socket);
-        session.setTimeout(timespan(ask.timeout));
-        send_request(session, ask);
-        return read_answer(session, on_piece);
+        auto fresh = std::make_unique<HTTPClientSession>(open_socket(ask));
+        return run_call(ask, std::move(fresh), on_piece);
     }
     catch (Poco::Exception const& fault)
     {
-        return base::fail(base::error_kind::endpoint_lost, fault.displayText());
-    }
-    catch (std::exception const& fault)
-    {
-        return base::fail(base::error_kind::endpoint_lost, fault.what());
+        return base::fail(
+            base::error_kind::peer_unreachable, fault.displayText());
     }
 }
 
--- a/libs/http/src/parking_server.cpp
+++ b/libs/http/src/parking_server.cpp
@@ -40,10 +40,8 @@
 {
 public:
     parked_connection(
-        Poco::Net::StreamSocket const& peer,
-        Poco::Net::HTTPServerParams::Ptr const& parameters,
-        std::atomic<std::size_t>& count)
-        : socket(peer), session(peer, parameters), open_count(count)
+        Poco::Net::StreamSocket const& peer, std::atomic<std::size_t>& count)
+        : socket(peer), open_count(count)
     {
         ++this->open_count;
     }
@@ -57,7 +55,6 @@
     parked_connection& operator=(parked_connection const&) = delete;
 
     Poco::Net::StreamSocket socket;
-    Poco::Net::HTTPServerSession session;
     steady::time_point parked_at;
 
 private:
@@ -135,7 +132,7 @@
             peer.setSendTimeout(timespan(this->options.stall_limit));
             peer.setReceiveTimeout(timespan(this->options.stall_limit));
             this->park(std::make_shared<parked_connection>(
-                peer, this->parameters, this->open_connections));
+                peer, this->open_connections));
         }
     }
     catch (Poco::Exception const&)
@@ -221,9 +218,11 @@
 
 void parking_server::serve(connection const& active)
 {
-    auto& session = active->session;
     try
     {
+        // The session's buffers are given back while the connection is idle;
+        // it parks only when nothing is left in them.
+        Poco::Net::HTTPServerSession session(active->socket, this->parameters);
         while (!this->stopping && session.hasMoreRequests())
         {
             Poco::Net::HTTPServerResponseImpl response(session);
@@ -241,6 +240,8 @@
         }
         if (session.getKeepAlive() && !this->stopping)
         {
+            // Or the session's end would close it.
+            active->socket = session.detachSocket();
             this->park(active);
             return;
         }
--- a/libs/node/include/node/endpoint_client.hpp
+++ b/libs/node/include/node/endpoint_client.hpp
@@ -57,6 +57,7 @@
     std::mutex mutex;
     std::map<base::attempt_id, std::shared_ptr<http::call_control>> active;
     std::set<base::attempt_id> cancelled;
+    std::shared_ptr<http::kept_connections> kept;
     worker_pool work_pool;
     worker_pool transfer_pool;
     worker_pool poll_pool;
--- a/libs/node/src/caller_server.cpp
+++ b/libs/node/src/caller_server.cpp
@@ -24,7 +24,7 @@
 // Pieces and bytes that wait for a slow reader. A fast engine is some seconds
 // ahead then; past it the stream ends, since what is kept for one caller is
 // taken from all.
-constexpr std::size_t most_waiting_items = 4096;
+constexpr std::size_t most_waiting_items = 1024;
 constexpr std::size_t most_waiting_bytes = 1024UL * 1024;
 
 constexpr char const* problem_type = "application/problem+json";
--- a/libs/node/src/endpoint_client.cpp
+++ b/libs/node/src/endpoint_client.cpp
@@ -87,8 +87,8 @@
 endpoint_client::endpoint_client(
     event_loop& owner, endpoint_addresses where, handler receive)
     : loop(owner), addresses(std::move(where)), receiver(std::move(receive)),
-      work_pool(most_work_threads), transfer_pool(most_transfer_threads),
-      poll_pool(1)
+      kept(http::make_kept_connections()), work_pool(most_work_threads),
+      transfer_pool(most_transfer_threads), poll_pool(1)
 {
 }
 
@@ -151,6 +151,10 @@
         std::lock_guard const lock(this->mutex);
         request.control = this->active.at(attempt);
     }
+    if (work.run.token() == 0)
+    {
+        request.kept = this->kept;
+    }
     auto const answer = http::stream(request, on_piece);
     if (!ended)
     {
--- a/libs/node/src/entry_node.cpp
+++ b/libs/node/src/entry_node.cpp
@@ -7,6 +7,7 @@
 #include <node/operator_server.hpp>
 #include <node/platform_client.hpp>
 
+#include <malloc.h>
 #include <nlohmann/json.hpp>
 
 #include <cstdlib>
@@ -19,6 +20,7 @@
 
 constexpr std::chrono::milliseconds tick_interval{20};
 constexpr std::uint16_t operator_threads = 4;
+constexpr int most_arenas = 4;
 
 // The entry's core between its adapters. All of it lives on the loop's thread.
 class entry_driver
@@ -130,6 +132,9 @@
 
 int run_entry(release::entry_settings const& settings)
 {
+    // Each caller's thread would take an arena of its own otherwise, and what
+    // one frees the others could not use.
+    mallopt(M_ARENA_MAX, most_arenas);
     auto const& node = settings.node;
     event_loop loop;
     std::shared_ptr<entry_driver> driver;
--- a/libs/request/include/request/gate.hpp
+++ b/libs/request/include/request/gate.hpp
@@ -23,6 +23,10 @@
     std::uint32_t limit = 1;
     // Answers on time since the limit last grew.
     std::uint32_t answers = 0;
+    // The endpoint reports itself cold. Failure: the limit doubles with the
+    // first answers, the engine is still compiling, and falls over under the
+    // doubled load; while it says so, the cold limit stays.
+    bool cold = false;
     bool leaving = false;
     bool domain_in = true;
     // Instance of the endpoint that the limit was earned by.
--- a/libs/request/src/gate.cpp
+++ b/libs/request/src/gate.cpp
@@ -43,7 +43,8 @@
     {
         return;
     }
-    if (state.limit >= state.warm_limit || ++state.answers < state.limit)
+    if (state.cold || state.limit >= state.warm_limit ||
+        ++state.answers < state.limit)
     {
         return;
     }
--- a/libs/request/tests/gate_tests.cpp
+++ b/libs/request/tests/gate_tests.cpp
@@ -54,4 +54,27 @@
     EXPECT_EQ(ask(state, 3).error().kind, error_kind::endpoint_leaving);
 }
 
+// A started engine answers its first requests and is not warm yet. Given twice
+// the load it falls over, and everything that runs on it is lost.
+TEST(gate, does_not_grow_while_the_endpoint_says_it_is_cold)
+{
+    gate state;
+    set_limits(state, 8, 2);
+    turn_cold(state, "i");
+    state.cold = true;
+    for (std::uint64_t number = 0; number < 20; ++number)
+    {
+        ASSERT_TRUE(admit(state, {{number, 1}, "", ""}).has_value());
+        finish(state, {number, 1}, true);
+    }
+    EXPECT_EQ(state.limit, 2U);
+    state.cold = false;
+    for (std::uint64_t number = 0; number < 6; ++number)
+    {
+        admit(state, {{number, 2}, "", ""}).value();
+        finish(state, {number, 2}, true);
+    }
+    EXPECT_EQ(state.limit, 8U);
+}
+
 } // namespace foxtailvale::request
