--- a/libs/agent_core/src/agent_core.cpp
+++ b/libs/agent_core/src/agent_core.cpp
@@ -53,6 +53,12 @@
             state, peer, envelope.manifest_reply(), now, out);
     case body::kChunkHave:
         return on_chunk_have(state, peer, envelope.chunk_have(), now);
+    case body::kActivationQuery:
+        return on_activation_query(
+            state, peer, envelope.activation_query(), out);
+    case body::kActivationReply:
+        return on_activation_reply(
+            state, peer, envelope.activation_reply(), now);
     default:
         out.push_back(core::report_error{
             {base::error_kind::bad_frame, "no use for this message"},
@@ -91,24 +97,23 @@
         on_upload_tick(this->core, this->now, this->out);
         on_activation_tick(this->core, this->now, this->out);
         on_reservation_tick(this->core, this->now);
-        check_drained(this->core, this->out);
+        check_drained(this->core, this->now, this->out);
     }
 
     void operator()(core::stop_requested const& /*event*/)
     {
         on_stop(this->core, this->now, this->out);
-        check_drained(this->core, this->out);
     }
 
     void operator()(work_output const& event)
     {
         on_work_output(this->core, event, this->now, this->out);
-        check_drained(this->core, this->out);
     }
 
     void operator()(endpoint_report const& event)
     {
         on_endpoint_report(this->core, event, this->now, this->out);
+        on_engine_reported(this->core, event);
     }
 
     void operator()(order_answered const& event)
--- a/libs/agent_core/src/control_flow.cpp
+++ b/libs/agent_core/src/control_flow.cpp
@@ -27,6 +27,10 @@
     beat.set_engine_instance(gate.instance);
     for (auto const& [model, digest] : state.weights.serving)
     {
+        if (state.weights.switching.contains(model))
+        {
+            continue;
+        }
         auto* const loaded = beat.add_loaded();
         loaded->set_model(model);
         loaded->set_digest(digest);
@@ -83,27 +87,6 @@
         {{"generation", next.generation}}});
 }
 
-// Takes over what the endpoint reports, but for models that were being changed
-// when it was asked.
-void note_loaded(state& state, endpoint_report const& report)
-{
-    auto& weights = state.weights;
-    std::erase_if(
-        weights.changing,
-        [&report](auto const& entry)
-        {
-            return entry.second < report.asked;
-        });
-    weights.serving.clear();
-    for (auto const& loaded : report.loaded)
-    {
-        if (!weights.changing.contains(loaded.model))
-        {
-            weights.serving[loaded.model] = loaded.digest;
-        }
-    }
-}
-
 } // namespace
 
 void on_configuration_push(
@@ -196,7 +179,11 @@
     control.endpoint_cold = report.cold;
     gate.cold = report.cold;
     auto const before = state.weights.serving;
-    note_loaded(state, report);
+    state.weights.serving.clear();
+    for (auto const& loaded : report.loaded)
+    {
+        state.weights.serving[loaded.model] = loaded.digest;
+    }
     on_release_changed(state);
     // Failure: the endpoint restarted or went cold without a word; under the
     // load that it bore when warm it would fall over and every caller on it
@@ -244,6 +231,7 @@
 void on_stop(state& state, base::time_point now, actions& out)
 {
     state.control.stopping = true;
+    core::begin_drain(state.control.drain, now);
     state.requests.gate.leaving = true;
     out.push_back(core::write_log{kernel::event_id::process_stopping, {}});
     send_heartbeats(state, now, out);
--- a/libs/agent_core/src/flows.hpp
+++ b/libs/agent_core/src/flows.hpp
@@ -26,7 +26,7 @@
 void on_output_undelivered(
     state const& state, wire::RunOutput const& output, actions& out);
 void on_release_changed(state& state);
-void check_drained(state& state, actions& out);
+void check_drained(state& state, base::time_point now, actions& out);
 // Tells the entry why an attempt was not run.
 void refuse_attempt(
     state const& state,
@@ -136,8 +136,21 @@
     order_answered const& answer,
     base::time_point now,
     actions& out);
+void on_engine_reported(state& state, endpoint_report const& report);
 void on_activation_tick(state& state, base::time_point now, actions& out);
 
+// rollout_flow.cpp
+void on_activation_query(
+    state& state,
+    std::string const& peer,
+    wire::ActivationQuery const& query,
+    actions& out);
+void on_activation_reply(
+    state& state,
+    std::string const& peer,
+    wire::ActivationReply const& reply,
+    base::time_point now);
+
 // control_flow.cpp
 void on_configuration_push(
     state& state, wire::ConfigurationPush const& push, actions& out);
--- a/libs/entry_core/include/entry_core/entry_core.hpp
+++ b/libs/entry_core/include/entry_core/entry_core.hpp
@@ -11,6 +11,8 @@
 #include <request/claim.hpp>
 #include <request/suspects.hpp>
 
+#include <core/drain.hpp>
+
 #include <map>
 #include <optional>
 #include <set>
@@ -30,6 +32,7 @@
     std::string failure_domain;
     std::string region;
     std::uint32_t most_requests = 2048;
+    core::drain_limits drain_limits;
 };
 
 // An endpoint as its agent last reported it.
@@ -184,6 +187,8 @@
     // Digest that the configuration before named, by model: endpoints serve it
     // until they have loaded the new one.
     std::map<std::string, std::string> previous_digests;
+    // Version of the release's object that was last answered.
+    std::uint64_t release_object_version = 0;
     control::membership members;
     std::map<std::string, endpoint_view> endpoints;
     // Plans by failure domain, and the object version of our own.
@@ -199,6 +204,7 @@
     std::set<std::string> connected;
     base::time_point last_hello;
     bool stopping = false;
+    core::drain drain;
 };
 
 struct state
--- a/libs/entry_core/src/flows.hpp
+++ b/libs/entry_core/src/flows.hpp
@@ -22,7 +22,7 @@
 void end_late(
     state& state, open_request& open, base::time_point now, actions& out);
 void on_request_tick(state& state, base::time_point now, actions& out);
-void check_drained(state& state, actions& out);
+void check_drained(state& state, base::time_point now, actions& out);
 
 // request_end.cpp
 void refuse_caller(
--- a/libs/http/include/http/parking_server.hpp
+++ b/libs/http/include/http/parking_server.hpp
@@ -1,7 +1,6 @@
 #ifndef FOXTAILVALE_HTTP_PARKING_SERVER_HPP
 #define FOXTAILVALE_HTTP_PARKING_SERVER_HPP
 
-#include <Poco/Net/HTTPServerParams.h>
 #include <Poco/Net/PollSet.h>
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/StreamSocket.h>
@@ -15,6 +14,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <thread>
 #include <vector>
 
@@ -39,6 +39,7 @@
 
 // One caller's connection, kept alive between requests.
 class parked_connection;
+struct request_answering;
 
 // An HTTP server whose idle connections hold no thread. Made for thousands of
 // callers that keep their connections open and ask now and then: with a thread
@@ -48,11 +49,19 @@
 class parking_server
 {
 public:
-    parking_server(parking_options const& options, server_handler handler);
+    parking_server(
+        parking_options const& options,
+        server_handler handler,
+        bad_head_handler bad_head = {});
+    // Ends all connections, also busy ones.
     ~parking_server();
     parking_server(parking_server const&) = delete;
     parking_server& operator=(parking_server const&) = delete;
 
+    // Stops listening, ends waiting connections and waits until the busy ones
+    // are answered; false when the time is over first.
+    bool drain(std::chrono::milliseconds most);
+
 private:
     using connection = std::shared_ptr<parked_connection>;
 
@@ -63,19 +72,23 @@
     void park(connection const& idle);
     void work_loop();
     void serve(connection const& active);
+    void stop_listening();
+    bool is_idle() const;
 
     parking_options options;
-    server_handler handler;
-    Poco::Net::HTTPServerParams::Ptr parameters;
+    std::unique_ptr<request_answering> answering;
     Poco::Net::ServerSocket listener;
     Poco::Net::PollSet polled;
     std::mutex mutex;
     std::condition_variable ready;
     std::map<Poco::Net::Socket, connection> parked;
     std::deque<connection> waiting;
+    std::set<connection> busy;
+    std::condition_variable changed;
     std::vector<std::thread> workers;
     std::size_t idle_workers = 0;
     std::atomic<std::size_t> open_connections{0};
+    std::atomic<bool> draining{false};
     std::atomic<bool> stopping{false};
     std::thread poller;
 };
--- a/libs/http/src/parking_server.cpp
+++ b/libs/http/src/parking_server.cpp
@@ -1,10 +1,13 @@
+#include "connection.hpp"
+
 #include <Poco/Net/HTTPServerRequestImpl.h>
-#include <Poco/Net/HTTPServerResponseImpl.h>
 #include <Poco/Net/HTTPServerSession.h>
 #include <Poco/Net/SocketAddress.h>
 #include <http/parking_server.hpp>
 #include <sys/socket.h>
 
+#include <stdexcept>
+
 namespace foxtailvale::http
 {
 
@@ -34,6 +37,35 @@
     return made;
 }
 
+Poco::Net::ServerSocket listen_at(parking_options const& options)
+{
+    Poco::Net::SocketAddress const address(options.address, options.port);
+    try
+    {
+        return {address, listen_backlog};
+    }
+    catch (Poco::Exception const& fault)
+    {
+        throw std::runtime_error(
+            "cannot listen at " + address.toString() + ": " +
+            fault.displayText());
+    }
+}
+
+// A socket that its peer has closed cannot be shut down again.
+void shut_down(Poco::Net::StreamSocket& socket, bool both_ways)
+{
+    try
+    {
+        both_ways ? static_cast<void>(socket.shutdown())
+                  : socket.shutdownReceive();
+    }
+    catch (Poco::Exception const&)
+    {
+        return;
+    }
+}
+
 } // namespace
 
 class parked_connection
@@ -62,10 +94,18 @@
 };
 
 parking_server::parking_server(
-    parking_options const& how, server_handler answer)
-    : options(how), handler(std::move(answer)),
-      parameters(make_parameters(how.stall_limit)),
-      listener(Poco::Net::SocketAddress(how.address, how.port), listen_backlog)
+    parking_options const& how,
+    server_handler answer,
+    bad_head_handler bad_head)
+    : options(how),
+      answering(std::make_unique<request_answering>(request_answering{
+          std::move(answer), std::move(bad_head),
+          make_parameters(how.stall_limit),
+          [this]
+          {
+              return this->draining || this->stopping;
+          }})),
+      listener(listen_at(how))
 {
     this->listener.setBlocking(false);
     this->polled.add(this->listener, Poco::Net::PollSet::POLL_READ);
@@ -83,6 +123,10 @@
     {
         std::lock_guard const lock(this->mutex);
         this->waiting.clear();
+        for (auto const& active : this->busy)
+        {
+            shut_down(active->socket, true);
+        }
     }
     this->ready.notify_all();
     for (auto& worker : this->workers)
@@ -91,15 +135,51 @@
     }
 }
 
+bool parking_server::drain(milliseconds most)
+{
+    this->draining = true;
+    std::unique_lock lock(this->mutex);
+    // Failure: a request that has arrived but is not read yet would be cut off.
+    // Only the way in is closed: the connection turns readable, what has come
+    // is answered, and the end is seen after it.
+    for (auto const& [socket, idle] : this->parked)
+    {
+        shut_down(idle->socket, false);
+    }
+    return this->changed.wait_for(
+        lock, most,
+        [this]
+        {
+            return this->is_idle();
+        });
+}
+
+bool parking_server::is_idle() const
+{
+    return this->busy.empty() && this->waiting.empty() && this->parked.empty();
+}
+
+void parking_server::stop_listening()
+{
+    this->polled.remove(this->listener);
+    this->listener.close();
+}
+
 void parking_server::poll_loop()
 {
+    auto listens = true;
     auto last_sweep = steady::now();
     while (!this->stopping)
     {
+        if (listens && this->draining)
+        {
+            listens = false;
+            this->stop_listening();
+        }
         for (auto const& [socket, mode] :
              this->polled.poll(timespan(poll_interval)))
         {
-            if (socket == this->listener)
+            if (listens && socket == this->listener)
             {
                 this->accept();
             }
@@ -165,6 +245,10 @@
     std::lock_guard const lock(this->mutex);
     this->parked[idle->socket] = idle;
     this->polled.add(idle->socket, Poco::Net::PollSet::POLL_READ);
+    if (this->draining)
+    {
+        shut_down(idle->socket, false);
+    }
 }
 
 void parking_server::hand_over(Poco::Net::Socket const& socket)
@@ -178,8 +262,8 @@
     this->polled.remove(socket);
     this->waiting.push_back(std::move(found->second));
     this->parked.erase(found);
-    auto const busy = this->idle_workers < this->waiting.size();
-    if (busy && this->workers.size() < this->options.most_workers)
+    auto const needed = this->idle_workers < this->waiting.size();
+    if (needed && this->workers.size() < this->options.most_workers)
     {
         this->workers.emplace_back(
             [this]
@@ -211,8 +295,14 @@
             }
             next = std::move(this->waiting.front());
             this->waiting.pop_front();
+            this->busy.insert(next);
         }
         this->serve(next);
+        {
+            std::lock_guard const lock(this->mutex);
+            this->busy.erase(next);
+        }
+        this->changed.notify_all();
     }
 }
 
@@ -222,29 +312,21 @@
     {
         // The session's buffers are given back while the connection is idle;
         // it parks only when nothing is left in them.
-        Poco::Net::HTTPServerSession session(active->socket, this->parameters);
-        while (!this->stopping && session.hasMoreRequests())
+        Poco::Net::HTTPServerSession session(
+            active->socket, this->answering->params);
+        auto goes_on = true;
+        while (goes_on && !this->stopping && session.hasMoreRequests())
         {
-            Poco::Net::HTTPServerResponseImpl response(session);
-            Poco::Net::HTTPServerRequestImpl request(
-                response, session, this->parameters);
-            response.setVersion(request.getVersion());
-            response.setKeepAlive(
-                this->parameters->getKeepAlive() && request.getKeepAlive() &&
-                session.canKeepAlive());
-            response.setDate(Poco::Timestamp());
-            this->handler(request, response);
-            session.setKeepAlive(
-                this->parameters->getKeepAlive() && response.getKeepAlive() &&
-                session.canKeepAlive());
+            goes_on = answer_request(session, *this->answering);
         }
-        if (session.getKeepAlive() && !this->stopping)
+        // Or the session's end would close it.
+        active->socket = session.detachSocket();
+        if (goes_on && !this->draining)
         {
-            // Or the session's end would close it.
-            active->socket = session.detachSocket();
             this->park(active);
             return;
         }
+        linger(active->socket);
     }
     catch (std::exception const&)
     {
--- a/libs/node/src/endpoint_client.cpp
+++ b/libs/node/src/endpoint_client.cpp
@@ -240,12 +240,10 @@
             request.base = this->addresses.endpoint;
             request.path = "/state";
             request.timeout = poll_timeout;
-            auto const asked = std::chrono::steady_clock::now();
             auto const answer = http::call(request);
             auto const failed = failure_of(answer, "endpoint").has_value();
             auto report = failed ? agent_core::endpoint_report{}
                                  : read_report(answer.value().body);
-            report.asked = asked;
             this->deliver(std::move(report));
         });
 }
