--- a/libs/http/src/http_client.cpp
+++ b/libs/http/src/http_client.cpp
@@ -313,7 +313,7 @@
             begun = true;
             return on_piece(head, std::move(piece));
         };
-        auto const answer = run_call(ask, std::move(kept), watch);
+        auto answer = run_call(ask, std::move(kept), watch);
         if (answer || begun || is_cancelled(ask))
         {
             return answer;
