--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 SOURCES = $(shell git ls-files --cached --others --exclude-standard \
 	'*.cpp' '*.hpp' | grep -v '\.pb\.')
 
-.PHONY: all deps configure build demo capacity bench-requests test lint lint-changed format tidy proto \
+.PHONY: all deps configure build demo capacity bench-requests bench-weights test lint lint-changed format tidy proto \
 	test-sanitize test-thread
 
 all: build
@@ -39,6 +39,12 @@
 	    --work $(BUILD)/bench-requests --network $(NETWORK) \
 	    --page $(BUILD)/bench-requests.md
 
+bench-weights: build
+	@$(BUILD)/bin/foxtailvale-bench-weights --programs $(BUILD)/bin \
+	    --work $(BUILD)/bench-weights --network $(NETWORK) \
+	    --csv docs/measurements/weights.csv
+	@gnuplot benchmarks/weights/plot.gnuplot
+
 test: build
 	@ctest --test-dir $(BUILD) --output-on-failure --no-tests=error
 
--- a/libs/agent_core/include/agent_core/agent_core.hpp
+++ b/libs/agent_core/include/agent_core/agent_core.hpp
@@ -105,12 +105,15 @@
     // When a chunk came last, from anywhere.
     base::time_point last_chunk;
     std::map<std::uint32_t, pending_chunk> pending;
+    // Computed from the plans in force, by chunk.
+    std::map<std::uint32_t, std::optional<weights::chunk_sources>> sources;
     // Sources that will not give a chunk, and until when.
     std::map<std::uint32_t, std::map<std::string, base::time_point>> declined;
     // Chunks that other agents said they hold, by agent.
     std::map<std::string, std::vector<bool>> holders;
     // How often the origin sent other bytes than a chunk's.
     std::map<std::uint32_t, std::uint32_t> corrupt_draws;
+    std::uint32_t corrupt_manifests = 0;
     // Agents that refuse the version because the origin's bytes are wrong.
     std::set<std::string> refusals;
     bool refused = false;
--- a/libs/entry_core/src/flows.hpp
+++ b/libs/entry_core/src/flows.hpp
@@ -94,6 +94,8 @@
 // An agent is gone: what it ran is lost.
 void on_endpoint_lost(
     state& state, std::string const& agent, base::time_point now, actions& out);
+// Decides whether the balancer may send callers.
+void update_readiness(state& state, base::time_point now);
 // Notes the incarnation that a peer speaks with; a new one lost what the one
 // before ran.
 void note_incarnation(
--- a/libs/http/include/http/parking_server.hpp
+++ b/libs/http/include/http/parking_server.hpp
@@ -1,6 +1,7 @@
 #ifndef FOXTAILVALE_HTTP_PARKING_SERVER_HPP
 #define FOXTAILVALE_HTTP_PARKING_SERVER_HPP
 
+#include <Poco/Net/HTTPServerParams.h>
 #include <Poco/Net/PollSet.h>
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/StreamSocket.h>
@@ -14,7 +15,6 @@
 #include <map>
 #include <memory>
 #include <mutex>
-#include <set>
 #include <thread>
 #include <vector>
 
@@ -39,7 +39,6 @@
 
 // One caller's connection, kept alive between requests.
 class parked_connection;
-struct request_answering;
 
 // An HTTP server whose idle connections hold no thread. Made for thousands of
 // callers that keep their connections open and ask now and then: with a thread
@@ -53,7 +52,6 @@
         parking_options const& options,
         server_handler handler,
         bad_head_handler bad_head = {});
-    // Ends all connections, also busy ones.
     ~parking_server();
     parking_server(parking_server const&) = delete;
     parking_server& operator=(parking_server const&) = delete;
@@ -69,26 +67,30 @@
     void accept();
     void close_idle();
     void hand_over(Poco::Net::Socket const& socket);
+    // Gives a connection to a worker; the caller holds the lock.
+    void give_to_worker(connection active);
+    void stop_polling();
     void park(connection const& idle);
     void work_loop();
     void serve(connection const& active);
-    void stop_listening();
-    bool is_idle() const;
 
     parking_options options;
-    std::unique_ptr<request_answering> answering;
+    server_handler handler;
+    bad_head_handler bad_head;
+    Poco::Net::HTTPServerParams::Ptr parameters;
     Poco::Net::ServerSocket listener;
     Poco::Net::PollSet polled;
     std::mutex mutex;
     std::condition_variable ready;
     std::map<Poco::Net::Socket, connection> parked;
     std::deque<connection> waiting;
-    std::set<connection> busy;
-    std::condition_variable changed;
     std::vector<std::thread> workers;
     std::size_t idle_workers = 0;
-    std::atomic<std::size_t> open_connections{0};
+    std::size_t busy_workers = 0;
+    std::condition_variable finished;
+    // Set by drain: what has come is answered, nothing more is waited for.
     std::atomic<bool> draining{false};
+    std::atomic<std::size_t> open_connections{0};
     std::atomic<bool> stopping{false};
     std::thread poller;
 };
--- a/libs/http/src/connection.hpp
+++ b/libs/http/src/connection.hpp
@@ -13,11 +13,6 @@
 #include <memory>
 #include <mutex>
 
-namespace Poco::Net
-{
-class HTTPServerSession;
-}
-
 namespace foxtailvale::http
 {
 
@@ -61,27 +56,12 @@
     bool stopping = false;
 };
 
-// How a server answers the requests of its connections.
-struct request_answering
+// What all connections of a server share.
+struct connection_context
 {
     server_handler handler;
     bad_head_handler bad_head;
     Poco::Net::HTTPServerParams::Ptr params;
-    // Whether the server is stopping: an answer then ends its connection.
-    std::function<bool()> is_stopping;
-};
-
-// Reads one request and answers it; false when the connection ends with it.
-bool answer_request(
-    Poco::Net::HTTPServerSession& session, request_answering const& how);
-
-// Closes the way out and reads away what still comes, within bounds.
-void linger(Poco::Net::StreamSocket& socket);
-
-// What all connections of a server share.
-struct connection_context
-{
-    request_answering answering;
     std::shared_ptr<connection_table> table;
 };
 
--- a/libs/http/src/http_server.cpp
+++ b/libs/http/src/http_server.cpp
@@ -55,12 +55,7 @@
     params->setMaxQueued(most_waiting_connections);
     params->setKeepAlive(true);
     auto const shared = std::make_shared<connection_context>(connection_context{
-        {std::move(handler), std::move(bad_head), params,
-         [open = this->table]
-         {
-             return open->is_stopping();
-         }},
-        this->table});
+        std::move(handler), std::move(bad_head), params, this->table});
     this->socket =
         std::make_unique<Poco::Net::ServerSocket>(listen_at(options));
     this->listener = std::make_unique<Poco::Net::TCPServer>(
--- a/libs/http/src/parking_server.cpp
+++ b/libs/http/src/parking_server.cpp
@@ -1,13 +1,12 @@
-#include "connection.hpp"
+#include "exchange.hpp"
 
 #include <Poco/Net/HTTPServerRequestImpl.h>
+#include <Poco/Net/HTTPServerResponseImpl.h>
 #include <Poco/Net/HTTPServerSession.h>
 #include <Poco/Net/SocketAddress.h>
 #include <http/parking_server.hpp>
 #include <sys/socket.h>
 
-#include <stdexcept>
-
 namespace foxtailvale::http
 {
 
@@ -37,43 +36,16 @@
     return made;
 }
 
-Poco::Net::ServerSocket listen_at(parking_options const& options)
-{
-    Poco::Net::SocketAddress const address(options.address, options.port);
-    try
-    {
-        return {address, listen_backlog};
-    }
-    catch (Poco::Exception const& fault)
-    {
-        throw std::runtime_error(
-            "cannot listen at " + address.toString() + ": " +
-            fault.displayText());
-    }
-}
-
-// A socket that its peer has closed cannot be shut down again.
-void shut_down(Poco::Net::StreamSocket& socket, bool both_ways)
-{
-    try
-    {
-        both_ways ? static_cast<void>(socket.shutdown())
-                  : socket.shutdownReceive();
-    }
-    catch (Poco::Exception const&)
-    {
-        return;
-    }
-}
-
 } // namespace
 
 class parked_connection
 {
 public:
     parked_connection(
-        Poco::Net::StreamSocket const& peer, std::atomic<std::size_t>& count)
-        : socket(peer), open_count(count)
+        Poco::Net::StreamSocket const& peer,
+        Poco::Net::HTTPServerParams::Ptr const& parameters,
+        std::atomic<std::size_t>& count)
+        : socket(peer), session(peer, parameters), open_count(count)
     {
         ++this->open_count;
     }
@@ -87,6 +59,7 @@
     parked_connection& operator=(parked_connection const&) = delete;
 
     Poco::Net::StreamSocket socket;
+    Poco::Net::HTTPServerSession session;
     steady::time_point parked_at;
 
 private:
@@ -96,16 +69,11 @@
 parking_server::parking_server(
     parking_options const& how,
     server_handler answer,
-    bad_head_handler bad_head)
-    : options(how),
-      answering(std::make_unique<request_answering>(request_answering{
-          std::move(answer), std::move(bad_head),
-          make_parameters(how.stall_limit),
-          [this]
-          {
-              return this->draining || this->stopping;
-          }})),
-      listener(listen_at(how))
+    bad_head_handler on_bad_head)
+    : options(how), handler(std::move(answer)),
+      bad_head(std::move(on_bad_head)),
+      parameters(make_parameters(how.stall_limit)),
+      listener(Poco::Net::SocketAddress(how.address, how.port), listen_backlog)
 {
     this->listener.setBlocking(false);
     this->polled.add(this->listener, Poco::Net::PollSet::POLL_READ);
@@ -119,14 +87,10 @@
 parking_server::~parking_server()
 {
     this->stopping = true;
-    this->poller.join();
+    this->stop_polling();
     {
         std::lock_guard const lock(this->mutex);
         this->waiting.clear();
-        for (auto const& active : this->busy)
-        {
-            shut_down(active->socket, true);
-        }
     }
     this->ready.notify_all();
     for (auto& worker : this->workers)
@@ -135,51 +99,48 @@
     }
 }
 
+void parking_server::stop_polling()
+{
+    if (this->poller.joinable())
+    {
+        this->poller.join();
+    }
+}
+
 bool parking_server::drain(milliseconds most)
 {
     this->draining = true;
+    this->stop_polling();
+    this->listener.close();
     std::unique_lock lock(this->mutex);
-    // Failure: a request that has arrived but is not read yet would be cut off.
-    // Only the way in is closed: the connection turns readable, what has come
-    // is answered, and the end is seen after it.
-    for (auto const& [socket, idle] : this->parked)
+    // Failure: a request that has arrived but is not read yet would be cut off
+    // with its waiting connection. Those go to a worker first.
+    for (auto& [socket, idle] : this->parked)
     {
-        shut_down(idle->socket, false);
+        if (idle->socket.poll(
+                Poco::Timespan(0), Poco::Net::Socket::SELECT_READ))
+        {
+            this->give_to_worker(idle);
+        }
     }
-    return this->changed.wait_for(
+    this->parked.clear();
+    return this->finished.wait_for(
         lock, most,
         [this]
         {
-            return this->is_idle();
+            return this->busy_workers == 0 && this->waiting.empty();
         });
 }
 
-bool parking_server::is_idle() const
-{
-    return this->busy.empty() && this->waiting.empty() && this->parked.empty();
-}
-
-void parking_server::stop_listening()
-{
-    this->polled.remove(this->listener);
-    this->listener.close();
-}
-
 void parking_server::poll_loop()
 {
-    auto listens = true;
     auto last_sweep = steady::now();
-    while (!this->stopping)
+    while (!this->stopping && !this->draining)
     {
-        if (listens && this->draining)
-        {
-            listens = false;
-            this->stop_listening();
-        }
         for (auto const& [socket, mode] :
              this->polled.poll(timespan(poll_interval)))
         {
-            if (listens && socket == this->listener)
+            if (socket == this->listener)
             {
                 this->accept();
             }
@@ -212,7 +173,7 @@
             peer.setSendTimeout(timespan(this->options.stall_limit));
             peer.setReceiveTimeout(timespan(this->options.stall_limit));
             this->park(std::make_shared<parked_connection>(
-                peer, this->open_connections));
+                peer, this->parameters, this->open_connections));
         }
     }
     catch (Poco::Exception const&)
@@ -243,12 +204,13 @@
 {
     idle->parked_at = steady::now();
     std::lock_guard const lock(this->mutex);
-    this->parked[idle->socket] = idle;
-    this->polled.add(idle->socket, Poco::Net::PollSet::POLL_READ);
     if (this->draining)
     {
-        shut_down(idle->socket, false);
+        // Nobody polls any more: the connection ends here.
+        return;
     }
+    this->parked[idle->socket] = idle;
+    this->polled.add(idle->socket, Poco::Net::PollSet::POLL_READ);
 }
 
 void parking_server::hand_over(Poco::Net::Socket const& socket)
@@ -260,10 +222,15 @@
         return;
     }
     this->polled.remove(socket);
-    this->waiting.push_back(std::move(found->second));
+    this->give_to_worker(std::move(found->second));
     this->parked.erase(found);
-    auto const needed = this->idle_workers < this->waiting.size();
-    if (needed && this->workers.size() < this->options.most_workers)
+}
+
+void parking_server::give_to_worker(connection active)
+{
+    this->waiting.push_back(std::move(active));
+    auto const busy = this->idle_workers < this->waiting.size();
+    if (busy && this->workers.size() < this->options.most_workers)
     {
         this->workers.emplace_back(
             [this]
@@ -295,38 +262,44 @@
             }
             next = std::move(this->waiting.front());
             this->waiting.pop_front();
-            this->busy.insert(next);
+            ++this->busy_workers;
         }
         this->serve(next);
+        next.reset();
         {
             std::lock_guard const lock(this->mutex);
-            this->busy.erase(next);
+            --this->busy_workers;
         }
-        this->changed.notify_all();
+        this->finished.notify_all();
     }
 }
 
 void parking_server::serve(connection const& active)
 {
+    auto& session = active->session;
+    exchange_context const exchange{
+        this->handler, this->bad_head, this->parameters,
+        [this]
+        {
+            return this->draining.load();
+        }};
     try
     {
-        // The session's buffers are given back while the connection is idle;
-        // it parks only when nothing is left in them.
-        Poco::Net::HTTPServerSession session(
-            active->socket, this->answering->params);
         auto goes_on = true;
         while (goes_on && !this->stopping && session.hasMoreRequests())
         {
-            goes_on = answer_request(session, *this->answering);
+            goes_on = answer_one(session, active->socket, exchange);
+        }
+        if (!goes_on)
+        {
+            linger(active->socket);
+            return;
         }
-        // Or the session's end would close it.
-        active->socket = session.detachSocket();
-        if (goes_on && !this->draining)
+        if (session.getKeepAlive() && !this->stopping)
         {
             this->park(active);
             return;
         }
-        linger(active->socket);
     }
     catch (std::exception const&)
     {
