--- a/tools/load/src/run_load.cpp
+++ b/tools/load/src/run_load.cpp
@@ -154,11 +154,28 @@
     return rows;
 }
 
+json record_json(request_record const& record)
+{
+    return {
+        {"id", record.id},
+        {"entry", record.entry},
+        {"booking", record.booking},
+        {"ended", name_of(record.ended)},
+        {"error", record.error},
+        {"ran", record.ran},
+        {"begun_ms", record.begun.count()},
+        {"whole_ms",
+         std::chrono::duration_cast<milliseconds>(record.whole).count()},
+        {"generation", record.generation},
+        {"digest", record.digest}};
+}
+
 json summarise(std::vector<request_record> const& records)
 {
     std::map<std::string, std::uint64_t> outcomes;
     std::map<std::string, std::uint64_t> errors;
     json bookings = json::array();
+    json all = json::array();
     for (auto const& record : records)
     {
         ++outcomes[name_of(record.ended)];
@@ -166,6 +183,7 @@
         {
             ++errors[record.error];
         }
+        all.push_back(record_json(record));
         if (record.booking)
         {
             bookings.push_back(
@@ -181,7 +199,8 @@
         {"first_token", latencies(records, &request_record::first_token)},
         {"whole", latencies(records, &request_record::whole)},
         {"by_second", by_second(records)},
-        {"bookings", std::move(bookings)}};
+        {"bookings", std::move(bookings)},
+        {"records", std::move(all)}};
 }
 
 // Sends the request where the balancer says. One whose connection was refused
@@ -213,6 +232,8 @@
     balancer const entries(settings.entries, settings.readiness);
     std::vector<request_record> records(schedule.size());
     std::vector<std::thread> threads;
+    auto const started_ms = std::chrono::duration_cast<milliseconds>(
+        std::chrono::system_clock::now().time_since_epoch());
     auto const start = clock::now();
     for (std::size_t number = 0; number < schedule.size(); ++number)
     {
@@ -232,7 +253,9 @@
     {
         thread.join();
     }
-    return summarise(records);
+    auto report = summarise(records);
+    report["started_ms"] = started_ms.count();
+    return report;
 }
 
 } // namespace foxtailvale::load
