--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,8 @@
 	'*.cpp' '*.hpp' | grep -v '\.pb\.')
 
 .PHONY: all deps configure build demo capacity scenarios chaos \
-	bench-weights bench-control test lint lint-changed format tidy proto \
+	bench-requests bench-weights bench-control test lint lint-changed \
+	format tidy proto \
 	test-sanitize test-thread
 
 all: build
@@ -41,6 +42,12 @@
 	@$(BUILD)/bin/foxtailvale-capacity --programs $(BUILD)/bin \
 	    --work $(BUILD)/capacity --network $(NETWORK)
 
+# About a minute and a half; the table goes to the build folder.
+bench-requests: build
+	@$(BUILD)/bin/foxtailvale-bench-requests --programs $(BUILD)/bin \
+	    --work $(BUILD)/bench-requests --network $(NETWORK) \
+	    --page $(BUILD)/bench-requests.md
+
 # All scenarios against real processes, one after the other; about ten minutes.
 # Those that KNOWN-RED.txt lists may fail.
 scenarios: build
--- a/libs/agent_core/src/control_flow.cpp
+++ b/libs/agent_core/src/control_flow.cpp
@@ -132,16 +132,6 @@
         {{"generation", next.generation}}});
 }
 
-// Takes over what the endpoint reports.
-void note_loaded(state& state, endpoint_report const& report)
-{
-    state.weights.serving.clear();
-    for (auto const& loaded : report.loaded)
-    {
-        state.weights.serving[loaded.model] = loaded.digest;
-    }
-}
-
 } // namespace
 
 void on_configuration_push(
@@ -254,7 +244,11 @@
     control.endpoint_cold = report.cold;
     gate.reports_cold = report.cold;
     auto const before = state.weights.serving;
-    note_loaded(state, report);
+    state.weights.serving.clear();
+    for (auto const& loaded : report.loaded)
+    {
+        state.weights.serving[loaded.model] = loaded.digest;
+    }
     on_release_changed(state);
     // Failure: the endpoint restarted or went cold without a word; under the
     // load that it bore when warm it would fall over and every caller on it
--- a/libs/agent_core/tests/request_flow_tests.cpp
+++ b/libs/agent_core/tests/request_flow_tests.cpp
@@ -112,17 +112,14 @@
 {
     auto agent = make_agent();
     agent.control.listeners["entry-1"] = {};
-    step(
-        agent, endpoint_report{true, "i1", false, {{"assistant", "d1"}}, {}},
-        {});
+    step(agent, endpoint_report{true, "i1", false, {{"assistant", "d1"}}}, {});
     auto run = run_message(1, "d1");
     run.envelope.mutable_run()->set_fingerprint(77);
     step(agent, run, {});
     base::error const lost{base::error_kind::endpoint_lost, {}};
     step(agent, work_output{{1, 0}, 0, "", "", true, lost}, {});
     auto const actions = step(
-        agent, endpoint_report{true, "i2", true, {{"assistant", "d1"}}, {}},
-        {});
+        agent, endpoint_report{true, "i2", true, {{"assistant", "d1"}}}, {});
     auto told = 0;
     for (auto const& ordered : actions)
     {
--- a/libs/entry_core/include/entry_core/entry_core.hpp
+++ b/libs/entry_core/include/entry_core/entry_core.hpp
@@ -121,6 +121,10 @@
 struct request_pool
 {
     request::admission_queue queue;
+    // Cut streams that wait for room at an endpoint of their digest. Their
+    // callers read already, so they go before all others, and none of them
+    // holds up those that may run on any digest.
+    std::set<caller_handle> resuming;
     // When an endpoint last could have served it, whether or not it had room.
     std::optional<base::time_point> last_served;
 };
@@ -240,11 +244,11 @@
 struct control_state
 {
     release::configuration configuration;
-    // Version of the release's object that was last answered.
-    std::uint64_t release_object_version = 0;
     // Digest that the configuration before named, by model: endpoints serve it
     // until they have loaded the new one.
     std::map<std::string, std::string> previous_digests;
+    // Version of the release's object that was last answered.
+    std::uint64_t release_object_version = 0;
     control::membership members;
     std::map<std::string, endpoint_view> endpoints;
     // Plans by failure domain, and the object version of our own.
--- a/libs/entry_core/src/flows.hpp
+++ b/libs/entry_core/src/flows.hpp
@@ -22,6 +22,7 @@
 void end_late(
     state& state, open_request& open, base::time_point now, actions& out);
 void on_request_tick(state& state, base::time_point now, actions& out);
+void check_drained(state& state, base::time_point now, actions& out);
 
 // request_end.cpp
 void refuse_caller(
@@ -46,6 +47,9 @@
 // Puts a request back that a gate had no room for.
 void readmit(
     state& state, open_request& open, base::time_point now, actions& out);
+// Lets a cut stream wait for an endpoint of its digest; false when there is
+// none.
+bool wait_to_resume(state& state, open_request& open);
 // Starts what waits, as far as there is room.
 void serve_waiting(state& state, base::time_point now, actions& out);
 // Refuses at once what cannot be answered in time any more.
@@ -90,11 +94,9 @@
 // An agent is gone: what it ran is lost.
 void on_endpoint_lost(
     state& state, std::string const& agent, base::time_point now, actions& out);
-void on_request_tick(state& state, base::time_point now, actions& out);
 // Decides whether the balancer may send callers.
 void update_readiness(state& state, base::time_point now);
 
-void check_drained(state& state, base::time_point now, actions& out);
 // probe_flow.cpp
 // Notes the incarnation that a peer speaks with; a new one lost what the one
 // before ran.
--- a/libs/entry_core/src/replication_flow.cpp
+++ b/libs/entry_core/src/replication_flow.cpp
@@ -382,27 +382,6 @@
     }
 }
 
-// Endpoints serve the version before until they have loaded the new one.
-void keep_previous_digests(state& state, release::configuration const& next)
-{
-    auto& previous = state.control.previous_digests;
-    for (auto const& [name, model] : next.models)
-    {
-        auto const old = state.control.configuration.models.find(name);
-        if (old != state.control.configuration.models.end() &&
-            old->second.digest != model.digest)
-        {
-            previous[name] = old->second.digest;
-        }
-    }
-    std::erase_if(
-        previous,
-        [&next](auto const& entry)
-        {
-            return !next.models.contains(entry.first);
-        });
-}
-
 } // namespace
 
 void push_configuration(
--- a/libs/entry_core/tests/request_world.cpp
+++ b/libs/entry_core/tests/request_world.cpp
@@ -112,8 +112,7 @@
         for (auto const& [name, agent] : this->agents)
         {
             this->step_agent(
-                name,
-                agent_core::endpoint_report{true, "i", false, {}, this->now});
+                name, agent_core::endpoint_report{true, "i", false, {}});
         }
     }
     this->at(
