Send noise with a zero byte that the linter reads as meant

Cause: a literal with an embedded zero ended before the noise that the test meant to send. Conclusion: the check is stricter than it was.

--- a/libs/http/tests/parking_server_tests.cpp
+++ b/libs/http/tests/parking_server_tests.cpp
@@ -90,7 +90,9 @@
 {
     parking_server server(options_for(1), answer_path);
     Poco::Net::StreamSocket bad{Poco::Net::SocketAddress(where())};
-    std::string const noise = "\r\n\r\n\0\1\2 no request\r\n\r\n";
+    std::string noise = "\r\n\r\n";
+    noise.push_back('\0');
+    noise += "\1\2 no request\r\n\r\n";
     bad.sendBytes(noise.data(), static_cast<int>(noise.size()));
     Poco::Net::StreamSocket good{Poco::Net::SocketAddress(where())};
     EXPECT_NE(ask(good, "/good").find("200"), std::string::npos);
