--- a/libs/http/tests/parking_server_tests.cpp
+++ b/libs/http/tests/parking_server_tests.cpp
@@ -6,7 +6,9 @@
 #include <http/http_client.hpp>
 #include <http/parking_server.hpp>
 
+#include <atomic>
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace foxtailvale::http
@@ -98,4 +100,43 @@
     EXPECT_NE(ask(good, "/good").find("200"), std::string::npos);
 }
 
+// A caller hangs up while its answer streams. The entry went on writing, and
+// the system ended the whole process with SIGPIPE: every other caller on it
+// lost its answer, without a line in the log.
+TEST(parking_server, a_caller_that_hangs_up_does_not_end_the_process)
+{
+    std::atomic<bool> broke_off{false};
+    auto const stream_on = [&broke_off](
+                               Poco::Net::HTTPServerRequest& request,
+                               Poco::Net::HTTPServerResponse& response)
+    {
+        if (request.getURI() != "/stream")
+        {
+            return answer_path(request, response);
+        }
+        response.setChunkedTransferEncoding(true);
+        auto& body = response.send();
+        std::string const piece(64 * 1024, 'x');
+        while (body)
+        {
+            body << piece << std::flush;
+        }
+        broke_off = true;
+    };
+    parking_server server(options_for(2), stream_on);
+    {
+        Poco::Net::StreamSocket caller{Poco::Net::SocketAddress(where())};
+        std::string const text = "GET /stream HTTP/1.1\r\nHost: a\r\n\r\n";
+        caller.sendBytes(text.data(), static_cast<int>(text.size()));
+        char byte = 0;
+        caller.receiveBytes(&byte, 1);
+    }
+    while (!broke_off)
+    {
+        std::this_thread::yield();
+    }
+    Poco::Net::StreamSocket other{Poco::Net::SocketAddress(where())};
+    EXPECT_NE(ask(other, "/good").find("200"), std::string::npos);
+}
+
 } // namespace foxtailvale::http
