Keep OpenSSL's locks while the process lives

The thread sanitizer names it: POCO's digest engine takes OpenSSL's lock table down when the last digest goes, and two threads that end and begin a digest free it twice. Ruled out: the broken-pipe signal, the connection table, memory errors seen by the address sanitizer (none).

Without the sanitizer the test passed before, too: the window is a few instructions wide.

Conclusion: one initializer lives as long as the process. `make test-thread` now covers base and http as well.

--- a/Makefile
+++ b/Makefile
@@ -89,8 +89,10 @@
 test-thread: deps
 	@cmake -S . -B $(BUILD)-thread -G Ninja -DCMAKE_BUILD_TYPE=Debug \
 	    -DFOXTAILVALE_SANITIZE=thread --log-level=WARNING
-	@cmake --build $(BUILD)-thread --target node_tests
-	@ctest --test-dir $(BUILD)-thread -R node_tests --output-on-failure \
+	@cmake --build $(BUILD)-thread --target base_tests http_tests \
+	    node_tests
+	@ctest --test-dir $(BUILD)-thread -R '(base|http|node)_tests' \
+	    --output-on-failure \
 	    --no-tests=error
 
 lint: configure
--- a/libs/base/src/digest.cpp
+++ b/libs/base/src/digest.cpp
@@ -1,12 +1,18 @@
 #include <base/digest.hpp>
 
 #include <Poco/Crypto/DigestEngine.h>
+#include <Poco/Crypto/OpenSSLInitializer.h>
 
 namespace foxtailvale::base
 {
 
 std::string sha256_hex(std::string_view bytes)
 {
+    // Failure: POCO takes OpenSSL's locks down with the last digest that is
+    // alive, while another thread begins one: the process ends with a
+    // segmentation fault. This one initializer lives as long as the process, so
+    // that no digest is ever the last.
+    static Poco::Crypto::OpenSSLInitializer const keep_initialized;
     Poco::Crypto::DigestEngine engine("SHA256");
     engine.update(bytes.data(), bytes.size());
     return Poco::DigestEngine::digestToHex(engine.digest());
--- a/libs/base/tests/base_tests.cpp
+++ b/libs/base/tests/base_tests.cpp
@@ -4,7 +4,10 @@
 
 #include <gtest/gtest.h>
 
+#include <atomic>
 #include <set>
+#include <thread>
+#include <vector>
 
 namespace foxtailvale::base
 {
@@ -32,6 +35,33 @@
         "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad");
 }
 
+// Forty engines verify chunks at the same time. The whole process ended with a
+// segmentation fault, and every answer on it was lost: each digest took down
+// OpenSSL's locks when it was the last one alive, while another began.
+TEST(digest, is_the_same_from_many_threads)
+{
+    constexpr int rounds = 50'000;
+    auto const wanted = sha256_hex("abc");
+    std::atomic<int> wrong{0};
+    std::vector<std::thread> threads;
+    for (int thread = 0; thread < 2; ++thread)
+    {
+        threads.emplace_back(
+            [&]
+            {
+                for (int round = 0; round < rounds; ++round)
+                {
+                    wrong += sha256_hex("abc") == wanted ? 0 : 1;
+                }
+            });
+    }
+    for (auto& thread : threads)
+    {
+        thread.join();
+    }
+    EXPECT_EQ(wrong, 0);
+}
+
 TEST(ids, attempt_id_survives_text)
 {
     random_state random{7};
