Refuse a version only for damage that lasts

Ruled out: bad bytes from peers; the origin's own counters show the damaged draws.

How: wrong bytes count as a failed draw, so the next waits, and damage must have lasted ten seconds before the version is refused.

--- a/libs/agent_core/include/agent_core/agent_core.hpp
+++ b/libs/agent_core/include/agent_core/agent_core.hpp
@@ -93,6 +93,13 @@
     std::optional<base::time_point> held_since;
 };
 
+// How often the origin sent other bytes than a chunk's, and since when.
+struct corrupt_record
+{
+    std::uint32_t draws = 0;
+    base::time_point first;
+};
+
 // One version on its way to this agent.
 struct transfer
 {
@@ -111,8 +118,8 @@
     std::map<std::uint32_t, std::map<std::string, base::time_point>> declined;
     // Chunks that other agents said they hold, by agent.
     std::map<std::string, std::vector<bool>> holders;
-    // How often the origin sent other bytes than a chunk's.
-    std::map<std::uint32_t, std::uint32_t> corrupt_draws;
+    // By chunk.
+    std::map<std::uint32_t, corrupt_record> corrupt_draws;
     std::uint32_t corrupt_manifests = 0;
     // Agents that refuse the version because the origin's bytes are wrong.
     std::set<std::string> refusals;
--- a/libs/agent_core/src/transfer_flow.cpp
+++ b/libs/agent_core/src/transfer_flow.cpp
@@ -14,8 +14,17 @@
 constexpr milliseconds decline_time{10'000};
 
 // Other bytes from the origin than the manifest names, per chunk, before the
-// version is refused: a damaged transfer passes, a damaged store does not.
+// version is refused, and for how long at the least: a damaged transfer passes
+// within seconds, a damaged store does not. Refused sooner, a version was given
+// up for good after three bad copies within 30 ms.
 constexpr std::uint32_t most_corrupt_draws = 3;
+constexpr milliseconds least_corrupt_time{10'000};
+
+bool is_persistent(corrupt_record const& record, base::time_point now)
+{
+    return record.draws >= most_corrupt_draws &&
+           now - record.first >= least_corrupt_time;
+}
 
 // Other agents that must refuse a version before one that has not seen the
 // wrong bytes itself does: one agent alone cannot stop a release.
@@ -362,17 +371,21 @@
 void on_origin_chunk(
     state& state, origin_chunk const& reply, base::time_point now, actions& out)
 {
-    auto& origin = state.weights.origin;
-    weights::note_draw_ended(
-        origin, outcome_of(reply.failure), state.random, now);
+    auto const end_draw = [&](weights::draw_outcome outcome)
+    {
+        weights::note_draw_ended(
+            state.weights.origin, outcome, state.random, now);
+    };
     auto const found = state.weights.transfers.find(reply.digest);
     if (found == state.weights.transfers.end() || found->second.refused)
     {
+        end_draw(outcome_of(reply.failure));
         return;
     }
     auto& transfer = found->second;
     if (reply.failure)
     {
+        end_draw(outcome_of(reply.failure));
         out.push_back(core::report_error{*reply.failure, {}});
         out.push_back(core::count_retry{reply.failure->kind});
         drop_pending(state, transfer, reply.index);
@@ -383,6 +396,10 @@
         static_cast<double>(reply.bytes.size())});
     auto const kept =
         keep_chunk(state, transfer, reply.index, reply.bytes, now, out);
+    // Wrong bytes are a failed draw: the next waits, so that a passing fault
+    // does not use up the origin's link.
+    end_draw(
+        kept ? weights::draw_outcome::good : weights::draw_outcome::failed);
     if (kept)
     {
         return;
@@ -390,7 +407,11 @@
     out.push_back(core::report_error{
         kept.error(), {{"source", "origin"}, {"chunk", reply.index}}});
     drop_pending(state, transfer, reply.index);
-    if (++transfer.corrupt_draws[reply.index] >= most_corrupt_draws)
+    auto const added =
+        transfer.corrupt_draws.try_emplace(reply.index, corrupt_record{0, now});
+    auto& record = added.first->second;
+    ++record.draws;
+    if (is_persistent(record, now))
     {
         refuse_version(state, transfer, out);
     }
--- a/libs/agent_core/tests/burst_tests.cpp
+++ b/libs/agent_core/tests/burst_tests.cpp
@@ -206,6 +206,24 @@
     }
 }
 
+// The origin sends sixty damaged chunks in a row and is whole again. An agent
+// that had drawn three of them within 30 ms gave the version up for good, and
+// its replicas never came.
+TEST(bursts, a_passing_fault_of_the_origin_refuses_nothing)
+{
+    for (auto const seed : seeds)
+    {
+        burst test(three_regions, seed);
+        constexpr std::uint32_t damaged = 60;
+        test.fleet.corrupt_draws = damaged;
+        ASSERT_TRUE(test.finishes_within(minutes(2))) << seed;
+        // One copy a region, the damaged draws, and no more than one copy
+        // beside them while agents take each other's turns.
+        EXPECT_LE(test.fleet.draws[test.version.digest], 4 * chunks + damaged)
+            << seed;
+    }
+}
+
 // The origin's copy itself is damaged. Drawing it for ever would fill the
 // link; the version is refused, with a clear error, and no engine loads it.
 TEST(bursts, a_damaged_origin_has_the_version_refused)
