--- a/libs/entry_core/src/probe_flow.cpp
+++ b/libs/entry_core/src/probe_flow.cpp
@@ -1,5 +1,6 @@
 #include "flows.hpp"
 
+#include <algorithm>
 #include <set>
 
 namespace foxtailvale::entry_core
