--- a/cmake/foxtailvale.cmake
+++ b/cmake/foxtailvale.cmake
@@ -44,8 +44,12 @@
 # foxtailvale_test(NAME SOURCES ... DEPENDS ...): one GoogleTest program, run
 # by ctest.
 function(foxtailvale_test name)
-    cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
+    if(NOT FOXTAILVALE_TESTS)
+        return()
+    endif()
+    cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS;DEFINITIONS" ${ARGN})
     add_executable(${name} ${ARG_SOURCES})
+    target_compile_definitions(${name} PRIVATE ${ARG_DEFINITIONS})
     target_include_directories(${name} PRIVATE ${PROJECT_SOURCE_DIR}/testing)
     target_link_libraries(${name} PRIVATE ${ARG_DEPENDS} foxtailvale_options
         GTest::gtest_main GTest::gmock)
--- a/daemons/entry/main.cpp
+++ b/daemons/entry/main.cpp
@@ -3,6 +3,7 @@
 #include <release/settings.hpp>
 
 #include <cli/daemon_options.hpp>
+#include <gateway/entry_process.hpp>
 
 int main(int count, char** words)
 {
@@ -19,6 +20,10 @@
             auto const settings = release::read_entry_settings(source);
             kernel::start_logging(settings.node.name, settings.node.log_level);
             return node::run_entry(settings);
+        },
+        [](std::string const& path)
+        {
+            return gateway::run_entry(path);
         }};
     return cli::run_daemon(count, words, daemon);
 }
--- /dev/null
+++ b/libs/base/include/base/boot_clock.hpp
@@ -0,0 +1,30 @@
+#ifndef FOXTAILVALE_BASE_BOOT_CLOCK_HPP
+#define FOXTAILVALE_BASE_BOOT_CLOCK_HPP
+
+#include <chrono>
+#include <compare>
+
+namespace foxtailvale::base
+{
+
+// Time since the machine's start with the time that it was suspended. The
+// steady clock stands still while a VM is suspended, so what was confirmed
+// before would look fresh after it.
+struct boot_time
+{
+    std::chrono::nanoseconds since_start{0};
+
+    auto operator<=>(boot_time const&) const = default;
+};
+
+boot_time boot_now();
+
+inline std::chrono::milliseconds operator-(boot_time one, boot_time other)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+        one.since_start - other.since_start);
+}
+
+} // namespace foxtailvale::base
+
+#endif
--- a/libs/base/include/base/error.hpp
+++ b/libs/base/include/base/error.hpp
@@ -24,6 +24,11 @@
     unknown_model,
     unknown_service,
     key_reused,
+    unknown_route,
+    unknown_key,
+    no_region,
+    head_too_large,
+    head_timed_out,
     // Refusals under load or change; the request was not run.
     queue_full,
     deadline_unreachable,
@@ -41,6 +46,8 @@
     already_running,
     grant_void,
     answer_not_kept,
+    no_configuration,
+    stale_configuration,
     // Failures after the request may have begun.
     endpoint_lost,
     endpoint_failed,
--- a/libs/base/src/error.cpp
+++ b/libs/base/src/error.cpp
@@ -37,6 +37,21 @@
     error_row{
         kind::key_reused, "key_reused", 422, ran_state::no, never, 2006,
         "The idempotency key was used with another body."},
+    error_row{
+        kind::unknown_route, "unknown_route", 404, ran_state::no, never, 2007,
+        "No route of the configuration takes this request."},
+    error_row{
+        kind::unknown_key, "unknown_key", 401, ran_state::no, never, 2008,
+        "No workspace holds this key."},
+    error_row{
+        kind::no_region, "no_region", 403, ran_state::no, never, 2009,
+        "No region may serve both the route and the workspace."},
+    error_row{
+        kind::head_too_large, "head_too_large", 431, ran_state::no, never, 2010,
+        "The head of the request is larger than the limit."},
+    error_row{
+        kind::head_timed_out, "head_timed_out", 408, ran_state::no, never, 2011,
+        "The head of the request did not come in time."},
     error_row{
         kind::queue_full, "queue_full", 503, ran_state::no, later, 2101,
         "Too many requests are waiting."},
@@ -85,6 +100,12 @@
     error_row{
         kind::answer_not_kept, "answer_not_kept", 410, ran_state::yes, never,
         2116, "The request ran; its answer was too large to keep."},
+    error_row{
+        kind::no_configuration, "no_configuration", 503, ran_state::no, later,
+        2117, "This entry knows no configuration yet."},
+    error_row{
+        kind::stale_configuration, "stale_configuration", 503, ran_state::no,
+        later, 2118, "The configuration was not confirmed for too long."},
     error_row{
         kind::endpoint_lost, "endpoint_lost", 502, ran_state::unknown, soon,
         2201, "The endpoint was lost while it ran the request."},
--- a/libs/cli/include/cli/daemon_options.hpp
+++ b/libs/cli/include/cli/daemon_options.hpp
@@ -26,10 +26,14 @@
     std::function<void(release::document&)> check;
     // Runs on settings without faults; returns the exit code.
     std::function<int(release::document&)> run;
+    // Runs on a platform that writes the settings file in its own format.
+    std::function<int(std::string const& path)> run_on_platform;
 };
 
 // Reads the command line (SETTINGS, --check, --help, --version), reports all
-// faults of the settings with line and column, and runs the daemon.
+// faults of the settings with line and column, and runs the daemon. With
+// --platform the settings file is the one that the environment variable
+// FOXTAILVALE_CONFIG names, in the platform's format.
 int run_daemon(int count, char const* const* words, daemon const& daemon);
 
 } // namespace foxtailvale::cli
--- a/libs/cli/src/daemon_options.cpp
+++ b/libs/cli/src/daemon_options.cpp
@@ -1,15 +1,45 @@
 #include <cli/daemon_options.hpp>
 #include <tclap/CmdLine.h>
 
+#include <cstdlib>
 #include <iostream>
 
 namespace foxtailvale::cli
 {
 
+namespace
+{
+
+int run_platform(char const* program, std::string path, daemon const& daemon)
+{
+    auto const* const named = std::getenv("FOXTAILVALE_CONFIG");
+    if (path.empty() && named != nullptr)
+    {
+        path = named;
+    }
+    if (path.empty() || !daemon.run_on_platform)
+    {
+        std::cerr << program << ": FOXTAILVALE_CONFIG names no settings file\n";
+        return exit_usage;
+    }
+    try
+    {
+        return daemon.run_on_platform(path);
+    }
+    catch (std::exception const& fault)
+    {
+        std::cerr << program << ": " << fault.what() << "\n";
+        return exit_failure;
+    }
+}
+
+} // namespace
+
 int run_daemon(int count, char const* const* words, daemon const& daemon)
 {
     std::string path;
     auto check_only = false;
+    auto on_platform = false;
     try
     {
         TCLAP::CmdLine line(daemon.summary, ' ', daemon.version);
@@ -17,9 +47,15 @@
         TCLAP::SwitchArg const check(
             "c", "check", "check the settings and exit", line);
         TCLAP::UnlabeledValueArg<std::string> const settings(
-            "settings", "settings file, JSON with comments", true, "",
+            "settings", "settings file, JSON with comments", false, "",
             "SETTINGS", line);
+        TCLAP::SwitchArg const platform(
+            "p", "platform",
+            "take the settings file that FOXTAILVALE_CONFIG names, in the "
+            "platform's format",
+            line);
         line.parse(count, words);
+        on_platform = platform.getValue();
         path = settings.getValue();
         check_only = check.getValue();
     }
@@ -33,6 +69,15 @@
                   << "\n";
         return exit_usage;
     }
+    if (on_platform)
+    {
+        return run_platform(words[0], path, daemon);
+    }
+    if (path.empty())
+    {
+        std::cerr << words[0] << ": SETTINGS is missing\n";
+        return exit_usage;
+    }
     auto source = release::load_document(path);
     if (source.faults.empty())
     {
--- /dev/null
+++ b/libs/direct/include/direct/endpoint_book.hpp
@@ -0,0 +1,195 @@
+#ifndef FOXTAILVALE_DIRECT_ENDPOINT_BOOK_HPP
+#define FOXTAILVALE_DIRECT_ENDPOINT_BOOK_HPP
+
+#include <base/ids.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+// What an entry knows of the endpoints that it sends requests to itself: what
+// the platform lists, what agents report, and what its own requests met.
+namespace foxtailvale::direct
+{
+
+// Weights that an endpoint serves.
+struct served_weights
+{
+    std::string model;
+    // Zero when the endpoint holds none.
+    std::uint64_t version = 0;
+    // Every layer is there.
+    bool whole = false;
+
+    bool operator==(served_weights const&) const = default;
+};
+
+// An endpoint as the platform lists it.
+struct endpoint_record
+{
+    // Names one start of the endpoint's process.
+    std::string id;
+    std::string service;
+    // "IP:PORT"; used again by others after an endpoint's end.
+    std::string address;
+    std::string failure_domain;
+    std::uint32_t slots = 1;
+    bool draining = false;
+    // How much longer it was cold when the record was written.
+    std::chrono::milliseconds cold_left{0};
+    served_weights weights;
+
+    bool operator==(endpoint_record const&) const = default;
+};
+
+// What the agent beside an engine says of it, fresher than the list.
+struct load_report
+{
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    // Over one: it works that many times slower than published.
+    double pace = 1;
+    served_weights weights;
+    // It takes no new work until an order is carried out.
+    bool switching = false;
+    // The agent could not reach the engine.
+    bool unreachable = false;
+};
+
+struct endpoint_state
+{
+    endpoint_record listed;
+    std::optional<load_report> report;
+    base::time_point reported;
+    // Own requests that run there.
+    std::uint32_t own_running = 0;
+    // Own requests begun less those ended since the report.
+    std::int32_t own_change = 0;
+    // Own requests of the last second and a little more, oldest first.
+    std::deque<base::time_point> recent;
+    // When it last sent anything, or was sent something while it owed nothing.
+    base::time_point last_heard;
+    // Share of its answers that were faults, weighted to the latest.
+    double fault_share = 0;
+    base::time_point last_fault;
+    // Not tried before then, after a connection that did not come about.
+    base::time_point avoid_until;
+    std::uint32_t connect_faults = 0;
+    // Left the list while the platform was not stable; kept until then.
+    std::optional<base::time_point> lapses;
+};
+
+// A version of a model's weights that operators named.
+struct named_version
+{
+    std::uint64_t version = 0;
+    // The version before it may begin nothing after this moment.
+    base::time_point older_until;
+};
+
+struct endpoint_book
+{
+    // By id.
+    std::map<std::string, endpoint_state> endpoints;
+    // Failure domains that are out of service.
+    std::set<std::string> domains_out;
+    // By model. Versions that were named and are not yet past their bound
+    // stand behind each other, oldest first.
+    std::map<std::string, std::vector<named_version>> versions;
+    // Region of each failure domain.
+    std::map<std::string, std::string> regions;
+};
+
+// How long an endpoint that left the list is still used when the list itself
+// was lost for a while: those that live are back within two seconds of the
+// platform's return, and what leaves may get nothing two seconds later.
+inline constexpr std::chrono::milliseconds lapse_time{1500};
+
+// Takes one record in; false when nothing changed.
+bool put(endpoint_book& book, endpoint_record record);
+
+// Takes an endpoint off the list: at once, or after lapse_time when the list
+// was not to be relied on.
+void remove(
+    endpoint_book& book,
+    std::string const& id,
+    bool list_was_lost,
+    base::time_point now);
+
+// Replaces the whole list.
+void replace_all(
+    endpoint_book& book,
+    std::vector<endpoint_record> records,
+    bool list_was_lost,
+    base::time_point now);
+
+// Drops what lapsed.
+void expire(endpoint_book& book, base::time_point now);
+
+// Takes an agent's word on the engine at this IP address.
+void note_report(
+    endpoint_book& book,
+    std::string const& address,
+    load_report const& report,
+    base::time_point now);
+
+// An older version may begin nothing from `older_until` on.
+void name_version(
+    endpoint_book& book,
+    std::string const& model,
+    std::uint64_t version,
+    base::time_point older_until);
+
+// The oldest version of the model that may still begin a request.
+std::uint64_t oldest_allowed(
+    endpoint_book const& book, std::string const& model, base::time_point now);
+
+// How an own request at an endpoint ended, as far as the endpoint is judged.
+enum class use_end
+{
+    answered,
+    // It said that it did not run it.
+    declined,
+    // A fault of its own, a cut answer or silence.
+    faulty,
+    // No connection came about.
+    not_connected,
+    // Ended from this side.
+    cancelled,
+};
+
+void begin_use(
+    endpoint_book& book, std::string const& id, base::time_point now);
+void end_use(
+    endpoint_book& book,
+    std::string const& id,
+    use_end how,
+    base::time_point now);
+
+// Anything came from the endpoint.
+void note_heard(
+    endpoint_book& book, std::string const& id, base::time_point now);
+
+// It owes answers and has sent nothing for this long. Streams send every 50 ms
+// and plain answers take less than half a second.
+inline constexpr std::chrono::milliseconds stall_time{500};
+bool is_stalled(endpoint_state const& state, base::time_point now);
+
+// Time after which an agent that reported before counts as silent.
+inline constexpr std::chrono::milliseconds report_silence{700};
+
+// Weights as known best now: the agent's word while it is fresh.
+served_weights const&
+weights_of(endpoint_state const& state, base::time_point now);
+
+// True while the agent's last word is fresh.
+bool is_fresh(endpoint_state const& state, base::time_point now);
+
+} // namespace foxtailvale::direct
+
+#endif
--- /dev/null
+++ b/libs/direct/include/direct/placement.hpp
@@ -0,0 +1,74 @@
+#ifndef FOXTAILVALE_DIRECT_PLACEMENT_HPP
+#define FOXTAILVALE_DIRECT_PLACEMENT_HPP
+
+#include <base/random.hpp>
+
+#include <direct/endpoint_book.hpp>
+#include <direct/shares.hpp>
+
+#include <optional>
+#include <set>
+#include <string>
+
+namespace foxtailvale::direct
+{
+
+// What a request needs of an endpoint.
+struct placement_ask
+{
+    std::string service;
+    // Empty for a plain service.
+    std::string model;
+    std::string own_domain;
+    // Regions that may serve it; empty allows all.
+    std::set<std::string> regions;
+    // Endpoints that it was sent to already.
+    std::set<std::string> tried;
+    // Requests that an endpoint may hold beyond its slots.
+    std::uint32_t depth = 1;
+    cold_bound cold;
+    std::size_t entries = 1;
+    // Go on with this version only, if it is not zero.
+    std::uint64_t version = 0;
+};
+
+// Why no endpoint was chosen.
+enum class no_choice
+{
+    // None is listed that could ever take it.
+    none_listed,
+    // All that could take it are full or at their limit now.
+    all_busy,
+    // Those listed hold other weights or none yet.
+    no_weights,
+};
+
+struct choice
+{
+    endpoint_state const* chosen = nullptr;
+    no_choice why = no_choice::none_listed;
+    // The version that the request must begin on; zero for a plain service.
+    std::uint64_t version = 0;
+};
+
+// Chooses the endpoint with the least work for its slots, as last reported and
+// changed by own requests since. Made for many entries that each see a part of
+// the load: the agents' reports show the rest a tenth of a second late, and a
+// random addend of a twentieth of the slots keeps entries with the same report
+// from all choosing the same endpoint. An endpoint of another failure domain
+// counts as a quarter fuller, since what it streams crosses a narrow link. One
+// whose answers are faults, or whose agent fell silent, is taken only when no
+// other can.
+choice choose(
+    endpoint_book const& book,
+    placement_ask const& ask,
+    base::time_point now,
+    base::random_state& random);
+
+// Requests at the endpoint as known best: reported, and own ones since.
+std::uint32_t
+work_at(endpoint_state const& state, std::size_t entries, base::time_point now);
+
+} // namespace foxtailvale::direct
+
+#endif
--- /dev/null
+++ b/libs/direct/include/direct/shares.hpp
@@ -0,0 +1,80 @@
+#ifndef FOXTAILVALE_DIRECT_SHARES_HPP
+#define FOXTAILVALE_DIRECT_SHARES_HPP
+
+#include <base/ids.hpp>
+
+#include <array>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+
+// Bounds that hold for all entries together, cut into parts that each entry
+// keeps by itself: no message between entries is in time when a zone is cut
+// off, and a sum of fixed parts cannot be exceeded.
+namespace foxtailvale::direct
+{
+
+// How many entries share a bound.
+struct entry_count
+{
+    // The most that were seen alive at one time; never fewer, since an entry
+    // that is cut off goes on using its part.
+    std::size_t most_seen = 0;
+    // Assumed until an agent has told who else asks it for reports.
+    std::size_t assumed = 16;
+};
+
+std::size_t sharers(entry_count const& count);
+void note_entries(entry_count& count, std::size_t alive);
+
+// Bound on what a cold endpoint gets.
+struct cold_bound
+{
+    // Requests in any second, over all entries.
+    double per_second = 0;
+    // Requests in any second on top of it.
+    double tolerance = 0;
+};
+
+// Whether this entry may send one more to an endpoint to which it sent at
+// these moments. Made for a burst that meets an endpoint which has just turned
+// cold: entries hear of it up to two seconds later, so the part is kept for
+// warm endpoints too. At 8 entries, 36 a second and a tolerance of 5 a part is
+// 5 a second, three times what an endpoint's slots let through on average.
+bool may_send_within_part(
+    std::deque<base::time_point> const& recent,
+    cold_bound const& bound,
+    std::size_t entries,
+    base::time_point now);
+
+// Repeats of one service, over all entries: at most a share of the requests of
+// the window and a fixed number on top.
+struct retry_bound
+{
+    double ratio = 0.2;
+    std::chrono::seconds window{10};
+    double slack = 0;
+};
+
+// Requests and repeats of this entry by second.
+struct retry_window
+{
+    static constexpr std::size_t most_seconds = 32;
+    std::array<std::uint32_t, most_seconds> requests{};
+    std::array<std::uint32_t, most_seconds> repeats{};
+    std::int64_t second = 0;
+};
+
+void note_request(retry_window& state, base::time_point now);
+
+// Spends one repeat, or says that there is none left.
+bool spend_repeat(
+    retry_window& state,
+    retry_bound const& bound,
+    std::size_t entries,
+    base::time_point now);
+
+} // namespace foxtailvale::direct
+
+#endif
--- /dev/null
+++ b/libs/direct/src/endpoint_book.cpp
@@ -0,0 +1,251 @@
+#include <direct/endpoint_book.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace foxtailvale::direct
+{
+
+namespace
+{
+
+// Weight of the latest answer in the share of faults: about ten answers tell
+// an endpoint that fails four in ten from one that fails one in ten.
+constexpr double fault_weight = 0.1;
+
+// A fault counts half after this time, so that an endpoint that recovered is
+// tried again.
+constexpr std::chrono::duration<double> fault_half_life{3};
+
+constexpr std::chrono::milliseconds first_avoidance{300};
+constexpr std::chrono::milliseconds longest_avoidance{2400};
+
+// Own sends are kept for as long as any share of a cold limit looks back.
+constexpr std::chrono::seconds recent_time{3};
+
+std::string_view ip_of(std::string_view address)
+{
+    return address.substr(0, address.rfind(':'));
+}
+
+void fade_faults(endpoint_state& state, base::time_point now)
+{
+    auto const passed = std::chrono::duration<double>(now - state.last_fault);
+    state.fault_share *= std::exp2(-(passed / fault_half_life));
+    state.last_fault = now;
+}
+
+void note_answer(endpoint_state& state, bool fault, base::time_point now)
+{
+    fade_faults(state, now);
+    state.fault_share +=
+        fault_weight * ((fault ? 1.0 : 0.0) - state.fault_share);
+}
+
+} // namespace
+
+bool put(endpoint_book& book, endpoint_record record)
+{
+    auto& state = book.endpoints[record.id];
+    state.lapses.reset();
+    if (state.listed == record)
+    {
+        return false;
+    }
+    if (state.listed.address != record.address)
+    {
+        state.report.reset();
+    }
+    state.listed = std::move(record);
+    return true;
+}
+
+void remove(
+    endpoint_book& book,
+    std::string const& id,
+    bool list_was_lost,
+    base::time_point now)
+{
+    auto const found = book.endpoints.find(id);
+    if (found == book.endpoints.end())
+    {
+        return;
+    }
+    if (list_was_lost && !found->second.listed.draining)
+    {
+        if (!found->second.lapses)
+        {
+            found->second.lapses = now + lapse_time;
+        }
+        return;
+    }
+    book.endpoints.erase(found);
+}
+
+void replace_all(
+    endpoint_book& book,
+    std::vector<endpoint_record> records,
+    bool list_was_lost,
+    base::time_point now)
+{
+    std::set<std::string> listed;
+    for (auto& record : records)
+    {
+        listed.insert(record.id);
+        put(book, std::move(record));
+    }
+    std::vector<std::string> missing;
+    for (auto const& [id, state] : book.endpoints)
+    {
+        if (!listed.contains(id))
+        {
+            missing.push_back(id);
+        }
+    }
+    for (auto const& id : missing)
+    {
+        remove(book, id, list_was_lost, now);
+    }
+}
+
+void expire(endpoint_book& book, base::time_point now)
+{
+    std::erase_if(
+        book.endpoints,
+        [now](auto const& entry)
+        {
+            return entry.second.lapses && *entry.second.lapses <= now;
+        });
+}
+
+void note_report(
+    endpoint_book& book,
+    std::string const& address,
+    load_report const& report,
+    base::time_point now)
+{
+    for (auto& [id, state] : book.endpoints)
+    {
+        if (ip_of(state.listed.address) == address)
+        {
+            state.report = report;
+            state.reported = now;
+            state.own_change = 0;
+        }
+    }
+}
+
+void name_version(
+    endpoint_book& book,
+    std::string const& model,
+    std::uint64_t version,
+    base::time_point older_until)
+{
+    auto& named = book.versions[model];
+    if (named.empty() || named.back().version < version)
+    {
+        named.push_back({version, older_until});
+    }
+}
+
+std::uint64_t oldest_allowed(
+    endpoint_book const& book, std::string const& model, base::time_point now)
+{
+    auto const found = book.versions.find(model);
+    std::uint64_t oldest = 0;
+    if (found == book.versions.end())
+    {
+        return oldest;
+    }
+    for (auto const& named : found->second)
+    {
+        if (named.older_until <= now)
+        {
+            oldest = named.version;
+        }
+    }
+    return oldest;
+}
+
+void begin_use(endpoint_book& book, std::string const& id, base::time_point now)
+{
+    auto const found = book.endpoints.find(id);
+    if (found == book.endpoints.end())
+    {
+        return;
+    }
+    auto& state = found->second;
+    if (state.own_running == 0)
+    {
+        state.last_heard = now;
+    }
+    ++state.own_running;
+    ++state.own_change;
+    state.recent.push_back(now);
+    while (state.recent.front() + recent_time < now)
+    {
+        state.recent.pop_front();
+    }
+}
+
+void end_use(
+    endpoint_book& book,
+    std::string const& id,
+    use_end how,
+    base::time_point now)
+{
+    auto const found = book.endpoints.find(id);
+    if (found == book.endpoints.end())
+    {
+        return;
+    }
+    auto& state = found->second;
+    state.own_running -= std::min<std::uint32_t>(1, state.own_running);
+    --state.own_change;
+    if (how == use_end::answered || how == use_end::faulty)
+    {
+        note_answer(state, how == use_end::faulty, now);
+    }
+    if (how == use_end::answered)
+    {
+        state.connect_faults = 0;
+    }
+    if (how == use_end::not_connected)
+    {
+        auto const doublings = std::min<std::uint32_t>(state.connect_faults, 3);
+        state.avoid_until =
+            now + std::min<std::chrono::milliseconds>(
+                      first_avoidance * (1 << doublings), longest_avoidance);
+        ++state.connect_faults;
+    }
+}
+
+void note_heard(
+    endpoint_book& book, std::string const& id, base::time_point now)
+{
+    auto const found = book.endpoints.find(id);
+    if (found != book.endpoints.end())
+    {
+        found->second.last_heard = now;
+    }
+}
+
+bool is_stalled(endpoint_state const& state, base::time_point now)
+{
+    return state.own_running > 0 && now - state.last_heard > stall_time;
+}
+
+bool is_fresh(endpoint_state const& state, base::time_point now)
+{
+    return state.report && now - state.reported <= report_silence;
+}
+
+served_weights const&
+weights_of(endpoint_state const& state, base::time_point now)
+{
+    return is_fresh(state, now) && !state.report->unreachable
+               ? state.report->weights
+               : state.listed.weights;
+}
+
+} // namespace foxtailvale::direct
--- /dev/null
+++ b/libs/direct/src/placement.cpp
@@ -0,0 +1,168 @@
+#include <direct/placement.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace foxtailvale::direct
+{
+
+namespace
+{
+
+// Added to the relative load of an endpoint in another failure domain.
+constexpr double remote_cost = 0.25;
+
+// Added where answers are mostly faults or the agent is silent; more than any
+// relative load, so that such an endpoint comes after all others.
+constexpr double distrust_cost = 10;
+
+// Share of faults beyond which an endpoint is distrusted. Plain services fail
+// one request in seven by themselves; what harms callers fails four in ten.
+constexpr double most_faults = 0.3;
+
+constexpr double random_share = 0.05;
+
+double draw(base::random_state& random)
+{
+    constexpr std::uint64_t steps = 1024;
+    return static_cast<double>(base::random_below(random, steps)) /
+           static_cast<double>(steps);
+}
+
+// Whether the endpoint could take such a request at all.
+bool is_listed_for(
+    endpoint_book const& book,
+    endpoint_state const& state,
+    placement_ask const& ask)
+{
+    auto const& listed = state.listed;
+    if (listed.service != ask.service || listed.draining ||
+        book.domains_out.contains(listed.failure_domain))
+    {
+        return false;
+    }
+    if (ask.regions.empty())
+    {
+        return true;
+    }
+    auto const region = book.regions.find(listed.failure_domain);
+    return region != book.regions.end() && ask.regions.contains(region->second);
+}
+
+bool has_weights(
+    endpoint_book const& book,
+    endpoint_state const& state,
+    placement_ask const& ask,
+    base::time_point now)
+{
+    if (ask.model.empty())
+    {
+        return true;
+    }
+    auto const& weights = weights_of(state, now);
+    if (!weights.whole || weights.model != ask.model)
+    {
+        return false;
+    }
+    if (ask.version != 0 && weights.version != ask.version)
+    {
+        return false;
+    }
+    return weights.version >= oldest_allowed(book, ask.model, now);
+}
+
+bool takes_work(
+    endpoint_state const& state, placement_ask const& ask, base::time_point now)
+{
+    if (state.avoid_until > now || ask.tried.contains(state.listed.id))
+    {
+        return false;
+    }
+    if (is_fresh(state, now) &&
+        (state.report->switching || state.report->unreachable))
+    {
+        return false;
+    }
+    if (!may_send_within_part(state.recent, ask.cold, ask.entries, now))
+    {
+        return false;
+    }
+    return work_at(state, ask.entries, now) < state.listed.slots + ask.depth;
+}
+
+bool is_distrusted(endpoint_state const& state, base::time_point now)
+{
+    auto const silent = state.report && !is_fresh(state, now);
+    return silent || is_stalled(state, now) || state.fault_share > most_faults;
+}
+
+} // namespace
+
+std::uint32_t
+work_at(endpoint_state const& state, std::size_t entries, base::time_point now)
+{
+    if (!is_fresh(state, now))
+    {
+        // Others are assumed to send as much as this entry does, up to a
+        // limit that leaves an endpoint without an agent usable.
+        auto const others = std::min<std::size_t>(entries, 2);
+        return state.own_running * static_cast<std::uint32_t>(others);
+    }
+    auto const known = static_cast<std::int64_t>(state.report->running) +
+                       state.report->waiting + state.own_change;
+    return static_cast<std::uint32_t>(
+        std::max<std::int64_t>(known, state.own_running));
+}
+
+choice choose(
+    endpoint_book const& book,
+    placement_ask const& ask,
+    base::time_point now,
+    base::random_state& random)
+{
+    choice found;
+    auto best = std::numeric_limits<double>::max();
+    for (auto const& [id, state] : book.endpoints)
+    {
+        if (!is_listed_for(book, state, ask))
+        {
+            continue;
+        }
+        if (!has_weights(book, state, ask, now))
+        {
+            found.why = std::max(found.why, no_choice::no_weights);
+            if (found.why == no_choice::none_listed)
+            {
+                found.why = no_choice::no_weights;
+            }
+            continue;
+        }
+        if (!takes_work(state, ask, now))
+        {
+            if (found.why != no_choice::no_weights)
+            {
+                found.why = no_choice::all_busy;
+            }
+            continue;
+        }
+        auto const pace = is_fresh(state, now) ? state.report->pace : 1.0;
+        auto cost = pace * (1.0 + work_at(state, ask.entries, now)) /
+                    std::max<std::uint32_t>(1, state.listed.slots);
+        cost += state.listed.failure_domain == ask.own_domain ? 0 : remote_cost;
+        cost += is_distrusted(state, now) ? distrust_cost : 0;
+        cost += random_share * draw(random);
+        if (cost < best)
+        {
+            best = cost;
+            found.chosen = &state;
+        }
+    }
+    if (found.chosen != nullptr && !ask.model.empty())
+    {
+        found.version = weights_of(*found.chosen, now).version;
+    }
+    return found;
+}
+
+} // namespace foxtailvale::direct
--- /dev/null
+++ b/libs/direct/src/repeat.cpp
@@ -0,0 +1,65 @@
+#include <direct/repeat.hpp>
+
+namespace foxtailvale::direct
+{
+
+using base::error_kind;
+using base::ran_state;
+using routing::repetition;
+
+base::ran_state judge_run(attempt_facts const& facts)
+{
+    if (!facts.written)
+    {
+        return ran_state::no;
+    }
+    if (facts.head_seen && facts.says_not_run)
+    {
+        return ran_state::no;
+    }
+    if (facts.head_seen && facts.sealed)
+    {
+        return ran_state::yes;
+    }
+    return ran_state::unknown;
+}
+
+bool is_answer(attempt_facts const& facts)
+{
+    return facts.head_seen && facts.sealed && facts.whole &&
+           !facts.says_not_run;
+}
+
+bool may_repeat(repeat_ask const& ask)
+{
+    if (ask.sends >= most_sends)
+    {
+        return false;
+    }
+    if (ask.answer_begun)
+    {
+        return ask.repeats == repetition::resumable &&
+               (ask.ran == ran_state::no || ask.runs < ask.most_attempts);
+    }
+    if (ask.ran == ran_state::no && ask.runs == 0)
+    {
+        return true;
+    }
+    if (ask.repeats == repetition::non_idempotent)
+    {
+        return false;
+    }
+    return ask.runs < ask.most_attempts;
+}
+
+base::error_kind final_error(base::ran_state ran, bool time_is_up)
+{
+    if (ran == ran_state::no)
+    {
+        return time_is_up ? error_kind::deadline_unreachable
+                          : error_kind::no_endpoint;
+    }
+    return time_is_up ? error_kind::deadline_passed : error_kind::endpoint_lost;
+}
+
+} // namespace foxtailvale::direct
--- /dev/null
+++ b/libs/gateway/include/gateway/agent_process.hpp
@@ -0,0 +1,15 @@
+#ifndef FOXTAILVALE_GATEWAY_AGENT_PROCESS_HPP
+#define FOXTAILVALE_GATEWAY_AGENT_PROCESS_HPP
+
+#include <string>
+
+namespace foxtailvale::gateway
+{
+
+// Runs the agent of one engine on the platform that wrote the settings file;
+// returns the exit code when it was stopped.
+int run_agent(std::string const& settings_path);
+
+} // namespace foxtailvale::gateway
+
+#endif
--- /dev/null
+++ b/libs/gateway/include/gateway/entry_context.hpp
@@ -0,0 +1,79 @@
+#ifndef FOXTAILVALE_GATEWAY_ENTRY_CONTEXT_HPP
+#define FOXTAILVALE_GATEWAY_ENTRY_CONTEXT_HPP
+
+#include <base/boot_clock.hpp>
+#include <base/random.hpp>
+#include <kernel/metrics.hpp>
+#include <request/suspects.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <direct/endpoint_book.hpp>
+#include <direct/shares.hpp>
+#include <gateway/connection_pool.hpp>
+#include <platform/settings.hpp>
+#include <routing/configuration.hpp>
+#include <routing/routes.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace foxtailvale::gateway
+{
+
+class call;
+
+// Order in which requests of one service wait for an endpoint: the more urgent
+// first, then the older.
+struct waiting_place
+{
+    std::uint32_t priority = 0;
+    std::uint64_t arrival = 0;
+
+    auto operator<=>(waiting_place const&) const = default;
+};
+
+using waiting_line = std::map<waiting_place, std::shared_ptr<call>>;
+
+// What all requests of one entry share. Used from the loop only.
+struct entry_context
+{
+    boost::asio::io_context& loop;
+    platform::settings settings;
+    connection_pool pool;
+    kernel::metrics counters;
+
+    // The configuration in force; null before the first.
+    std::shared_ptr<routing::configuration const> configuration;
+    // When the read began that last confirmed it.
+    std::optional<base::boot_time> confirmed;
+    direct::endpoint_book book;
+    direct::entry_count entries;
+    // By service.
+    std::map<std::string, direct::retry_window> repeats;
+    std::map<std::string, waiting_line> waiting;
+    request::suspect_list suspects;
+    // Tells the other entries of a crash or that it was none of this request.
+    std::function<void(
+        request::fingerprint, std::string const& endpoint, bool answered)>
+        tell_crash;
+    base::random_state random;
+    std::uint64_t arrivals = 0;
+    bool stopping = false;
+
+    entry_context(
+        boost::asio::io_context& event_loop, platform::settings given);
+};
+
+// Lets waiting requests of the service try again, in their order.
+void serve_waiting(entry_context& context, std::string const& service);
+
+// The same for all services.
+void serve_all_waiting(entry_context& context);
+
+} // namespace foxtailvale::gateway
+
+#endif
--- /dev/null
+++ b/libs/gateway/include/gateway/entry_process.hpp
@@ -0,0 +1,15 @@
+#ifndef FOXTAILVALE_GATEWAY_ENTRY_PROCESS_HPP
+#define FOXTAILVALE_GATEWAY_ENTRY_PROCESS_HPP
+
+#include <string>
+
+namespace foxtailvale::gateway
+{
+
+// Runs an entry that sends to endpoints directly, on the platform that wrote
+// the settings file; returns the exit code when it was stopped.
+int run_entry(std::string const& settings_path);
+
+} // namespace foxtailvale::gateway
+
+#endif
--- /dev/null
+++ b/libs/gateway/src/call.hpp
@@ -0,0 +1,112 @@
+#ifndef FOXTAILVALE_GATEWAY_CALL_HPP
+#define FOXTAILVALE_GATEWAY_CALL_HPP
+
+#include <boost/asio/steady_timer.hpp>
+#include <direct/placement.hpp>
+#include <direct/repeat.hpp>
+#include <gateway/entry_context.hpp>
+#include <gateway/event_splitter.hpp>
+#include <net/client_connection.hpp>
+#include <net/http_server.hpp>
+#include <platform/requests.hpp>
+
+#include <utility>
+
+namespace foxtailvale::gateway
+{
+
+// One request of a caller on its way through the entry: admitted, placed or
+// waiting, sent to an endpoint, answered. Alive while it waits, runs or its
+// timer is set.
+class call : public std::enable_shared_from_this<call>
+{
+public:
+    call(
+        std::shared_ptr<entry_context> shared,
+        std::shared_ptr<net::server_session> caller,
+        net::request received);
+
+    void start();
+
+    // Tries to place the waiting request; false when there is still no room.
+    bool try_waiting();
+
+private:
+    // One attempt at an endpoint.
+    struct attempt
+    {
+        std::string endpoint;
+        std::string address;
+        std::shared_ptr<net::client_connection> connection;
+        direct::attempt_facts facts;
+        net::response_head head;
+        platform::endpoint_head said;
+        std::string body;
+        event_splitter events;
+        bool is_stream = false;
+        // Events of this attempt that were passed on.
+        std::uint32_t events_sent = 0;
+        base::time_point begun;
+        base::time_point last_byte;
+    };
+
+    bool admit();
+    bool place(bool may_wait);
+    direct::placement_ask placement() const;
+    void wait();
+    void leave_line();
+    void send(direct::choice const& chosen);
+    net::head_verdict
+    on_head(std::uint64_t number, net::response_head const& head);
+    void on_data(std::uint64_t number, std::string_view data);
+    void on_events(std::string_view data);
+    void on_end(std::uint64_t number, net::exchange_result const& result);
+    bool is_current(std::uint64_t number) const;
+    void end_attempt(direct::use_end how);
+    void note_crash();
+    void after_failure(base::ran_state ran, char const* reason);
+    void answer();
+    void begin_answer();
+    void refuse(base::error_kind kind, char const* reason);
+    void fail(base::error_kind kind, char const* reason);
+    void cut(char const* reason);
+    void finish();
+    void on_caller_gone();
+    void set_timer();
+    void on_timer();
+    std::optional<base::time_point> attempt_limit() const;
+    std::chrono::milliseconds time_left() const;
+    std::chrono::milliseconds retry_after() const;
+    void log(char const* outcome, base::error_kind kind, char const* reason);
+
+    std::shared_ptr<entry_context> context;
+    std::shared_ptr<net::server_session> session;
+    net::request request;
+    platform::caller_request said;
+    std::shared_ptr<routing::configuration const> configuration;
+    routing::permission allowed;
+    std::string service_name;
+    routing::service const* service = nullptr;
+    boost::asio::steady_timer timer;
+    base::time_point arrived;
+    base::time_point deadline;
+    base::time_point wait_until;
+    waiting_place place_in_line;
+    bool in_line = false;
+    bool done = false;
+    std::optional<attempt> current;
+    std::uint64_t attempt_number = 0;
+    std::set<std::string> tried;
+    std::uint32_t sends = 0;
+    std::uint32_t runs = 0;
+    base::ran_state ran_so_far = base::ran_state::no;
+    // The answer's head has gone to the caller.
+    bool answer_begun = false;
+    std::optional<std::uint64_t> last_event;
+    std::uint64_t version = 0;
+    request::fingerprint print = 0;
+};
+
+} // namespace foxtailvale::gateway
+
+#endif
--- /dev/null
+++ b/libs/gateway/src/entry_context.cpp
@@ -0,0 +1,62 @@
+#include "call.hpp"
+
+#include <gateway/entry_context.hpp>
+
+#include <vector>
+
+namespace foxtailvale::gateway
+{
+
+entry_context::entry_context(
+    boost::asio::io_context& event_loop, platform::settings given)
+    : loop(event_loop), settings(std::move(given)),
+      pool(event_loop), random{base::entropy_seed()}
+{
+    this->book.regions = this->settings.regions;
+}
+
+void serve_waiting(entry_context& context, std::string const& service)
+{
+    auto const found = context.waiting.find(service);
+    if (found == context.waiting.end())
+    {
+        return;
+    }
+    // A request that starts or is refused leaves the line, so the line is
+    // walked by position and not by iterator.
+    auto place = waiting_place{};
+    while (true)
+    {
+        auto const next = found->second.lower_bound(place);
+        if (next == found->second.end())
+        {
+            return;
+        }
+        auto const waiting = next->second;
+        place = next->first;
+        ++place.arrival;
+        if (!waiting->try_waiting())
+        {
+            // What stands behind it wants the same room.
+            return;
+        }
+    }
+}
+
+void serve_all_waiting(entry_context& context)
+{
+    std::vector<std::string> services;
+    for (auto const& [service, line] : context.waiting)
+    {
+        if (!line.empty())
+        {
+            services.push_back(service);
+        }
+    }
+    for (auto const& service : services)
+    {
+        serve_waiting(context, service);
+    }
+}
+
+} // namespace foxtailvale::gateway
--- /dev/null
+++ b/libs/gateway/src/entry_views.cpp
@@ -0,0 +1,259 @@
+#include "entry_views.hpp"
+
+#include <kernel/events.hpp>
+
+namespace foxtailvale::gateway
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+using clock = std::chrono::steady_clock;
+
+// The configuration confirms keys, which may not be used longer than a few
+// seconds after their withdrawal.
+constexpr milliseconds configuration_wait{1000};
+// A connection that fell silent must not hide a leaving endpoint for long.
+constexpr milliseconds endpoints_wait{2000};
+constexpr milliseconds domains_wait{2500};
+constexpr milliseconds versions_wait{2500};
+
+// Taken off the time until an older version may begin nothing more: the news
+// travels some milliseconds, and a request may wait in an endpoint's queue.
+constexpr milliseconds version_margin{1200};
+
+} // namespace
+
+entry_views::entry_views(std::shared_ptr<entry_context> shared)
+    : context(std::move(shared))
+{
+}
+
+void entry_views::start()
+{
+    this->watch_configuration();
+    this->watch_endpoints();
+    this->watch_domains();
+    this->watch_versions();
+}
+
+bool entry_views::knows_endpoints() const
+{
+    return this->endpoints_known;
+}
+
+std::shared_ptr<store_watch> entry_views::watch(
+    platform::object_kind kind, milliseconds wait, watch_handlers handlers)
+{
+    auto const store =
+        net::parse_endpoint(this->context->settings.store_address);
+    watch_settings chosen;
+    chosen.store = store.value_or(net::tcp_endpoint());
+    chosen.kind = kind;
+    chosen.wait = wait;
+    chosen.seed = base::next_random(this->context->random);
+    auto const made = std::make_shared<store_watch>(
+        this->context->loop, chosen, std::move(handlers));
+    this->watches.push_back(made);
+    made->start();
+    return made;
+}
+
+std::function<void(bool, std::string const&)>
+entry_views::report_loss(char const* what)
+{
+    return [what](bool lost, std::string const& why)
+    {
+        kernel::log_event(
+            lost ? kernel::event_id::platform_lost
+                 : kernel::event_id::platform_back,
+            {{"view", what}, {"why", why}});
+    };
+}
+
+void entry_views::watch_configuration()
+{
+    auto const self = this->shared_from_this();
+    this->watch(
+        platform::object_kind::configuration, configuration_wait,
+        {[self](std::vector<platform::store_object> const& objects, bool)
+         {
+             for (auto const& object : objects)
+             {
+                 self->adopt(object);
+             }
+         },
+         [self](platform::store_object const& object, bool)
+         {
+             self->adopt(object);
+         },
+         [self](base::boot_time began)
+         {
+             self->context->confirmed = began;
+         },
+         this->report_loss("configuration")});
+}
+
+void entry_views::adopt(platform::store_object const& object)
+{
+    if (object.removed || object.name != "main")
+    {
+        return;
+    }
+    auto read = platform::read_configuration(object.content);
+    if (read.has_error())
+    {
+        kernel::log_error(read.error(), {{"revision", object.revision}});
+        return;
+    }
+    auto& state = *this->context;
+    // Only upwards: an answer that was delayed must not take back what is in
+    // force.
+    if (state.configuration &&
+        read.value().version <= state.configuration->version)
+    {
+        return;
+    }
+    state.configuration =
+        std::make_shared<routing::configuration const>(std::move(read.value()));
+    this->on_limits(state.configuration->limits);
+    kernel::log_event(
+        kernel::event_id::configuration_adopted,
+        {{"version", state.configuration->version},
+         {"revision", object.revision},
+         {"skipped", state.configuration->skipped}});
+}
+
+void entry_views::watch_endpoints()
+{
+    auto const self = this->shared_from_this();
+    this->watch(
+        platform::object_kind::endpoints, endpoints_wait,
+        {[self](
+             std::vector<platform::store_object> const& objects, bool was_lost)
+         {
+             std::vector<direct::endpoint_record> records;
+             for (auto const& object : objects)
+             {
+                 if (auto record =
+                         platform::read_endpoint(object.name, object.content))
+                 {
+                     records.push_back(std::move(*record));
+                 }
+             }
+             direct::replace_all(
+                 self->context->book, std::move(records), was_lost,
+                 clock::now());
+             self->endpoints_known = true;
+             self->on_endpoints();
+             serve_all_waiting(*self->context);
+         },
+         [self](platform::store_object const& object, bool was_lost)
+         {
+             self->take_endpoint(object, was_lost);
+         },
+         [](base::boot_time) {}, this->report_loss("endpoints")});
+}
+
+void entry_views::take_endpoint(
+    platform::store_object const& object, bool was_lost)
+{
+    auto const now = clock::now();
+    auto record = platform::read_endpoint(object.name, object.content);
+    if (object.removed || !record)
+    {
+        direct::remove(this->context->book, object.name, was_lost, now);
+        return;
+    }
+    auto const is_new = !this->context->book.endpoints.contains(object.name);
+    direct::put(this->context->book, std::move(*record));
+    if (is_new)
+    {
+        this->on_endpoints();
+    }
+    serve_all_waiting(*this->context);
+}
+
+void entry_views::watch_domains()
+{
+    auto const self = this->shared_from_this();
+    this->watch(
+        platform::object_kind::domains_out, domains_wait,
+        {[self](std::vector<platform::store_object> const& objects, bool)
+         {
+             self->context->book.domains_out.clear();
+             for (auto const& object : objects)
+             {
+                 self->take_domain(object);
+             }
+         },
+         [self](platform::store_object const& object, bool)
+         {
+             self->take_domain(object);
+         },
+         [](base::boot_time) {}, this->report_loss("failure domains")});
+}
+
+void entry_views::take_domain(platform::store_object const& object)
+{
+    auto& out = this->context->book.domains_out;
+    auto const changed = object.removed ? out.erase(object.name) > 0
+                                        : out.insert(object.name).second;
+    if (changed)
+    {
+        kernel::log_event(
+            object.removed ? kernel::event_id::domain_in
+                           : kernel::event_id::domain_out,
+            {{"failure_domain", object.name}});
+    }
+}
+
+void entry_views::watch_versions()
+{
+    auto const self = this->shared_from_this();
+    this->watch(
+        platform::object_kind::versions, versions_wait,
+        {[self](std::vector<platform::store_object> const& objects, bool)
+         {
+             // What a listing brings may have been accepted at any moment
+             // since the last confirmation.
+             auto const since = self->versions_known
+                                    ? self->versions_confirmed
+                                    : clock::now() - milliseconds(5000);
+             for (auto const& object : objects)
+             {
+                 self->take_version(object, since);
+             }
+             self->versions_known = true;
+         },
+         [self](platform::store_object const& object, bool was_lost)
+         {
+             self->take_version(
+                 object, was_lost ? self->versions_confirmed : clock::now());
+         },
+         [self](base::boot_time)
+         {
+             self->versions_confirmed = clock::now();
+         },
+         this->report_loss("versions")});
+}
+
+void entry_views::take_version(
+    platform::store_object const& object, base::time_point accepted)
+{
+    auto const read = platform::read_version(object.content);
+    if (object.removed || !read)
+    {
+        return;
+    }
+    auto const bound = this->context->settings.promised.version;
+    direct::name_version(
+        this->context->book, read->model, read->version,
+        accepted + bound - version_margin);
+    kernel::log_event(
+        kernel::event_id::version_named,
+        {{"model", read->model}, {"version", read->version}});
+}
+
+} // namespace foxtailvale::gateway
--- /dev/null
+++ b/libs/gateway/src/entry_views.hpp
@@ -0,0 +1,52 @@
+#ifndef FOXTAILVALE_GATEWAY_ENTRY_VIEWS_HPP
+#define FOXTAILVALE_GATEWAY_ENTRY_VIEWS_HPP
+
+#include <gateway/entry_context.hpp>
+#include <gateway/store_watch.hpp>
+
+#include <utility>
+
+namespace foxtailvale::gateway
+{
+
+// An entry's views of the platform's store, kept in its context.
+class entry_views : public std::enable_shared_from_this<entry_views>
+{
+public:
+    explicit entry_views(std::shared_ptr<entry_context> shared);
+
+    void start();
+
+    // The list of endpoints was read at least once.
+    bool knows_endpoints() const;
+
+    // Set before start().
+    std::function<void(routing::caller_limits const&)> on_limits;
+    std::function<void()> on_endpoints;
+
+private:
+    std::shared_ptr<store_watch> watch(
+        platform::object_kind kind,
+        std::chrono::milliseconds wait,
+        watch_handlers handlers);
+    void watch_configuration();
+    void watch_endpoints();
+    void watch_domains();
+    void watch_versions();
+    void adopt(platform::store_object const& object);
+    void take_endpoint(platform::store_object const& object, bool was_lost);
+    void take_version(
+        platform::store_object const& object, base::time_point accepted);
+    void take_domain(platform::store_object const& object);
+    std::function<void(bool, std::string const&)> report_loss(char const* what);
+
+    std::shared_ptr<entry_context> context;
+    std::vector<std::shared_ptr<store_watch>> watches;
+    bool endpoints_known = false;
+    bool versions_known = false;
+    base::time_point versions_confirmed;
+};
+
+} // namespace foxtailvale::gateway
+
+#endif
--- /dev/null
+++ b/libs/gateway/src/peer_link.cpp
@@ -0,0 +1,159 @@
+#include "peer_link.hpp"
+
+#include <proto/foxtailvale.pb.h>
+
+#include <direct/endpoint_book.hpp>
+
+namespace foxtailvale::gateway
+{
+
+namespace
+{
+
+using clock = std::chrono::steady_clock;
+
+direct::load_report read_state(wire::EngineState const& state)
+{
+    direct::load_report report;
+    report.running = state.running();
+    report.waiting = state.waiting();
+    report.pace = state.pace();
+    report.weights = {state.model(), state.version(), state.whole()};
+    report.switching = state.switching();
+    report.unreachable = state.unreachable();
+    return report;
+}
+
+} // namespace
+
+peer_link::peer_link(std::shared_ptr<entry_context> shared)
+    : context(std::move(shared))
+{
+}
+
+std::optional<std::string> peer_link::open()
+{
+    auto const& settings = this->context->settings;
+    boost::system::error_code error;
+    auto const ip = boost::asio::ip::make_address(settings.ip, error);
+    if (error)
+    {
+        return "ip: " + error.message();
+    }
+    std::weak_ptr<peer_link> const self = this->shared_from_this();
+    this->socket = std::make_shared<net::datagram_socket>(
+        this->context->loop,
+        [self](net::udp_endpoint const& source, std::string_view bytes)
+        {
+            if (auto const held = self.lock())
+            {
+                held->receive(source, bytes);
+            }
+        });
+    this->context->tell_crash = [self](
+                                    request::fingerprint print,
+                                    std::string const& endpoint, bool answered)
+    {
+        if (auto const held = self.lock())
+        {
+            held->tell_crash(print, endpoint, answered);
+        }
+    };
+    return this->socket->open({ip, settings.peer_port});
+}
+
+void peer_link::subscribe_all()
+{
+    wire::Datagram message;
+    message.set_from(this->context->settings.name);
+    message.mutable_subscribe();
+    auto const bytes = message.SerializeAsString();
+    std::set<boost::asio::ip::address> told;
+    for (auto const& [id, state] : this->context->book.endpoints)
+    {
+        auto const address = net::parse_endpoint(state.listed.address);
+        if (address && this->has_agent(state.listed.service) &&
+            told.insert(address->address()).second)
+        {
+            this->socket->send(
+                {address->address(), this->context->settings.peer_port}, bytes);
+        }
+    }
+}
+
+bool peer_link::has_agent(std::string const& service) const
+{
+    auto const& known = this->context->configuration;
+    if (!known)
+    {
+        return true;
+    }
+    auto const found = known->services.find(service);
+    return found != known->services.end() && found->second.engine;
+}
+
+void peer_link::receive(net::udp_endpoint const& source, std::string_view bytes)
+{
+    wire::Datagram message;
+    if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
+    {
+        this->context->counters.count_error(base::error_kind::bad_frame);
+        return;
+    }
+    auto const now = clock::now();
+    if (message.has_engine_state())
+    {
+        auto const& state = message.engine_state();
+        direct::note_report(
+            this->context->book, source.address().to_string(),
+            read_state(state), now);
+        for (auto const& entry : state.entries())
+        {
+            if (entry != this->context->settings.ip)
+            {
+                this->entries.insert(entry);
+            }
+        }
+        direct::note_entries(
+            this->context->entries,
+            static_cast<std::size_t>(state.entries_size()));
+        serve_all_waiting(*this->context);
+        return;
+    }
+    if (message.has_crash_notice())
+    {
+        auto const& notice = message.crash_notice();
+        if (notice.answered())
+        {
+            request::note_answered(
+                this->context->suspects, notice.fingerprint());
+            return;
+        }
+        request::note_crash(
+            this->context->suspects, notice.fingerprint(), notice.endpoint(),
+            now);
+    }
+}
+
+void peer_link::tell_crash(
+    request::fingerprint print, std::string const& endpoint, bool answered)
+{
+    wire::Datagram message;
+    message.set_from(this->context->settings.name);
+    auto& notice = *message.mutable_crash_notice();
+    notice.set_fingerprint(print);
+    notice.set_endpoint(endpoint);
+    notice.set_answered(answered);
+    auto const bytes = message.SerializeAsString();
+    for (auto const& entry : this->entries)
+    {
+        boost::system::error_code error;
+        auto const ip = boost::asio::ip::make_address(entry, error);
+        if (!error)
+        {
+            this->socket->send({ip, this->context->settings.peer_port}, bytes);
+        }
+    }
+}
+
+} // namespace foxtailvale::gateway
--- /dev/null
+++ b/libs/gateway/src/peer_link.hpp
@@ -0,0 +1,42 @@
+#ifndef FOXTAILVALE_GATEWAY_PEER_LINK_HPP
+#define FOXTAILVALE_GATEWAY_PEER_LINK_HPP
+
+#include <gateway/entry_context.hpp>
+#include <net/datagram_socket.hpp>
+
+#include <set>
+#include <utility>
+
+namespace foxtailvale::gateway
+{
+
+// What an entry exchanges with agents and other entries. It asks the agents of
+// listed engines for reports; their reports name the other entries that ask
+// too, so entries find each other without a register of their own.
+class peer_link : public std::enable_shared_from_this<peer_link>
+{
+public:
+    explicit peer_link(std::shared_ptr<entry_context> shared);
+
+    // An error text when the address cannot be bound.
+    std::optional<std::string> open();
+
+    // Asks all agents for reports anew.
+    void subscribe_all();
+
+private:
+    // Agents run beside engines only.
+    bool has_agent(std::string const& service) const;
+    void receive(net::udp_endpoint const& source, std::string_view bytes);
+    void tell_crash(
+        request::fingerprint print, std::string const& endpoint, bool answered);
+
+    std::shared_ptr<entry_context> context;
+    std::shared_ptr<net::datagram_socket> socket;
+    // IP addresses of other entries.
+    std::set<std::string> entries;
+};
+
+} // namespace foxtailvale::gateway
+
+#endif
--- /dev/null
+++ b/libs/gateway/src/store_watch.cpp
@@ -0,0 +1,261 @@
+#include <gateway/store_watch.hpp>
+
+namespace foxtailvale::gateway
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+// A listing that takes longer has met a connection that fell silent: the store
+// answers within milliseconds, and within a quarter of a second when slow.
+constexpr milliseconds list_limit{1500};
+
+// What a watch may take beyond its wait.
+constexpr milliseconds watch_slack{800};
+
+constexpr milliseconds first_pause{60};
+constexpr milliseconds longest_pause{1000};
+
+// An outage shorter than this lets no entry lapse: endpoints are taken off the
+// list after three heartbeats of silence.
+constexpr milliseconds short_outage{1000};
+
+// How long after the store's return lapsed entries may still be missing.
+constexpr milliseconds return_time{2000};
+
+} // namespace
+
+store_watch::store_watch(
+    boost::asio::io_context& event_loop,
+    watch_settings chosen,
+    watch_handlers callbacks)
+    : loop(event_loop), settings(chosen), handlers(std::move(callbacks)),
+      timer(event_loop), random{chosen.seed}
+{
+}
+
+void store_watch::start()
+{
+    this->list({});
+}
+
+void store_watch::stop()
+{
+    this->stopped = true;
+    this->timer.cancel();
+    if (this->connection)
+    {
+        this->connection->close();
+    }
+}
+
+void store_watch::retry_now()
+{
+    if (this->waiting_to_retry && !this->stopped)
+    {
+        this->next(milliseconds(0));
+    }
+}
+
+void store_watch::list(std::string const& after)
+{
+    this->watching = false;
+    if (after.empty())
+    {
+        this->listed.clear();
+        this->list_began = base::boot_now();
+    }
+    this->send(
+        platform::list_request(this->settings.kind, after, false), list_limit);
+}
+
+void store_watch::watch()
+{
+    this->watching = true;
+    this->send(
+        platform::watch_request(
+            this->settings.kind, this->revision, this->settings.wait),
+        this->settings.wait + watch_slack);
+}
+
+void store_watch::send(
+    net::request const& request, std::chrono::milliseconds limit)
+{
+    this->waiting_to_retry = false;
+    this->began = base::boot_now();
+    this->status = 0;
+    this->body.clear();
+    if (!this->connection || !this->connection->is_idle())
+    {
+        this->connection = std::make_shared<net::client_connection>(
+            this->loop, this->settings.store);
+    }
+    auto const self = this->shared_from_this();
+    this->connection->start(
+        net::serialize(request),
+        {[self](net::response_head const& head)
+         {
+             self->status = head.status;
+             return net::head_verdict::take;
+         },
+         [self](std::string_view data)
+         {
+             self->body.append(data);
+         },
+         [self](net::exchange_result const& result)
+         {
+             if (self->stopped)
+             {
+                 return;
+             }
+             self->timer.cancel();
+             if (result.end != net::exchange_end::whole)
+             {
+                 self->status = 0;
+             }
+             self->on_response();
+         }});
+    this->timer.expires_after(limit);
+    this->timer.async_wait(
+        [self](boost::system::error_code error)
+        {
+            if (error || self->stopped)
+            {
+                return;
+            }
+            self->connection->close();
+            self->fail("no answer in time");
+        });
+}
+
+void store_watch::on_response()
+{
+    constexpr unsigned history_gone = 410;
+    if (this->status == history_gone)
+    {
+        this->succeed();
+        this->list({});
+        return;
+    }
+    if (this->status != 200)
+    {
+        this->fail("status " + std::to_string(this->status));
+        return;
+    }
+    auto reply = platform::read_store_reply(this->body);
+    if (reply.has_error())
+    {
+        this->fail(reply.error().detail);
+        return;
+    }
+    this->succeed();
+    if (this->watching)
+    {
+        this->take_changes(reply.value());
+        return;
+    }
+    this->take_list(std::move(reply.value()));
+}
+
+void store_watch::take_list(platform::store_reply reply)
+{
+    if (this->listed.empty())
+    {
+        // Later pages may speak for a later revision; watching from the first
+        // page's sees what changed between them.
+        this->listed_revision = reply.revision;
+    }
+    for (auto& object : reply.objects)
+    {
+        this->listed.push_back(std::move(object));
+    }
+    if (reply.truncated && !this->listed.empty())
+    {
+        this->list(std::string(this->listed.back().name));
+        return;
+    }
+    if (this->listed_revision < this->revision)
+    {
+        // An answer from before what was already seen would take back what
+        // has been adopted.
+        this->listed.clear();
+        this->fail("an answer from before");
+        return;
+    }
+    this->revision = this->listed_revision;
+    this->handlers.on_list(this->listed, this->was_lost());
+    this->listed.clear();
+    this->handlers.on_confirmed(this->list_began);
+    this->watch();
+}
+
+void store_watch::take_changes(platform::store_reply const& reply)
+{
+    auto const lost = this->was_lost();
+    for (auto const& object : reply.objects)
+    {
+        this->handlers.on_change(object, lost);
+    }
+    this->revision = std::max(this->revision, reply.revision);
+    this->handlers.on_confirmed(this->began);
+    this->watch();
+}
+
+void store_watch::succeed()
+{
+    this->failures = 0;
+    if (this->lost_since)
+    {
+        auto const now = base::boot_now();
+        if (now - *this->lost_since > short_outage)
+        {
+            this->regained = now;
+        }
+        this->lost_since.reset();
+        this->handlers.on_lost(false, {});
+    }
+}
+
+void store_watch::fail(std::string const& why)
+{
+    if (!this->lost_since)
+    {
+        this->lost_since = this->began;
+        this->handlers.on_lost(true, why);
+    }
+    auto const pause = std::min(
+        first_pause * (1 << std::min(this->failures, 5U)), longest_pause);
+    ++this->failures;
+    auto const jitter = base::random_below(
+        this->random, static_cast<std::uint64_t>(pause.count()) / 2 + 1);
+    this->next(pause + milliseconds(jitter));
+}
+
+bool store_watch::was_lost() const
+{
+    return this->regained && base::boot_now() - *this->regained < return_time;
+}
+
+void store_watch::next(milliseconds delay)
+{
+    this->waiting_to_retry = true;
+    this->timer.expires_after(delay);
+    this->timer.async_wait(
+        [self = this->shared_from_this()](boost::system::error_code error)
+        {
+            if (error || self->stopped || !self->waiting_to_retry)
+            {
+                return;
+            }
+            if (self->revision == 0)
+            {
+                self->list({});
+                return;
+            }
+            self->watch();
+        });
+}
+
+} // namespace foxtailvale::gateway
--- a/libs/kernel/include/kernel/events.hpp
+++ b/libs/kernel/include/kernel/events.hpp
@@ -20,6 +20,7 @@
     process_stopping = 1002,
     process_stopped = 1003,
     settings_refused = 1004,
+    settings_reloaded = 1005,
     configuration_adopted = 1101,
     plan_adopted = 1102,
     plan_written = 1103,
@@ -27,6 +28,7 @@
     lease_lost = 1105,
     platform_lost = 1106,
     platform_back = 1107,
+    version_named = 1108,
     peer_suspected = 1201,
     peer_back = 1202,
     peer_leaving = 1203,
@@ -39,6 +41,7 @@
     weights_released = 1306,
     engine_order_sent = 1307,
     engine_turned_cold = 1308,
+    engine_order_failed = 1309,
     request_refused = 1401,
     request_retried = 1402,
     request_failed = 1403,
@@ -59,9 +62,19 @@
 // All events of this list, in order of number.
 std::span<event_row const> event_table();
 
-// Writes log lines of one process as JSON, one object a line, to standard
-// error. Call once, before the first log line.
-void start_logging(std::string const& process, std::string const& level);
+// Where a process writes its log lines.
+enum class log_target
+{
+    standard_error,
+    standard_output,
+};
+
+// Writes log lines of one process as JSON, one object a line. Call once,
+// before the first log line.
+void start_logging(
+    std::string const& process,
+    std::string const& level,
+    log_target target = log_target::standard_error);
 
 // Writes one event; fields must be an object.
 void log_event(event_id id, nlohmann::json fields = nlohmann::json::object());
--- a/libs/kernel/src/events.cpp
+++ b/libs/kernel/src/events.cpp
@@ -18,6 +18,7 @@
     event_row{event_id::process_stopping, "process_stopping"},
     event_row{event_id::process_stopped, "process_stopped"},
     event_row{event_id::settings_refused, "settings_refused"},
+    event_row{event_id::settings_reloaded, "settings_reloaded"},
     event_row{event_id::configuration_adopted, "configuration_adopted"},
     event_row{event_id::plan_adopted, "plan_adopted"},
     event_row{event_id::plan_written, "plan_written"},
@@ -25,6 +26,7 @@
     event_row{event_id::lease_lost, "lease_lost"},
     event_row{event_id::platform_lost, "platform_lost"},
     event_row{event_id::platform_back, "platform_back"},
+    event_row{event_id::version_named, "version_named"},
     event_row{event_id::peer_suspected, "peer_suspected"},
     event_row{event_id::peer_back, "peer_back"},
     event_row{event_id::peer_leaving, "peer_leaving"},
@@ -37,6 +39,7 @@
     event_row{event_id::weights_released, "weights_released"},
     event_row{event_id::engine_order_sent, "engine_order_sent"},
     event_row{event_id::engine_turned_cold, "engine_turned_cold"},
+    event_row{event_id::engine_order_failed, "engine_order_failed"},
     event_row{event_id::request_refused, "request_refused"},
     event_row{event_id::request_retried, "request_retried"},
     event_row{event_id::request_failed, "request_failed"},
@@ -76,14 +79,17 @@
     return catalogue;
 }
 
-void start_logging(std::string const& process, std::string const& level)
+void start_logging(
+    std::string const& process, std::string const& level, log_target target)
 {
     process_name() = process;
     auto const layout = std::make_shared<log4cxx::PatternLayout>(
         "{\"time\":\"%d{yyyy-MM-ddTHH:mm:ss.SSSZ}\",\"level\":\"%p\","
         "\"body\":%m}%n");
     auto const appender = std::make_shared<log4cxx::ConsoleAppender>(
-        layout, log4cxx::ConsoleAppender::getSystemErr());
+        layout, target == log_target::standard_output
+                    ? log4cxx::ConsoleAppender::getSystemOut()
+                    : log4cxx::ConsoleAppender::getSystemErr());
     logger()->removeAllAppenders();
     logger()->addAppender(appender);
     logger()->setAdditivity(false);
--- /dev/null
+++ b/libs/net/include/net/message.hpp
@@ -0,0 +1,67 @@
+#ifndef FOXTAILVALE_NET_MESSAGE_HPP
+#define FOXTAILVALE_NET_MESSAGE_HPP
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace foxtailvale::net
+{
+
+// One header field as it was received; names keep their case.
+struct field
+{
+    std::string name;
+    std::string value;
+};
+
+using field_list = std::vector<field>;
+
+// A whole request.
+struct request
+{
+    std::string method;
+    // Path and query as received.
+    std::string target;
+    field_list fields;
+    std::string body;
+};
+
+// The head of a response, before its body.
+struct response_head
+{
+    unsigned status = 0;
+    field_list fields;
+    // The sender keeps the connection open after this response.
+    bool keep_alive = false;
+    // The body's end is marked by a length or by chunks; otherwise it ends
+    // with the connection.
+    bool delimited = false;
+};
+
+// True when both are equal without regard to ASCII case.
+bool equal_names(std::string_view left, std::string_view right);
+
+// Value of the first field of that name; nothing when there is none.
+std::optional<std::string_view>
+find_field(field_list const& fields, std::string_view name);
+
+// True for fields that concern one connection only (RFC 9110, 7.6.1) or that
+// describe the framing, which each hop writes anew.
+bool is_hop_field(std::string_view name);
+
+// The fields without those of one connection, among them those that the
+// Connection field names.
+field_list end_to_end_fields(field_list const& fields);
+
+// A request as bytes. The length is written for a body, and for methods that
+// usually have one.
+std::string serialize(request const& message);
+
+// The head of a response as bytes, with the blank line.
+std::string serialize_head(unsigned status, field_list const& fields);
+
+} // namespace foxtailvale::net
+
+#endif
--- /dev/null
+++ b/libs/net/src/http_server.cpp
@@ -0,0 +1,150 @@
+#include <net/http_server.hpp>
+
+#include <utility>
+
+namespace foxtailvale::net
+{
+
+namespace
+{
+
+// How often idle and slow clients are looked for; their limits are seconds.
+constexpr std::chrono::milliseconds sweep_interval{250};
+
+} // namespace
+
+http_server::http_server(
+    boost::asio::io_context& loop,
+    server_limits limits,
+    server_handlers handlers)
+    : acceptor(loop), timer(loop), state(std::make_shared<server_state>())
+{
+    this->state->limits = limits;
+    this->state->handlers = std::move(handlers);
+}
+
+std::optional<std::string> http_server::listen(tcp_endpoint address)
+{
+    boost::system::error_code error;
+    this->acceptor.open(address.protocol(), error);
+    if (!error)
+    {
+        this->acceptor.set_option(
+            boost::asio::ip::tcp::acceptor::reuse_address(true), error);
+    }
+    if (!error)
+    {
+        this->acceptor.bind(address, error);
+    }
+    if (!error)
+    {
+        this->acceptor.listen(
+            boost::asio::socket_base::max_listen_connections, error);
+    }
+    if (error)
+    {
+        return error.message();
+    }
+    this->accept();
+    this->sweep();
+    return std::nullopt;
+}
+
+void http_server::set_limits(server_limits limits)
+{
+    this->state->limits = limits;
+}
+
+void http_server::announce_close()
+{
+    this->state->closing = true;
+}
+
+void http_server::close_idle()
+{
+    boost::system::error_code ignored;
+    this->acceptor.close(ignored);
+    for (auto const& entry : this->sessions)
+    {
+        if (auto const session = entry.lock())
+        {
+            session->close_if_idle();
+        }
+    }
+}
+
+void http_server::stop()
+{
+    this->stopped = true;
+    this->timer.cancel();
+    boost::system::error_code ignored;
+    this->acceptor.close(ignored);
+    for (auto const& entry : this->sessions)
+    {
+        if (auto const session = entry.lock())
+        {
+            session->abort();
+        }
+    }
+}
+
+std::size_t http_server::running_requests() const
+{
+    return this->state->running_requests;
+}
+
+std::size_t http_server::open_sessions() const
+{
+    return this->state->open_sessions;
+}
+
+void http_server::accept()
+{
+    this->acceptor.async_accept(
+        [self = this->shared_from_this()](
+            boost::system::error_code error,
+            boost::asio::ip::tcp::socket socket)
+        {
+            if (!self->acceptor.is_open())
+            {
+                return;
+            }
+            if (!error)
+            {
+                auto const session = std::make_shared<server_session>(
+                    std::move(socket), self->state);
+                self->sessions.push_back(session);
+                session->open();
+            }
+            self->accept();
+        });
+}
+
+void http_server::sweep()
+{
+    this->timer.expires_after(sweep_interval);
+    this->timer.async_wait(
+        [self = this->shared_from_this()](boost::system::error_code error)
+        {
+            if (error || self->stopped)
+            {
+                return;
+            }
+            auto const now = std::chrono::steady_clock::now();
+            self->sessions.remove_if(
+                [](std::weak_ptr<server_session> const& entry)
+                {
+                    return entry.expired();
+                });
+            for (auto const& entry : self->sessions)
+            {
+                if (auto const session = entry.lock())
+                {
+                    session->check(now);
+                }
+            }
+            self->sweep();
+        });
+}
+
+} // namespace foxtailvale::net
--- /dev/null
+++ b/libs/net/src/response_reader.cpp
@@ -0,0 +1,93 @@
+#include "response_reader.hpp"
+
+#include <limits>
+
+namespace foxtailvale::net
+{
+
+namespace
+{
+
+// Responses hold a few hundred bytes of head; what is larger is refused as no
+// response, so that a faulty server cannot fill the memory.
+constexpr std::uint32_t most_head_bytes = 16 * 1024;
+
+} // namespace
+
+response_reader::response_reader(
+    std::function<void(response_head const&)> on_head,
+    std::function<void(std::string_view)> on_data)
+    : head_handler(std::move(on_head)), data_handler(std::move(on_data))
+{
+    this->eager(true);
+    this->header_limit(most_head_bytes);
+    // Boost 1.74 takes "no limit" for a limit of nothing where the length is
+    // announced, and reports every such body as too large.
+    this->body_limit(std::numeric_limits<std::uint64_t>::max());
+}
+
+response_head const& response_reader::head() const
+{
+    return this->found;
+}
+
+void response_reader::on_request_impl(
+    boost::beast::http::verb, text, text, int, error_code& error)
+{
+    error = {};
+}
+
+void response_reader::on_response_impl(int status, text, int, error_code& error)
+{
+    error = {};
+    this->found.status = static_cast<unsigned>(status);
+}
+
+void response_reader::on_field_impl(
+    boost::beast::http::field, text name, text value, error_code& error)
+{
+    error = {};
+    this->found.fields.push_back({std::string(name), std::string(value)});
+}
+
+void response_reader::on_header_impl(error_code& error)
+{
+    error = {};
+    this->found.keep_alive = this->keep_alive();
+    this->found.delimited = !this->need_eof();
+    this->head_handler(this->found);
+}
+
+void response_reader::on_body_init_impl(
+    boost::optional<std::uint64_t> const&, error_code& error)
+{
+    error = {};
+}
+
+std::size_t response_reader::on_body_impl(text data, error_code& error)
+{
+    error = {};
+    this->data_handler({data.data(), data.size()});
+    return data.size();
+}
+
+void response_reader::on_chunk_header_impl(
+    std::uint64_t, text, error_code& error)
+{
+    error = {};
+}
+
+std::size_t
+response_reader::on_chunk_body_impl(std::uint64_t, text data, error_code& error)
+{
+    error = {};
+    this->data_handler({data.data(), data.size()});
+    return data.size();
+}
+
+void response_reader::on_finish_impl(error_code& error)
+{
+    error = {};
+}
+
+} // namespace foxtailvale::net
--- /dev/null
+++ b/libs/net/src/server_session.cpp
@@ -0,0 +1,415 @@
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/error.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <net/http_server.hpp>
+
+#include <cstdio>
+#include <utility>
+
+namespace foxtailvale::net
+{
+
+namespace
+{
+
+using clock = std::chrono::steady_clock;
+namespace http = boost::beast::http;
+
+// A client that does not read its answer holds that much memory at most.
+constexpr std::size_t most_unsent_bytes = 8UL * 1024 * 1024;
+
+// Bytes taken in beside the request at hand; a client that sends ahead waits.
+constexpr std::size_t most_ahead_bytes = 64UL * 1024;
+
+// How long a client may take to close after the last answer.
+constexpr std::chrono::seconds linger_time{2};
+
+read_fault fault_of(boost::system::error_code error)
+{
+    if (error == http::error::header_limit)
+    {
+        return read_fault::head_too_large;
+    }
+    if (error == http::error::body_limit)
+    {
+        return read_fault::body_too_large;
+    }
+    return read_fault::malformed;
+}
+
+request take_request(http::request<http::string_body>& message)
+{
+    request taken;
+    taken.method = std::string(message.method_string());
+    taken.target = std::string(message.target());
+    for (auto const& entry : message)
+    {
+        taken.fields.push_back(
+            {std::string(entry.name_string()), std::string(entry.value())});
+    }
+    taken.body = std::move(message.body());
+    return taken;
+}
+
+} // namespace
+
+class server_session::reader
+{
+public:
+    explicit reader(server_limits const& limits)
+    {
+        this->parser.header_limit(limits.head_bytes);
+        this->parser.body_limit(limits.body_bytes);
+        this->parser.eager(true);
+    }
+
+    http::request_parser<http::string_body> parser;
+    bool continued = false;
+};
+
+server_session::server_session(
+    boost::asio::ip::tcp::socket accepted, std::shared_ptr<server_state> common)
+    : socket(std::move(accepted)), state(std::move(common)),
+      last_byte(clock::now()), request_began(this->last_byte)
+{
+    boost::system::error_code ignored;
+    this->socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+    this->remote = this->socket.remote_endpoint(ignored);
+    ++this->state->open_sessions;
+}
+
+server_session::~server_session()
+{
+    --this->state->open_sessions;
+    if (this->busy)
+    {
+        --this->state->running_requests;
+    }
+}
+
+void server_session::open()
+{
+    this->read();
+}
+
+tcp_endpoint server_session::client() const
+{
+    return this->remote;
+}
+
+bool server_session::awaits_answer() const
+{
+    return this->busy && !this->closed;
+}
+
+void server_session::on_gone(std::function<void()> callback)
+{
+    this->gone = std::move(callback);
+}
+
+void server_session::read()
+{
+    if (this->reading || this->closed)
+    {
+        return;
+    }
+    this->reading = true;
+    this->socket.async_read_some(
+        boost::asio::buffer(this->block),
+        [self = this->shared_from_this()](
+            boost::system::error_code error, std::size_t count)
+        {
+            self->reading = false;
+            self->on_read(error, count);
+        });
+}
+
+void server_session::on_read(boost::system::error_code error, std::size_t count)
+{
+    if (this->closed)
+    {
+        return;
+    }
+    if (error)
+    {
+        this->leave();
+        return;
+    }
+    this->last_byte = clock::now();
+    if (this->lingering)
+    {
+        this->read();
+        return;
+    }
+    if (this->inbox.empty() && !this->parser)
+    {
+        this->request_began = this->last_byte;
+    }
+    this->inbox.append(this->block.data(), count);
+    if (!this->busy)
+    {
+        this->feed();
+    }
+    if (this->inbox.size() < most_ahead_bytes)
+    {
+        this->read();
+    }
+}
+
+void server_session::feed()
+{
+    while (!this->busy && !this->closed && !this->lingering &&
+           !this->inbox.empty())
+    {
+        if (!this->parser)
+        {
+            this->parser = std::make_unique<reader>(this->state->limits);
+        }
+        auto& message = this->parser->parser;
+        boost::system::error_code error;
+        auto const used = message.put(boost::asio::buffer(this->inbox), error);
+        this->inbox.erase(0, used);
+        if (error && error != http::error::need_more)
+        {
+            this->fail(fault_of(error));
+            return;
+        }
+        if (message.is_done())
+        {
+            this->dispatch();
+            continue;
+        }
+        if (message.is_header_done() && !this->parser->continued &&
+            equal_names(
+                std::string(message.get()[http::field::expect]),
+                "100-continue"))
+        {
+            this->parser->continued = true;
+            this->write("HTTP/1.1 100 Continue\r\n\r\n");
+        }
+        if (error || used == 0)
+        {
+            return;
+        }
+    }
+}
+
+void server_session::dispatch()
+{
+    auto message = this->parser->parser.release();
+    this->client_keeps = message.keep_alive();
+    this->parser.reset();
+    this->busy = true;
+    this->streaming = false;
+    ++this->state->running_requests;
+    this->state->handlers.on_request(
+        this->shared_from_this(), take_request(message));
+}
+
+void server_session::fail(read_fault fault)
+{
+    this->parser.reset();
+    this->inbox.clear();
+    this->client_keeps = false;
+    this->busy = true;
+    ++this->state->running_requests;
+    this->state->handlers.on_fault(*this, fault);
+}
+
+void server_session::respond(
+    unsigned status, field_list fields, std::string_view body)
+{
+    if (!this->awaits_answer())
+    {
+        return;
+    }
+    this->last_answer = !this->client_keeps || this->state->closing;
+    fields.push_back({"Content-Length", std::to_string(body.size())});
+    if (this->last_answer)
+    {
+        fields.push_back({"Connection", "close"});
+    }
+    auto bytes = serialize_head(status, fields);
+    bytes.append(body);
+    this->finish_answer();
+    this->write(bytes);
+}
+
+void server_session::begin_stream(unsigned status, field_list fields)
+{
+    if (!this->awaits_answer())
+    {
+        return;
+    }
+    this->streaming = true;
+    this->last_answer = !this->client_keeps || this->state->closing;
+    fields.push_back({"Transfer-Encoding", "chunked"});
+    if (this->last_answer)
+    {
+        fields.push_back({"Connection", "close"});
+    }
+    this->write(serialize_head(status, fields));
+}
+
+void server_session::send(std::string_view data)
+{
+    if (!this->awaits_answer() || data.empty())
+    {
+        return;
+    }
+    std::array<char, 24> size{};
+    auto const length =
+        std::snprintf(size.data(), size.size(), "%zx\r\n", data.size());
+    std::string bytes(size.data(), static_cast<std::size_t>(length));
+    bytes.append(data).append("\r\n");
+    this->write(bytes);
+}
+
+void server_session::end_stream()
+{
+    if (!this->awaits_answer())
+    {
+        return;
+    }
+    this->finish_answer();
+    this->write("0\r\n\r\n");
+}
+
+void server_session::abort()
+{
+    this->gone = {};
+    this->close();
+}
+
+void server_session::finish_answer()
+{
+    this->gone = {};
+    this->busy = false;
+    --this->state->running_requests;
+    if (this->last_answer)
+    {
+        this->lingering = true;
+        this->inbox.clear();
+    }
+}
+
+void server_session::write(std::string_view bytes)
+{
+    if (this->closed)
+    {
+        return;
+    }
+    this->pending.append(bytes);
+    if (this->pending.size() > most_unsent_bytes)
+    {
+        this->leave();
+        return;
+    }
+    if (this->writing.empty())
+    {
+        this->write_next();
+    }
+}
+
+void server_session::write_next()
+{
+    this->writing = std::exchange(this->pending, {});
+    boost::asio::async_write(
+        this->socket, boost::asio::buffer(this->writing),
+        [self = this->shared_from_this()](
+            boost::system::error_code error, std::size_t)
+        {
+            self->writing.clear();
+            if (self->closed)
+            {
+                return;
+            }
+            if (error)
+            {
+                self->leave();
+                return;
+            }
+            self->last_byte = clock::now();
+            if (!self->pending.empty())
+            {
+                self->write_next();
+                return;
+            }
+            if (self->lingering)
+            {
+                boost::system::error_code ignored;
+                self->socket.shutdown(
+                    boost::asio::ip::tcp::socket::shutdown_send, ignored);
+                self->read();
+                return;
+            }
+            if (!self->busy)
+            {
+                self->request_began = self->last_byte;
+                self->feed();
+                self->read();
+            }
+        });
+}
+
+void server_session::leave()
+{
+    auto const callback = std::exchange(this->gone, {});
+    this->close();
+    if (callback)
+    {
+        callback();
+    }
+}
+
+void server_session::close()
+{
+    if (this->closed)
+    {
+        return;
+    }
+    this->closed = true;
+    boost::system::error_code ignored;
+    this->socket.close(ignored);
+}
+
+void server_session::close_if_idle()
+{
+    if (!this->busy && this->inbox.empty() && !this->parser &&
+        this->writing.empty())
+    {
+        this->close();
+    }
+}
+
+void server_session::check(clock::time_point now)
+{
+    if (this->closed || this->busy)
+    {
+        return;
+    }
+    auto const quiet = now - this->last_byte;
+    if (this->lingering)
+    {
+        if (quiet > linger_time)
+        {
+            this->close();
+        }
+        return;
+    }
+    auto const in_head = this->parser && !this->parser->parser.is_header_done();
+    if (in_head && now - this->request_began > this->state->limits.head_time)
+    {
+        this->fail(read_fault::head_timed_out);
+        return;
+    }
+    if (quiet > this->state->limits.idle_time)
+    {
+        this->close();
+    }
+}
+
+} // namespace foxtailvale::net
--- /dev/null
+++ b/libs/net/tests/exchange_tests.cpp
@@ -0,0 +1,207 @@
+#include <boost/asio/write.hpp>
+#include <gtest/gtest.h>
+#include <net/client_connection.hpp>
+#include <net/http_server.hpp>
+
+namespace foxtailvale::net
+{
+
+namespace
+{
+
+using boost::asio::ip::tcp;
+
+tcp_endpoint const loopback(boost::asio::ip::make_address("127.0.0.1"), 0);
+
+// A server that writes the same bytes to each connection once it has read
+// anything, and may then close it.
+class raw_server
+{
+public:
+    raw_server(
+        boost::asio::io_context& event_loop, std::string bytes, bool closes)
+        : acceptor(event_loop, loopback), answer(std::move(bytes)),
+          closes_after(closes)
+    {
+        this->accept();
+    }
+
+    tcp_endpoint address() const
+    {
+        return this->acceptor.local_endpoint();
+    }
+
+private:
+    void accept()
+    {
+        this->acceptor.async_accept(
+            [this](boost::system::error_code error, tcp::socket accepted)
+            {
+                if (error)
+                {
+                    return;
+                }
+                this->sockets.push_back(
+                    std::make_shared<tcp::socket>(std::move(accepted)));
+                this->read(this->sockets.back());
+                this->accept();
+            });
+    }
+
+    void read(std::shared_ptr<tcp::socket> const& socket)
+    {
+        socket->async_read_some(
+            boost::asio::buffer(this->block),
+            [this, socket](boost::system::error_code error, std::size_t)
+            {
+                if (error)
+                {
+                    return;
+                }
+                boost::asio::write(*socket, boost::asio::buffer(this->answer));
+                if (this->closes_after)
+                {
+                    socket->close();
+                    return;
+                }
+                this->read(socket);
+            });
+    }
+
+    tcp::acceptor acceptor;
+    std::string answer;
+    bool closes_after;
+    std::array<char, 4096> block{};
+    std::vector<std::shared_ptr<tcp::socket>> sockets;
+};
+
+// What one exchange came to.
+struct seen
+{
+    unsigned status = 0;
+    std::string body;
+    std::optional<exchange_result> result;
+};
+
+exchange_handlers note_in(seen& found)
+{
+    return {
+        [&found](response_head const& head)
+        {
+            found.status = head.status;
+            return head_verdict::take;
+        },
+        [&found](std::string_view data)
+        {
+            found.body.append(data);
+        },
+        [&found](exchange_result const& result)
+        {
+            found.result = result;
+        }};
+}
+
+std::string const plain_request =
+    serialize(request{"GET", "/", {{"Host", "here"}}, {}});
+
+seen exchange_with(std::string const& bytes, bool closes)
+{
+    boost::asio::io_context loop;
+    raw_server server(loop, bytes, closes);
+    auto const connection =
+        std::make_shared<client_connection>(loop, server.address());
+    seen found;
+    connection->start(plain_request, note_in(found));
+    while (!found.result && loop.run_one() > 0)
+    {
+    }
+    connection->close();
+    return found;
+}
+
+} // namespace
+
+TEST(exchange, a_response_with_a_length_is_whole_and_the_connection_kept)
+{
+    auto const found =
+        exchange_with("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", false);
+    EXPECT_EQ(found.status, 200U);
+    EXPECT_EQ(found.body, "hi");
+    ASSERT_TRUE(found.result);
+    EXPECT_EQ(found.result->end, exchange_end::whole);
+    EXPECT_TRUE(found.result->written);
+}
+
+TEST(exchange, a_chunked_response_is_whole_at_its_last_chunk)
+{
+    auto const found = exchange_with(
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "2\r\nhi\r\n3\r\n yo\r\n0\r\n\r\n",
+        false);
+    EXPECT_EQ(found.body, "hi yo");
+    EXPECT_EQ(found.result->end, exchange_end::whole);
+}
+
+TEST(exchange, a_response_without_a_length_ends_with_an_orderly_close)
+{
+    auto const found = exchange_with("HTTP/1.1 200 OK\r\n\r\nall of it", true);
+    EXPECT_EQ(found.body, "all of it");
+    EXPECT_EQ(found.result->end, exchange_end::whole);
+}
+
+// An endpoint dies while it sends. The caller must not take what came for the
+// whole answer.
+TEST(exchange, a_response_that_ends_early_is_cut)
+{
+    auto const found =
+        exchange_with("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", true);
+    EXPECT_EQ(found.result->end, exchange_end::cut);
+    EXPECT_TRUE(found.result->head_seen);
+}
+
+TEST(exchange, bytes_that_are_no_response_are_told_from_a_cut)
+{
+    auto const found = exchange_with("what is this\r\n\r\n", false);
+    EXPECT_EQ(found.result->end, exchange_end::not_http);
+}
+
+TEST(exchange, a_port_without_a_listener_leaves_the_request_unwritten)
+{
+    boost::asio::io_context loop;
+    tcp_endpoint address;
+    {
+        tcp::acceptor const free(loop, loopback);
+        address = free.local_endpoint();
+    }
+    auto const connection = std::make_shared<client_connection>(loop, address);
+    seen found;
+    connection->start(plain_request, note_in(found));
+    loop.run();
+    ASSERT_TRUE(found.result);
+    EXPECT_EQ(found.result->end, exchange_end::not_connected);
+    EXPECT_FALSE(found.result->written);
+}
+
+// An endpoint sends a second answer after the first. Taken for the answer to
+// the next request, a caller gets another caller's bytes.
+TEST(exchange, bytes_beyond_the_response_end_the_connection)
+{
+    boost::asio::io_context loop;
+    raw_server server(
+        loop,
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi"
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno",
+        false);
+    auto const connection =
+        std::make_shared<client_connection>(loop, server.address());
+    seen found;
+    connection->start(plain_request, note_in(found));
+    while (!found.result && loop.run_one() > 0)
+    {
+    }
+    EXPECT_EQ(found.body, "hi");
+    EXPECT_FALSE(connection->is_idle());
+    connection->close();
+}
+
+} // namespace foxtailvale::net
--- /dev/null
+++ b/libs/weights/include/weights/chunk_transfer.hpp
@@ -0,0 +1,113 @@
+#ifndef FOXTAILVALE_WEIGHTS_CHUNK_TRANSFER_HPP
+#define FOXTAILVALE_WEIGHTS_CHUNK_TRANSFER_HPP
+
+#include <weights/chunk_store.hpp>
+#include <weights/forest.hpp>
+#include <weights/source_book.hpp>
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+// One agent's way from nothing to all chunks of a version: which chunk it asks
+// whom for next, and what it makes of what comes.
+namespace foxtailvale::weights
+{
+
+// A chunk that was asked for and has not come.
+struct chunk_pending
+{
+    chunk_source source;
+    base::time_point asked;
+};
+
+struct chunk_transfer
+{
+    // SHA-256 of each chunk.
+    std::vector<std::string> digests;
+    // Verified bytes; null where a chunk is missing.
+    std::vector<chunk_data> chunks;
+    std::uint32_t held = 0;
+    std::map<std::uint32_t, chunk_pending> pending;
+    // Agents that said that they do not have a chunk, until when that counts.
+    std::map<std::pair<std::uint32_t, std::string>, base::time_point> declined;
+};
+
+// Who asks.
+struct transfer_place
+{
+    std::string failure_domain;
+    std::string agent;
+    // The digest under which the plans list the version's holders.
+    std::string label;
+};
+
+// What may be under way at one time. Made for agents behind links of a few
+// megabits a second: six chunks of 32 KiB fill such a link over a round trip
+// and take a fifth of a second, so that live streams on the same link wait
+// little and a silent source takes few chunks with it.
+struct transfer_limits
+{
+    std::size_t total = 6;
+    std::size_t per_agent = 3;
+    // Draws from the origin; its connections are few and its bytes dear.
+    std::size_t origin = 2;
+};
+
+struct chunk_ask
+{
+    std::uint32_t index = 0;
+    // The origin when its agent is empty.
+    chunk_source source;
+};
+
+void begin(chunk_transfer& state, std::vector<std::string> digests);
+
+bool is_whole(chunk_transfer const& state);
+
+// Chunks to ask for now, each noted as pending.
+std::vector<chunk_ask> next_asks(
+    chunk_transfer& state,
+    source_book& book,
+    plan_set const& plans,
+    transfer_place const& place,
+    transfer_limits const& limits,
+    base::time_point now);
+
+// Takes bytes that were found somewhere, not asked for; false when they are
+// not that chunk.
+bool offer(chunk_transfer& state, std::uint32_t index, std::string_view bytes);
+
+// Takes what a source sent. Failure: chunks arrive corrupted; what does not
+// match its digest is dropped, its source is avoided and another is asked.
+bool deliver(
+    chunk_transfer& state,
+    source_book& book,
+    std::uint32_t index,
+    std::string bytes,
+    base::time_point now);
+
+enum class chunk_loss
+{
+    // The agent does not have it and does not expect it.
+    missing,
+    // The agent is about to have it.
+    not_yet,
+    // The source did not answer or failed.
+    failed,
+};
+
+// A chunk that was asked for will not come from there.
+void lose(
+    chunk_transfer& state,
+    source_book& book,
+    std::uint32_t index,
+    chunk_loss why,
+    base::time_point now);
+
+} // namespace foxtailvale::weights
+
+#endif
--- /dev/null
+++ b/libs/weights/src/chunk_transfer.cpp
@@ -0,0 +1,217 @@
+#include <base/digest.hpp>
+#include <weights/chunk_transfer.hpp>
+
+#include <algorithm>
+
+namespace foxtailvale::weights
+{
+
+namespace
+{
+
+// How long "I do not have it" counts; a chunk travels a hop in a fraction.
+constexpr std::chrono::milliseconds declined_time{600};
+
+std::size_t pending_at(chunk_transfer const& state, std::string const& agent)
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+        state.pending,
+        [&agent](auto const& entry)
+        {
+            return entry.second.source.agent == agent;
+        }));
+}
+
+bool has_declined(
+    chunk_transfer const& state,
+    std::uint32_t index,
+    std::string const& agent,
+    base::time_point now)
+{
+    auto const found = state.declined.find({index, agent});
+    return found != state.declined.end() && found->second > now;
+}
+
+// All other agents of the plans, for when the origin cannot be used: any of
+// them may hold the chunk from before.
+std::vector<chunk_source>
+others(plan_set const& plans, transfer_place const& place)
+{
+    std::vector<chunk_source> found;
+    for (auto const& [domain, plan] : plans)
+    {
+        for (auto const& endpoint : plan.endpoints)
+        {
+            if (endpoint.agent != place.agent)
+            {
+                found.push_back({endpoint.agent, endpoint.address});
+            }
+        }
+    }
+    return found;
+}
+
+bool has_room_at(
+    chunk_transfer const& state,
+    std::string const& agent,
+    transfer_limits const& limits)
+{
+    auto const most = agent.empty() ? limits.origin : limits.per_agent;
+    return pending_at(state, agent) < most;
+}
+
+} // namespace
+
+void begin(chunk_transfer& state, std::vector<std::string> digests)
+{
+    auto const before = std::move(state);
+    state = {};
+    state.digests = std::move(digests);
+    state.chunks.resize(state.digests.size());
+    // A chunk that did not change between two versions is kept.
+    for (std::size_t index = 0; index < state.digests.size(); ++index)
+    {
+        auto const same =
+            std::ranges::find(before.digests, state.digests[index]);
+        if (same == before.digests.end())
+        {
+            continue;
+        }
+        auto const place =
+            static_cast<std::size_t>(same - before.digests.begin());
+        if (before.chunks[place])
+        {
+            state.chunks[index] = before.chunks[place];
+            ++state.held;
+        }
+    }
+}
+
+bool is_whole(chunk_transfer const& state)
+{
+    return !state.digests.empty() && state.held == state.digests.size();
+}
+
+std::vector<chunk_ask> next_asks(
+    chunk_transfer& state,
+    source_book& book,
+    plan_set const& plans,
+    transfer_place const& place,
+    transfer_limits const& limits,
+    base::time_point now)
+{
+    std::vector<chunk_ask> asks;
+    auto const origin_usable = is_usable(book, {}, now);
+    for (std::uint32_t index = 0; index < state.digests.size(); ++index)
+    {
+        if (state.pending.size() >= limits.total)
+        {
+            break;
+        }
+        if (state.chunks[index] || state.pending.contains(index))
+        {
+            continue;
+        }
+        auto const sources = sources_of(
+            plans, place.failure_domain, place.agent, place.label, index);
+        source_view view;
+        view.is_usable = [&](std::string const& agent)
+        {
+            return is_usable(book, agent, now) &&
+                   !has_declined(state, index, agent, now);
+        };
+        if (!origin_usable)
+        {
+            for (auto const& other : others(plans, place))
+            {
+                if (view.is_usable(other.agent))
+                {
+                    view.known_holders.push_back(other);
+                }
+            }
+        }
+        auto const source =
+            choose_source(sources.value_or(chunk_sources{}), view);
+        auto const usable = !source.agent.empty() || origin_usable;
+        if (!usable || !has_room_at(state, source.agent, limits))
+        {
+            continue;
+        }
+        state.pending[index] = {source, now};
+        note_asked(book, source.agent, now);
+        asks.push_back({index, source});
+    }
+    return asks;
+}
+
+bool offer(chunk_transfer& state, std::uint32_t index, std::string_view bytes)
+{
+    if (index >= state.digests.size() ||
+        base::sha256_hex(bytes) != state.digests[index])
+    {
+        return false;
+    }
+    if (!state.chunks[index])
+    {
+        state.chunks[index] = std::make_shared<std::string const>(bytes);
+        ++state.held;
+    }
+    return true;
+}
+
+bool deliver(
+    chunk_transfer& state,
+    source_book& book,
+    std::uint32_t index,
+    std::string bytes,
+    base::time_point now)
+{
+    auto const found = state.pending.find(index);
+    if (found == state.pending.end())
+    {
+        return offer(state, index, bytes);
+    }
+    auto const asked = found->second;
+    state.pending.erase(found);
+    if (!offer(state, index, bytes))
+    {
+        note_dropped(book, asked.source.agent);
+        strike(book, asked.source.agent, now);
+        return false;
+    }
+    note_delivered(
+        book, asked.source.agent, static_cast<std::uint32_t>(bytes.size()),
+        now - asked.asked);
+    return true;
+}
+
+void lose(
+    chunk_transfer& state,
+    source_book& book,
+    std::uint32_t index,
+    chunk_loss why,
+    base::time_point now)
+{
+    auto const found = state.pending.find(index);
+    if (found == state.pending.end())
+    {
+        return;
+    }
+    auto const agent = found->second.source.agent;
+    state.pending.erase(found);
+    note_dropped(book, agent);
+    switch (why)
+    {
+    case chunk_loss::missing:
+        state.declined[{index, agent}] = now + declined_time;
+        break;
+    case chunk_loss::not_yet:
+        note_heard(book, agent, now);
+        break;
+    case chunk_loss::failed:
+        strike(book, agent, now);
+        break;
+    }
+}
+
+} // namespace foxtailvale::weights
