Chunks pass through agents in a row; engines switch in four waves, announced

While chunks travelled, events of live streams stood behind them on the side links.

Ruled out: processor (0.015 core an entry), origin (9.9 Mbit/s, 1.3 copies). A stream that began goes on with its version only.

--- a/libs/direct/include/direct/endpoint_book.hpp
+++ b/libs/direct/include/direct/endpoint_book.hpp
@@ -57,6 +57,8 @@
     served_weights weights;
     // It takes no new work until an order is carried out.
     bool switching = false;
+    // It will switch about then.
+    std::optional<base::time_point> switches_at;
     // The agent could not reach the engine.
     bool unreachable = false;
 };
@@ -88,6 +90,7 @@
 struct named_version
 {
     std::uint64_t version = 0;
+    base::time_point learned;
     // The version before it may begin nothing after this moment.
     base::time_point older_until;
 };
@@ -138,12 +141,9 @@
     load_report const& report,
     base::time_point now);
 
-// An older version may begin nothing from `older_until` on.
-void name_version(
-    endpoint_book& book,
-    std::string const& model,
-    std::uint64_t version,
-    base::time_point older_until);
+// Takes a version in if it is newer than those known; false when it is not.
+bool name_version(
+    endpoint_book& book, std::string const& model, named_version const& named);
 
 // The oldest version of the model that may still begin a request.
 std::uint64_t oldest_allowed(
--- a/libs/direct/include/direct/placement.hpp
+++ b/libs/direct/include/direct/placement.hpp
@@ -5,6 +5,7 @@
 
 #include <direct/endpoint_book.hpp>
 #include <direct/shares.hpp>
+#include <routing/configuration.hpp>
 
 #include <optional>
 #include <set>
@@ -30,6 +31,9 @@
     std::size_t entries = 1;
     // Go on with this version only, if it is not zero.
     std::uint64_t version = 0;
+    // How long the request will run; it is not sent where the endpoint stops
+    // to switch before that, unless it goes on with a version.
+    std::chrono::milliseconds expected{0};
 };
 
 // Why no endpoint was chosen.
@@ -65,6 +69,13 @@
     base::time_point now,
     base::random_state& random);
 
+// How long an engine with half of its slots in use works on a request, by the
+// published costs. Zero tokens stand for the usual number.
+std::chrono::milliseconds expected_time(
+    routing::engine_costs const& costs,
+    std::uint64_t prompt_tokens,
+    std::uint64_t answer_tokens);
+
 // Requests at the endpoint as known best: reported, and own ones since.
 std::uint32_t
 work_at(endpoint_state const& state, std::size_t entries, base::time_point now);
--- a/libs/direct/src/endpoint_book.cpp
+++ b/libs/direct/src/endpoint_book.cpp
@@ -135,17 +135,16 @@
     }
 }
 
-void name_version(
-    endpoint_book& book,
-    std::string const& model,
-    std::uint64_t version,
-    base::time_point older_until)
+bool name_version(
+    endpoint_book& book, std::string const& model, named_version const& named)
 {
-    auto& named = book.versions[model];
-    if (named.empty() || named.back().version < version)
+    auto& known = book.versions[model];
+    if (!known.empty() && known.back().version >= named.version)
     {
-        named.push_back({version, older_until});
+        return false;
     }
+    known.push_back(named);
+    return true;
 }
 
 std::uint64_t oldest_allowed(
--- a/libs/direct/src/placement.cpp
+++ b/libs/direct/src/placement.cpp
@@ -84,6 +84,11 @@
     {
         return false;
     }
+    if (is_fresh(state, now) && state.report->switches_at && ask.version == 0 &&
+        now + ask.expected > *state.report->switches_at)
+    {
+        return false;
+    }
     if (!may_send_within_part(state.recent, ask.cold, ask.entries, now))
     {
         return false;
@@ -115,6 +120,26 @@
         std::max<std::int64_t>(known, state.own_running));
 }
 
+std::chrono::milliseconds expected_time(
+    routing::engine_costs const& costs,
+    std::uint64_t prompt_tokens,
+    std::uint64_t answer_tokens)
+{
+    // Prompts of others are read between the steps and take about as long
+    // again at the load that such engines are run at.
+    constexpr double reading = 1.6;
+    auto const prompt = prompt_tokens > 0 ? static_cast<double>(prompt_tokens)
+                                          : costs.usual_prompt;
+    auto const answer = answer_tokens > 0 ? static_cast<double>(answer_tokens)
+                                          : costs.usual_answer;
+    auto const step =
+        (costs.step + costs.step_per_request * (costs.slots / 2.0)).count();
+    auto const read =
+        costs.read_per_second > 0 ? 1000 * prompt / costs.read_per_second : 0.0;
+    return std::chrono::milliseconds(
+        static_cast<std::int64_t>(read + reading * answer * step));
+}
+
 choice choose(
     endpoint_book const& book,
     placement_ask const& ask,
--- a/libs/gateway/include/gateway/store_watch.hpp
+++ b/libs/gateway/include/gateway/store_watch.hpp
@@ -43,6 +43,8 @@
     // How long one watch waits for a change. Its end confirms the view, and a
     // connection that fell silent is noticed that much later.
     std::chrono::milliseconds wait{2000};
+    // Time between a change and the next watch, in which more may gather.
+    std::chrono::milliseconds pause{0};
     std::uint64_t seed = 1;
 };
 
--- /dev/null
+++ b/libs/gateway/src/agent_context.cpp
@@ -0,0 +1,75 @@
+#include "agent_context.hpp"
+
+#include <algorithm>
+
+namespace foxtailvale::gateway
+{
+
+agent_context::agent_context(
+    boost::asio::io_context& event_loop, platform::settings given)
+    : loop(event_loop), settings(std::move(given)),
+      pool(event_loop), random{base::entropy_seed()}
+{
+}
+
+std::uint64_t newest_version(agent_context const& state)
+{
+    return state.targets.empty() ? 1 : state.targets.back().version;
+}
+
+std::uint64_t serving_version(agent_context const& state)
+{
+    if (!state.engine || !state.engine->load.weights.whole)
+    {
+        return 0;
+    }
+    return state.engine->load.weights.version;
+}
+
+std::optional<base::time_point>
+expected_switch(agent_context const& state, base::time_point now)
+{
+    // Requests run for less than this.
+    constexpr std::chrono::milliseconds notice{2500};
+    // A missing chunk takes about this long.
+    constexpr std::chrono::milliseconds chunk_time{40};
+    auto const ask = switch_ask_of(state);
+    auto const target = weights::choose_target(ask);
+    if (ask.serving == 0 || ask.serving >= target)
+    {
+        return std::nullopt;
+    }
+    auto const found = state.versions.find(target);
+    if (found == state.versions.end() || !found->second.manifest)
+    {
+        return std::nullopt;
+    }
+    auto const& transfer = found->second.transfer;
+    auto const missing = transfer.digests.size() - transfer.held;
+    auto const whole = now + chunk_time * static_cast<int>(missing);
+    auto const at = std::max(weights::plan_switch(ask, target).at, whole);
+    return at - now <= notice ? std::optional(at) : std::nullopt;
+}
+
+weights::switch_ask switch_ask_of(agent_context const& state)
+{
+    weights::switch_ask ask;
+    ask.serving = serving_version(state);
+    ask.targets = state.targets;
+    ask.bound = state.settings.promised.version;
+    auto const found = state.fleet.find(state.settings.failure_domain);
+    if (found != state.fleet.end())
+    {
+        auto const& agents = found->second.endpoints;
+        auto const own = std::ranges::find(
+            agents, state.settings.ip, &control::plan_endpoint::agent);
+        ask.rank = static_cast<std::size_t>(own - agents.begin());
+    }
+    for (auto const& [domain, plan] : state.fleet)
+    {
+        ask.most_agents = std::max(ask.most_agents, plan.endpoints.size());
+    }
+    return ask;
+}
+
+} // namespace foxtailvale::gateway
--- a/libs/gateway/src/agent_context.hpp
+++ b/libs/gateway/src/agent_context.hpp
@@ -5,6 +5,7 @@
 #include <base/random.hpp>
 #include <kernel/metrics.hpp>
 #include <weights/chunk_transfer.hpp>
+#include <weights/switch_time.hpp>
 
 #include <boost/asio/io_context.hpp>
 #include <gateway/connection_pool.hpp>
@@ -16,15 +17,20 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace foxtailvale::gateway
 {
 
-// A version that operators named, and when this agent learned of it.
-struct target_version
+// A version of the model that this agent holds or fetches.
+struct held_version
 {
-    std::uint64_t version = 0;
-    base::time_point named;
+    std::optional<platform::version_manifest> manifest;
+    weights::chunk_transfer transfer;
+    // Being asked for; tries so far and when the next may begin.
+    bool manifest_pending = false;
+    std::uint32_t manifest_tries = 0;
+    base::time_point manifest_again;
 };
 
 // What the parts of one agent share. Used from the loop only.
@@ -39,9 +45,11 @@
     // The model that the engine's service serves; empty while unknown.
     std::string model;
     // Versions of it that were named, oldest first.
-    std::vector<target_version> targets;
-    // "IP:PORT" of the origin; empty while unknown.
+    std::vector<weights::named_target> targets;
+    // "IP:PORT" of the origin, empty while unknown, and its link's rate in
+    // bytes a second.
     std::string origin;
+    double origin_rate = 0;
     // Agents beside engines of the same service, by failure domain.
     weights::plan_set fleet;
 
@@ -50,23 +58,28 @@
     // An order of ours is on its way or being carried out.
     bool switching = false;
 
-    // The version whose chunks are held or fetched.
-    std::optional<platform::version_manifest> manifest;
-    weights::chunk_transfer transfer;
+    // By version.
+    std::map<std::uint64_t, held_version> versions;
     weights::source_book sources;
 
-    agent_context(boost::asio::io_context& event_loop, platform::settings given)
-        : loop(event_loop), settings(std::move(given)),
-          pool(event_loop), random{base::entropy_seed()}
-    {
-    }
+    agent_context(
+        boost::asio::io_context& event_loop, platform::settings given);
 };
 
 // The newest named version; the first when none was named.
-inline std::uint64_t newest_version(agent_context const& state)
-{
-    return state.targets.empty() ? 1 : state.targets.back().version;
-}
+std::uint64_t newest_version(agent_context const& state);
+
+// The version that the engine serves whole; zero when it serves none.
+std::uint64_t serving_version(agent_context const& state);
+
+// When the engine will take nothing new because it switches; nothing when that
+// is not near. Told to entries ahead, so that they send only what will have
+// ended by then.
+std::optional<base::time_point>
+expected_switch(agent_context const& state, base::time_point now);
+
+// What the decisions on switching go by.
+weights::switch_ask switch_ask_of(agent_context const& state);
 
 } // namespace foxtailvale::gateway
 
--- a/libs/gateway/src/agent_process.cpp
+++ b/libs/gateway/src/agent_process.cpp
@@ -1,7 +1,9 @@
 #include "agent_context.hpp"
+#include "engine_switch.hpp"
 #include "fetch.hpp"
-#include "rollout.hpp"
 #include "settings_file.hpp"
+#include "store_list.hpp"
+#include "version_fetch.hpp"
 #include "weights_door.hpp"
 
 #include <kernel/events.hpp>
@@ -32,10 +34,20 @@
 // An entry that has not asked for this long gets no more reports.
 constexpr milliseconds subscription_time{3500};
 
-constexpr milliseconds versions_wait{4000};
-// The configuration names the origin, which seldom changes.
-constexpr milliseconds configuration_wait{20000};
-constexpr milliseconds endpoints_wait{10000};
+// Entries say with each subscription which versions are named; the watch is
+// for an agent that no entry reaches.
+constexpr milliseconds versions_wait{20000};
+
+// The lists of agents and services are read when a transfer begins or is under
+// way, and again after this long.
+constexpr milliseconds lists_again{2000};
+
+// Reports go to entries of other failure domains less often: they send there
+// only what their own domain has no room for.
+constexpr int remote_interval = 4;
+
+// Entries learn of each other from the reports, seldom enough.
+constexpr int entries_interval = 10;
 
 class agent_process : public std::enable_shared_from_this<agent_process>
 {
@@ -48,11 +60,12 @@
     std::optional<std::string> start();
 
 private:
-    struct listed_agent
+    // An entry that asked for reports.
+    struct subscriber
     {
-        std::string ip;
-        std::string failure_domain;
-        std::string service;
+        base::time_point asked;
+        // In the same failure domain.
+        bool near = false;
     };
 
     std::optional<std::string> open_datagrams();
@@ -60,30 +73,35 @@
     void run_chores();
     void poll_engine();
     void take_report(std::optional<fetched> const& response);
-    void tell_entries();
-    void start_watches();
-    std::shared_ptr<store_watch> watch(
-        platform::object_kind kind, milliseconds wait, watch_handlers handlers);
+    void tell_entries(bool at_once);
+    void watch_versions();
+    void drive();
+    void drop_old_versions();
+    void read_lists();
     void take_configuration(platform::store_object const& object);
-    void take_version(platform::store_object const& object);
-    void take_endpoint(platform::store_object const& object);
-    void rebuild_fleet();
+    void take_subscription(
+        net::udp_endpoint const& source, wire::Subscribe const& asked);
+    void name_version(
+        std::string const& model, std::uint64_t version, base::time_point at);
+    void take_endpoints(std::vector<platform::store_object> const& objects);
 
     boost::asio::io_context& loop;
     settings_file& file;
     std::shared_ptr<agent_context> context;
     std::shared_ptr<weights_door> door;
-    std::shared_ptr<rollout> roll;
+    std::shared_ptr<version_fetch> fetcher;
+    std::shared_ptr<engine_switch> switcher;
     std::shared_ptr<net::datagram_socket> socket;
-    std::vector<std::shared_ptr<store_watch>> watches;
+    std::shared_ptr<store_watch> versions_watch;
     boost::asio::signal_set signals;
     boost::asio::steady_timer report_timer;
     boost::asio::steady_timer chore_timer;
-    std::map<net::udp_endpoint, base::time_point> subscribers;
+    std::map<net::udp_endpoint, subscriber> subscribers;
     // Version entries by model, until the own model is known.
-    std::map<std::string, std::vector<target_version>> versions;
-    // By endpoint id.
-    std::map<std::string, listed_agent> listed;
+    std::map<std::string, std::vector<weights::named_target>> named;
+    bool reading_lists = false;
+    base::time_point lists_read;
+    int reports_sent = 0;
 };
 
 agent_process::agent_process(
@@ -93,17 +111,23 @@
     : loop(event_loop), file(settings_source),
       context(std::make_shared<agent_context>(event_loop, given)),
       door(std::make_shared<weights_door>(this->context)),
-      roll(std::make_shared<rollout>(this->context)),
+      fetcher(std::make_shared<version_fetch>(this->context)),
+      switcher(std::make_shared<engine_switch>(this->context)),
       signals(event_loop, SIGTERM, SIGINT, SIGHUP), report_timer(event_loop),
       chore_timer(event_loop)
 {
-    this->roll->on_chunk = [this]
+    this->fetcher->on_progress = [this]
     {
         this->door->serve_waiting();
+        this->drive();
     };
-    this->roll->on_order = [this]
+    this->switcher->on_step = [this]
     {
-        this->tell_entries();
+        this->drive();
+    };
+    this->switcher->on_order = [this]
+    {
+        this->tell_entries(true);
     };
 }
 
@@ -121,7 +145,7 @@
     {
         return "peers' address: " + *fault;
     }
-    this->start_watches();
+    this->watch_versions();
     this->await_signal();
     this->run_chores();
     this->poll_engine();
@@ -137,12 +161,11 @@
         {
             auto const held = self.lock();
             wire::Datagram message;
-            if (held &&
-                message.ParseFromArray(
-                    bytes.data(), static_cast<int>(bytes.size())) &&
+            auto const size = static_cast<int>(bytes.size());
+            if (held && message.ParseFromArray(bytes.data(), size) &&
                 message.has_subscribe())
             {
-                held->subscribers[source] = clock::now();
+                held->take_subscription(source, message.subscribe());
             }
         });
     auto const& settings = this->context->settings;
@@ -191,7 +214,7 @@
         this->subscribers,
         [now = clock::now()](auto const& entry)
         {
-            return now - entry.second > subscription_time;
+            return now - entry.second.asked > subscription_time;
         });
     this->chore_timer.expires_after(chore_interval);
     this->chore_timer.async_wait(
@@ -213,9 +236,10 @@
         [self](std::optional<fetched> response)
         {
             self->take_report(response);
-            self->tell_entries();
+            self->tell_entries(false);
+            self->door->end_stuck();
             self->door->serve_waiting();
-            self->roll->drive();
+            self->drive();
         });
     this->report_timer.expires_after(report_interval);
     this->report_timer.async_wait(
@@ -256,17 +280,30 @@
     state.engine = read.value();
 }
 
-void agent_process::tell_entries()
+void agent_process::take_subscription(
+    net::udp_endpoint const& source, wire::Subscribe const& asked)
+{
+    auto const now = clock::now();
+    this->subscribers[source] = {
+        now, asked.failure_domain() == this->context->settings.failure_domain};
+    for (auto const& notice : asked.versions())
+    {
+        this->name_version(
+            notice.model(), notice.version(),
+            now - milliseconds(notice.age_ms()));
+    }
+}
+
+void agent_process::tell_entries(bool at_once)
 {
     if (this->subscribers.empty())
     {
         return;
     }
     auto const& state = *this->context;
+    auto const round = this->reports_sent++;
     wire::Datagram message;
-    message.set_from(state.settings.name);
     auto& told = *message.mutable_engine_state();
-    told.set_address(state.settings.engine_address);
     told.set_unreachable(!state.engine.has_value());
     told.set_switching(state.switching || (state.engine && state.engine->busy));
     if (state.engine)
@@ -279,101 +316,194 @@
         told.set_version(load.weights.version);
         told.set_whole(load.weights.whole);
     }
-    for (auto const& [address, when] : this->subscribers)
+    auto const now = clock::now();
+    if (auto const at = expected_switch(state, now))
+    {
+        auto const left =
+            std::chrono::duration_cast<milliseconds>(*at - now).count();
+        told.set_switches(true);
+        told.set_switches_in_ms(
+            static_cast<std::uint32_t>(std::max<std::int64_t>(0, left)));
+    }
+    if (round % entries_interval == 0)
     {
-        told.add_entries(address.address().to_string());
+        for (auto const& [address, entry] : this->subscribers)
+        {
+            told.add_entries(address.address().to_string());
+        }
     }
     auto const bytes = message.SerializeAsString();
-    for (auto const& [address, when] : this->subscribers)
+    for (auto const& [address, entry] : this->subscribers)
     {
-        this->socket->send(address, bytes);
+        auto const near = entry.near;
+        if (at_once || near || round % remote_interval == 0)
+        {
+            this->socket->send(address, bytes);
+        }
     }
 }
 
-std::shared_ptr<store_watch> agent_process::watch(
-    platform::object_kind kind, milliseconds wait, watch_handlers handlers)
+void agent_process::watch_versions()
 {
-    auto const store =
-        net::parse_endpoint(this->context->settings.store_address);
+    auto const self = this->shared_from_this();
+    auto const take = [self](platform::store_object const& object)
+    {
+        auto const read = platform::read_version(object.content);
+        if (!object.removed && read)
+        {
+            self->name_version(read->model, read->version, clock::now());
+        }
+    };
     watch_settings chosen;
-    chosen.store = store.value_or(net::tcp_endpoint());
-    chosen.kind = kind;
-    chosen.wait = wait;
+    chosen.store = net::parse_endpoint(this->context->settings.store_address)
+                       .value_or(net::tcp_endpoint());
+    chosen.kind = platform::object_kind::versions;
+    chosen.wait = versions_wait;
     chosen.seed = base::next_random(this->context->random);
-    handlers.on_confirmed = [](base::boot_time) {};
-    handlers.on_lost = [kind](bool lost, std::string const& why)
+    this->versions_watch = std::make_shared<store_watch>(
+        this->loop, chosen,
+        watch_handlers{
+            [take](std::vector<platform::store_object> const& found, bool)
+            {
+                for (auto const& object : found)
+                {
+                    take(object);
+                }
+            },
+            [take](platform::store_object const& object, bool)
+            {
+                take(object);
+            },
+            [](base::boot_time) {},
+            [](bool lost, std::string const& why)
+            {
+                kernel::log_event(
+                    lost ? kernel::event_id::platform_lost
+                         : kernel::event_id::platform_back,
+                    {{"view", "versions"}, {"why", why}});
+            }});
+    this->versions_watch->start();
+}
+
+void agent_process::name_version(
+    std::string const& model, std::uint64_t version, base::time_point at)
+{
+    auto& known = this->named[model];
+    if (!known.empty() && known.back().version >= version)
     {
-        kernel::log_event(
-            lost ? kernel::event_id::platform_lost
-                 : kernel::event_id::platform_back,
-            {{"view", static_cast<int>(kind)}, {"why", why}});
-    };
-    auto const made =
-        std::make_shared<store_watch>(this->loop, chosen, std::move(handlers));
-    this->watches.push_back(made);
-    made->start();
-    return made;
+        return;
+    }
+    known.push_back({version, at});
+    kernel::log_event(
+        kernel::event_id::version_named,
+        {{"model", model}, {"version", version}});
+    this->context->targets = this->named[this->context->model];
+    this->drive();
 }
 
-void agent_process::start_watches()
+void agent_process::drive()
 {
+    auto& state = *this->context;
+    if (!state.engine)
+    {
+        return;
+    }
+    auto const target = weights::choose_target(switch_ask_of(state));
+    auto const newest = newest_version(state);
+    auto const serving = serving_version(state);
+    if (state.model.empty() || serving < newest)
+    {
+        this->read_lists();
+    }
+    if (state.model.empty() || state.origin.empty())
+    {
+        return;
+    }
+    this->drop_old_versions();
+    this->fetcher->drive(newest, serving < newest);
+    if (target != newest)
+    {
+        this->fetcher->drive(target, true);
+    }
+    auto const may_lie_staged = serving == 0 || serving == target;
+    if (state.versions[target].manifest && may_lie_staged &&
+        !this->switcher->has_recovered(target))
+    {
+        this->switcher->recover(target);
+        return;
+    }
+    this->switcher->drive(target);
+}
+
+void agent_process::drop_old_versions()
+{
+    // The one before the newest may still be on its way to slower agents.
+    constexpr std::size_t most_held = 3;
+    auto& held = this->context->versions;
+    while (held.size() > most_held)
+    {
+        held.erase(held.begin());
+    }
+}
+
+void agent_process::read_lists()
+{
+    auto const now = clock::now();
+    if (this->reading_lists || now - this->lists_read < lists_again)
+    {
+        return;
+    }
+    this->reading_lists = true;
+    auto& state = *this->context;
     auto const self = this->shared_from_this();
-    using objects = std::vector<platform::store_object>;
-    this->watch(
-        platform::object_kind::versions, versions_wait,
-        {[self](objects const& found, bool)
-         {
-             for (auto const& object : found)
-             {
-                 self->take_version(object);
-             }
-         },
-         [self](platform::store_object const& object, bool)
-         {
-             self->take_version(object);
-         },
-         {},
-         {}});
-    this->watch(
-        platform::object_kind::configuration, configuration_wait,
-        {[self](objects const& found, bool)
-         {
-             for (auto const& object : found)
-             {
-                 self->take_configuration(object);
-             }
-         },
-         [self](platform::store_object const& object, bool)
-         {
-             self->take_configuration(object);
-         },
-         {},
-         {}});
-    this->watch(
-        platform::object_kind::endpoints, endpoints_wait,
-        {[self](objects const& found, bool)
-         {
-             self->listed.clear();
-             for (auto const& object : found)
-             {
-                 self->take_endpoint(object);
-             }
-             self->rebuild_fleet();
-         },
-         [self](platform::store_object const& object, bool)
-         {
-             self->take_endpoint(object);
-             self->rebuild_fleet();
-         },
-         {},
-         {}});
+    auto const read_endpoints = [self]
+    {
+        auto& held = *self->context;
+        list_objects(
+            held.loop, held.pool, held.settings.store_address,
+            platform::object_kind::endpoints,
+            [self](std::optional<std::vector<platform::store_object>> found)
+            {
+                self->reading_lists = false;
+                self->lists_read = clock::now();
+                if (found)
+                {
+                    self->take_endpoints(*found);
+                    self->drive();
+                }
+            });
+    };
+    if (!state.model.empty() && state.sources.sources[{}].strikes == 0)
+    {
+        read_endpoints();
+        return;
+    }
+    list_objects(
+        state.loop, state.pool, state.settings.store_address,
+        platform::object_kind::configuration,
+        [self, read_endpoints](
+            std::optional<std::vector<platform::store_object>> found)
+        {
+            if (!found)
+            {
+                self->reading_lists = false;
+                self->lists_read = clock::now() - lists_again * 4 / 5;
+                return;
+            }
+            for (auto const& object : *found)
+            {
+                self->take_configuration(object);
+            }
+            read_endpoints();
+        });
 }
 
 void agent_process::take_configuration(platform::store_object const& object)
 {
     auto const read = platform::read_configuration(object.content);
-    if (object.removed || read.has_error())
+    if (read.has_error())
     {
+        kernel::log_error(read.error());
         return;
     }
     auto& state = *this->context;
@@ -382,6 +512,7 @@
         if (!service.origin.empty())
         {
             state.origin = service.origin;
+            state.origin_rate = service.origin_rate;
         }
         if (name == state.settings.engine_service && service.engine &&
             !service.engine->models.empty())
@@ -389,49 +520,21 @@
             state.model = service.engine->models.front();
         }
     }
-    state.targets = this->versions[state.model];
-}
-
-void agent_process::take_version(platform::store_object const& object)
-{
-    auto const read = platform::read_version(object.content);
-    if (object.removed || !read)
-    {
-        return;
-    }
-    auto& known = this->versions[read->model];
-    if (known.empty() || known.back().version < read->version)
-    {
-        known.push_back({read->version, clock::now()});
-        kernel::log_event(
-            kernel::event_id::version_named,
-            {{"model", read->model}, {"version", read->version}});
-    }
-    this->context->targets = this->versions[this->context->model];
-    this->roll->drive();
-}
-
-void agent_process::take_endpoint(platform::store_object const& object)
-{
-    auto const read = platform::read_endpoint(object.name, object.content);
-    if (object.removed || !read)
-    {
-        this->listed.erase(object.name);
-        return;
-    }
-    auto const ip = read->address.substr(0, read->address.rfind(':'));
-    this->listed[object.name] = {ip, read->failure_domain, read->service};
+    state.targets = this->named[state.model];
 }
 
-void agent_process::rebuild_fleet()
+void agent_process::take_endpoints(
+    std::vector<platform::store_object> const& objects)
 {
     auto& state = *this->context;
     std::map<std::string, std::set<std::string>> agents;
-    for (auto const& [id, agent] : this->listed)
+    for (auto const& object : objects)
     {
-        if (agent.service == state.settings.engine_service)
+        auto const read = platform::read_endpoint(object.name, object.content);
+        if (read && read->service == state.settings.engine_service)
         {
-            agents[agent.failure_domain].insert(agent.ip);
+            auto const ip = read->address.substr(0, read->address.rfind(':'));
+            agents[read->failure_domain].insert(ip);
         }
     }
     agents[state.settings.failure_domain].insert(state.settings.ip);
--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -154,6 +154,14 @@
     ask.cold.per_second = this->service->cold_per_second * bounds.cold_factor;
     ask.cold.tolerance = bounds.cold_tolerance;
     ask.entries = direct::sharers(this->context->entries);
+    // One answer comes from one version's weights.
+    ask.version = this->answer_begun ? this->version : 0;
+    if (this->service->engine)
+    {
+        ask.expected = direct::expected_time(
+            *this->service->engine, this->said.prompt_tokens,
+            this->said.expected_tokens);
+    }
     return ask;
 }
 
--- /dev/null
+++ b/libs/gateway/src/engine_switch.hpp
@@ -0,0 +1,62 @@
+#ifndef FOXTAILVALE_GATEWAY_ENGINE_SWITCH_HPP
+#define FOXTAILVALE_GATEWAY_ENGINE_SWITCH_HPP
+
+#include "agent_context.hpp"
+
+#include <functional>
+#include <set>
+
+namespace foxtailvale::gateway
+{
+
+// Brings the engine to a version that the agent holds: puts the chunks beside
+// the engine, looks at all that lies there once more, and gives the order.
+// drive() looks at what is there and begins the next step, so a lost answer or
+// a restarted engine needs no way back of its own.
+class engine_switch : public std::enable_shared_from_this<engine_switch>
+{
+public:
+    explicit engine_switch(std::shared_ptr<agent_context> shared);
+
+    // Begins the next step towards the version.
+    void drive(std::uint64_t version);
+
+    // Reads what lies staged beside the engine into the version's chunks.
+    void recover(std::uint64_t version);
+
+    // Whether recover() has been done for the version and this engine.
+    bool has_recovered(std::uint64_t version) const;
+
+    // Called before an order is given.
+    std::function<void()> on_order;
+    // Called after each step.
+    std::function<void()> on_step;
+
+private:
+    void recover_next();
+    void forget_staged();
+    void stage_next();
+    void verify();
+    void verify_next();
+    void order();
+    void settle();
+
+    std::shared_ptr<agent_context> context;
+    // The version that lies staged, or is being put there, and its chunks.
+    std::uint64_t staged_version = 0;
+    std::set<std::uint32_t> staged;
+    // The engine's start that this holds for.
+    std::uint64_t born = 0;
+    std::uint64_t recovered = 0;
+    bool recovering = false;
+    std::vector<std::uint32_t> to_recover;
+    bool staging = false;
+    bool verifying = false;
+    std::uint32_t verified = 0;
+    bool ordering = false;
+    base::time_point order_again;
+};
+
+} // namespace foxtailvale::gateway
+
+#endif
--- a/libs/gateway/src/entry_process.cpp
+++ b/libs/gateway/src/entry_process.cpp
@@ -109,6 +109,10 @@
     {
         this->peers->subscribe_all();
     };
+    this->views->on_versions = [this]
+    {
+        this->peers->subscribe_all();
+    };
 }
 
 std::shared_ptr<net::http_server> entry_process::make_caller_door()
--- a/libs/gateway/src/entry_views.cpp
+++ b/libs/gateway/src/entry_views.cpp
@@ -13,15 +13,20 @@
 
 // The configuration confirms keys, which may not be used longer than a few
 // seconds after their withdrawal.
-constexpr milliseconds configuration_wait{1000};
+constexpr milliseconds configuration_wait{1500};
 // A connection that fell silent must not hide a leaving endpoint for long.
-constexpr milliseconds endpoints_wait{2000};
-constexpr milliseconds domains_wait{2500};
-constexpr milliseconds versions_wait{2500};
+constexpr milliseconds endpoints_wait{3000};
+constexpr milliseconds domains_wait{4000};
+constexpr milliseconds versions_wait{4000};
+
+// Endpoints change in rows, as when many load weights; one call then brings
+// the changes of this time together. A leaving endpoint may get requests for
+// two seconds.
+constexpr milliseconds endpoints_pause{200};
 
 // Taken off the time until an older version may begin nothing more: the news
 // travels some milliseconds, and a request may wait in an endpoint's queue.
-constexpr milliseconds version_margin{1200};
+constexpr milliseconds version_margin{700};
 
 } // namespace
 
@@ -52,6 +57,8 @@
     chosen.store = store.value_or(net::tcp_endpoint());
     chosen.kind = kind;
     chosen.wait = wait;
+    chosen.pause = kind == platform::object_kind::endpoints ? endpoints_pause
+                                                            : milliseconds(0);
     chosen.seed = base::next_random(this->context->random);
     auto const made = std::make_shared<store_watch>(
         this->context->loop, chosen, std::move(handlers));
@@ -248,9 +255,14 @@
         return;
     }
     auto const bound = this->context->settings.promised.version;
-    direct::name_version(
-        this->context->book, read->model, read->version,
-        accepted + bound - version_margin);
+    auto const is_new = direct::name_version(
+        this->context->book, read->model,
+        {read->version, accepted, accepted + bound - version_margin});
+    if (!is_new)
+    {
+        return;
+    }
+    this->on_versions();
     kernel::log_event(
         kernel::event_id::version_named,
         {{"model", read->model}, {"version", read->version}});
--- a/libs/gateway/src/entry_views.hpp
+++ b/libs/gateway/src/entry_views.hpp
@@ -23,6 +23,7 @@
     // Set before start().
     std::function<void(routing::caller_limits const&)> on_limits;
     std::function<void()> on_endpoints;
+    std::function<void()> on_versions;
 
 private:
     std::shared_ptr<store_watch> watch(
--- a/libs/gateway/src/peer_link.cpp
+++ b/libs/gateway/src/peer_link.cpp
@@ -12,7 +12,8 @@
 
 using clock = std::chrono::steady_clock;
 
-direct::load_report read_state(wire::EngineState const& state)
+direct::load_report
+read_state(wire::EngineState const& state, base::time_point now)
 {
     direct::load_report report;
     report.running = state.running();
@@ -21,6 +22,11 @@
     report.weights = {state.model(), state.version(), state.whole()};
     report.switching = state.switching();
     report.unreachable = state.unreachable();
+    if (state.switches())
+    {
+        report.switches_at =
+            now + std::chrono::milliseconds(state.switches_in_ms());
+    }
     return report;
 }
 
@@ -66,7 +72,17 @@
 {
     wire::Datagram message;
     message.set_from(this->context->settings.name);
-    message.mutable_subscribe();
+    auto& asked = *message.mutable_subscribe();
+    asked.set_failure_domain(this->context->settings.failure_domain);
+    for (auto const& [model, named] : this->context->book.versions)
+    {
+        auto& notice = *asked.add_versions();
+        notice.set_model(model);
+        notice.set_version(named.back().version);
+        auto const age = std::chrono::duration_cast<std::chrono::milliseconds>(
+            clock::now() - named.back().learned);
+        notice.set_age_ms(static_cast<std::uint64_t>(age.count()));
+    }
     auto const bytes = message.SerializeAsString();
     std::set<boost::asio::ip::address> told;
     for (auto const& [id, state] : this->context->book.endpoints)
@@ -106,7 +122,7 @@
         auto const& state = message.engine_state();
         direct::note_report(
             this->context->book, source.address().to_string(),
-            read_state(state), now);
+            read_state(state, now), now);
         for (auto const& entry : state.entries())
         {
             if (entry != this->context->settings.ip)
@@ -114,9 +130,12 @@
                 this->entries.insert(entry);
             }
         }
-        direct::note_entries(
-            this->context->entries,
-            static_cast<std::size_t>(state.entries_size()));
+        if (state.entries_size() > 0)
+        {
+            direct::note_entries(
+                this->context->entries,
+                static_cast<std::size_t>(state.entries_size()));
+        }
         serve_all_waiting(*this->context);
         return;
     }
--- a/libs/gateway/src/store_watch.cpp
+++ b/libs/gateway/src/store_watch.cpp
@@ -200,6 +200,11 @@
     }
     this->revision = std::max(this->revision, reply.revision);
     this->handlers.on_confirmed(this->began);
+    if (!reply.objects.empty() && this->settings.pause.count() > 0)
+    {
+        this->next(this->settings.pause);
+        return;
+    }
     this->watch();
 }
 
--- /dev/null
+++ b/libs/gateway/src/version_fetch.cpp
@@ -0,0 +1,227 @@
+#include "version_fetch.hpp"
+
+#include "fetch.hpp"
+#include "weights_door.hpp"
+
+#include <kernel/events.hpp>
+
+namespace foxtailvale::gateway
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+using clock = std::chrono::steady_clock;
+
+// An agent keeps a question for a chunk for a while and sends one chunk after
+// the other; what takes longer has met a silent or squeezed source.
+constexpr milliseconds chunk_limit{1800};
+constexpr milliseconds manifest_limit{800};
+constexpr milliseconds again_soon{100};
+
+// Other agents are asked for the manifest this often before the origin is.
+constexpr std::uint32_t peer_tries = 4;
+
+// The plans with the version's label at every agent: all of them want it.
+weights::plan_set labelled(agent_context const& state, std::string const& label)
+{
+    auto plans = state.fleet;
+    for (auto& [domain, plan] : plans)
+    {
+        for (auto& endpoint : plan.endpoints)
+        {
+            endpoint.models = {{state.model, label}};
+        }
+    }
+    return plans;
+}
+
+std::chrono::microseconds origin_interval(agent_context const& state)
+{
+    // Slightly faster than the link, so that it is never idle.
+    constexpr double haste = 0.95;
+    constexpr double chunk_bytes = 32.0 * 1024;
+    if (state.origin_rate <= 0)
+    {
+        return std::chrono::microseconds(0);
+    }
+    return std::chrono::microseconds(static_cast<std::int64_t>(
+        haste * 1e6 * chunk_bytes / state.origin_rate));
+}
+
+} // namespace
+
+version_fetch::version_fetch(std::shared_ptr<agent_context> shared)
+    : context(std::move(shared))
+{
+}
+
+void version_fetch::drive(std::uint64_t version, bool chunks)
+{
+    auto& held = this->context->versions[version];
+    if (!held.manifest)
+    {
+        this->fetch_manifest(version);
+        return;
+    }
+    if (chunks && !weights::is_whole(held.transfer))
+    {
+        this->ask_for_chunks(version);
+    }
+}
+
+bool version_fetch::asks_origin(
+    held_version const& held, std::uint64_t version) const
+{
+    auto const& state = *this->context;
+    auto const found = state.fleet.find(state.settings.failure_domain);
+    if (found == state.fleet.end() || found->second.endpoints.size() < 2 ||
+        held.manifest_tries >= peer_tries)
+    {
+        return true;
+    }
+    // One agent of a failure domain asks the origin and the others ask it.
+    auto const& agents = found->second.endpoints;
+    return agents[version % agents.size()].agent == state.settings.ip;
+}
+
+void version_fetch::fetch_manifest(std::uint64_t version)
+{
+    auto& state = *this->context;
+    auto& held = state.versions[version];
+    if (held.manifest_pending || clock::now() < held.manifest_again)
+    {
+        return;
+    }
+    held.manifest_pending = true;
+    std::string address = state.origin;
+    auto request = platform::manifest_request(state.model, version);
+    if (!this->asks_origin(held, version))
+    {
+        // First the one that asks the origin, then others: any of them may
+        // hold it from before.
+        auto const& agents =
+            state.fleet.at(state.settings.failure_domain).endpoints;
+        auto const place = held.manifest_tries % 2 == 0
+                               ? version
+                               : base::next_random(state.random);
+        address = agents[place % agents.size()].address;
+        request = peer_manifest_request(state.model, version);
+    }
+    fetch(
+        state.loop, state.pool, address, request, manifest_limit,
+        [self = this->shared_from_this(),
+         version](std::optional<fetched> response)
+        {
+            self->take_manifest(
+                version, response && response->status == 200
+                             ? std::optional(std::move(response->body))
+                             : std::nullopt);
+        });
+}
+
+void version_fetch::take_manifest(
+    std::uint64_t version, std::optional<std::string> const& body)
+{
+    auto& state = *this->context;
+    auto& held = state.versions[version];
+    held.manifest_pending = false;
+    auto read = body ? platform::read_manifest(*body)
+                     : base::fail(base::error_kind::origin_unavailable);
+    auto const fits = read.has_value() && read.value().version == version &&
+                      read.value().model == state.model;
+    if (!fits || held.manifest)
+    {
+        held.manifest_tries = (held.manifest_tries + 1) % (peer_tries + 2);
+        held.manifest_again = clock::now() + again_soon;
+        return;
+    }
+    kernel::log_event(
+        kernel::event_id::transfer_started,
+        {{"version", version}, {"chunks", read.value().digests.size()}});
+    weights::begin(held.transfer, read.value().digests, clock::now());
+    for (auto const& [other, earlier] : state.versions)
+    {
+        if (other != version)
+        {
+            weights::reuse(held.transfer, earlier.transfer);
+        }
+    }
+    held.manifest = std::move(read.value());
+    this->on_progress();
+}
+
+void version_fetch::ask_for_chunks(std::uint64_t version)
+{
+    auto& state = *this->context;
+    auto& held = state.versions[version];
+    auto const label = state.model + "@" + std::to_string(version);
+    weights::transfer_place const place{
+        state.settings.failure_domain, state.settings.ip, label};
+    weights::transfer_limits limits;
+    limits.origin_interval = origin_interval(state);
+    auto const asks = weights::next_asks(
+        held.transfer, state.sources, labelled(state, label), place, limits,
+        clock::now());
+    for (auto const& wanted : asks)
+    {
+        this->ask(version, wanted);
+    }
+}
+
+void version_fetch::ask(std::uint64_t version, weights::chunk_ask const& wanted)
+{
+    auto& state = *this->context;
+    auto const from_origin = wanted.source.agent.empty();
+    auto const address = from_origin ? state.origin : wanted.source.address;
+    auto const request =
+        from_origin
+            ? platform::chunk_request(state.model, version, wanted.index)
+            : peer_chunk_request(state.model, version, wanted.index);
+    fetch(
+        state.loop, state.pool, address, request, chunk_limit,
+        [self = this->shared_from_this(), version, from_origin,
+         index = wanted.index](std::optional<fetched> response)
+        {
+            if (response && response->status == 200)
+            {
+                self->take_chunk(version, index, std::move(response->body));
+                return;
+            }
+            auto why = weights::chunk_loss::failed;
+            if (response && !from_origin)
+            {
+                why = response->status == weights_not_yet
+                          ? weights::chunk_loss::not_yet
+                          : weights::chunk_loss::missing;
+            }
+            auto& known = *self->context;
+            weights::lose(
+                known.versions[version].transfer, known.sources, index, why,
+                clock::now());
+        });
+}
+
+void version_fetch::take_chunk(
+    std::uint64_t version, std::uint32_t index, std::string bytes)
+{
+    auto& state = *this->context;
+    auto& held = state.versions[version];
+    auto const good = weights::deliver(
+        held.transfer, state.sources, index, std::move(bytes), clock::now());
+    if (!good)
+    {
+        kernel::log_event(
+            kernel::event_id::chunk_refused,
+            {{"version", version}, {"chunk", index}});
+    }
+    else if (weights::is_whole(held.transfer))
+    {
+        kernel::log_event(
+            kernel::event_id::transfer_finished, {{"version", version}});
+    }
+    this->on_progress();
+}
+
+} // namespace foxtailvale::gateway
--- a/libs/gateway/src/weights_door.cpp
+++ b/libs/gateway/src/weights_door.cpp
@@ -11,7 +11,18 @@
 
 using clock = std::chrono::steady_clock;
 
-constexpr std::chrono::milliseconds longest_wait{400};
+constexpr std::chrono::milliseconds longest_wait{600};
+
+// Share of the machine's link that chunks may fill. The events of the engine's
+// live streams go over the same link: chunks sent as fast as they are asked
+// for stand before them in its queue, and events that come a tenth of a second
+// late are late for the callers. One chunk fills a link of 7.6 Mbit/s for
+// 34 ms, so a chunk and a pause of a half of that let events through.
+constexpr double link_share = 0.85;
+
+// A receiver that takes longer for one chunk is cut off or nearly so, and must
+// not keep the others waiting.
+constexpr std::chrono::milliseconds longest_send{1500};
 
 constexpr std::string_view root = "/weights/";
 
@@ -93,7 +104,7 @@
 }
 
 weights_door::weights_door(std::shared_ptr<agent_context> shared)
-    : context(std::move(shared))
+    : context(std::move(shared)), timer(this->context->loop)
 {
 }
 
@@ -131,68 +142,134 @@
     net::request const& asked)
 {
     auto const path = read_path(asked.target);
-    auto const& held = this->context->manifest;
-    auto const known = path && held && held->model == path->model &&
-                       held->version == path->version;
-    if (!known)
+    if (!path || path->model != this->context->model ||
+        !this->context->versions.contains(path->version))
     {
         session->respond(weights_missing, {}, {});
         return;
     }
-    if (path->manifest)
+    this->waiting.push_back(
+        {session, path->version, path->manifest, path->index,
+         clock::now() + longest_wait});
+    this->serve_waiting();
+}
+
+bool weights_door::can_answer(asked_part const& asked) const
+{
+    auto const& known = this->context->versions;
+    auto const found = known.find(asked.version);
+    if (found == known.end() || !found->second.manifest)
     {
-        session->respond(200, {}, platform::to_text(*held));
-        return;
+        return false;
     }
-    asked_chunk const chunk{
-        session, path->model, path->version, path->index,
-        clock::now() + longest_wait};
-    if (!this->answer(chunk))
+    auto const& chunks = found->second.transfer.chunks;
+    if (asked.manifest || asked.index >= chunks.size())
     {
-        this->waiting.push_back(chunk);
+        return true;
     }
+    return chunks[asked.index] != nullptr && clock::now() >= this->next_send;
 }
 
-bool weights_door::answer(asked_chunk const& asked)
+void weights_door::answer(asked_part const& asked)
 {
-    auto const& held = this->context->manifest;
-    auto const& chunks = this->context->transfer.chunks;
-    if (!held || held->version != asked.version || held->model != asked.model ||
-        asked.index >= chunks.size())
+    auto const& held = this->context->versions.at(asked.version);
+    if (asked.manifest)
     {
-        asked.session->respond(weights_missing, {}, {});
-        return true;
+        asked.session->respond(200, {}, platform::to_text(*held.manifest));
+        return;
     }
-    if (chunks[asked.index])
+    if (asked.index >= held.transfer.chunks.size())
     {
-        asked.session->respond(200, {}, *chunks[asked.index]);
-        this->context->counters.count(
-            "foxtailvale_weights_sent_bytes_total", {},
-            static_cast<double>(chunks[asked.index]->size()));
-        return true;
+        asked.session->respond(weights_missing, {}, {});
+        return;
     }
-    return false;
+    auto const& bytes = *held.transfer.chunks[asked.index];
+    auto const now = clock::now();
+    this->sends.push_back({asked.session, now + longest_send});
+    this->pace(bytes.size(), now);
+    asked.session->respond(200, {}, bytes);
+    this->context->counters.count(
+        "foxtailvale_weights_sent_bytes_total", {},
+        static_cast<double>(bytes.size()));
 }
 
 void weights_door::serve_waiting()
 {
     auto const now = clock::now();
-    this->waiting.remove_if(
-        [this, now](asked_chunk const& asked)
+    for (auto place = this->waiting.begin(); place != this->waiting.end();)
+    {
+        auto const asked = *place;
+        if (!asked.session->awaits_answer())
         {
-            if (!asked.session->awaits_answer() || this->answer(asked))
-            {
-                return true;
-            }
-            if (asked.until > now)
+            place = this->waiting.erase(place);
+            continue;
+        }
+        if (this->can_answer(asked))
+        {
+            place = this->waiting.erase(place);
+            this->answer(asked);
+            continue;
+        }
+        if (asked.until <= now)
+        {
+            place = this->waiting.erase(place);
+            asked.session->respond(weights_not_yet, {}, {});
+            continue;
+        }
+        ++place;
+    }
+}
+
+void weights_door::pace(std::size_t bytes, base::time_point now)
+{
+    auto const rate = this->context->settings.link_rate * link_share;
+    if (rate <= 0)
+    {
+        return;
+    }
+    std::chrono::duration<double> const taken(
+        static_cast<double>(bytes) / rate);
+    this->next_send = std::max(this->next_send, now) +
+                      std::chrono::duration_cast<base::duration>(taken);
+    this->timer.expires_at(this->next_send);
+    this->timer.async_wait(
+        [self = this->weak_from_this()](boost::system::error_code error)
+        {
+            auto const held = self.lock();
+            if (!error && held)
             {
-                return false;
+                held->serve_waiting();
             }
-            asked.session->respond(weights_not_yet, {}, {});
-            return true;
         });
 }
 
+void weights_door::end_stuck()
+{
+    auto const now = clock::now();
+    std::list<running_send> stuck;
+    for (auto place = this->sends.begin(); place != this->sends.end();)
+    {
+        auto const session = place->session.lock();
+        if (session && place->until > now)
+        {
+            ++place;
+            continue;
+        }
+        if (session && session->is_sending())
+        {
+            stuck.push_back(*place);
+        }
+        place = this->sends.erase(place);
+    }
+    for (auto const& entry : stuck)
+    {
+        if (auto const session = entry.session.lock())
+        {
+            session->abort();
+        }
+    }
+}
+
 void weights_door::stop()
 {
     this->server->stop();
--- a/libs/gateway/src/weights_door.hpp
+++ b/libs/gateway/src/weights_door.hpp
@@ -35,26 +35,41 @@
     // long.
     void serve_waiting();
 
+    // Ends what is sent to receivers that no longer take it.
+    void end_stuck();
+
     void stop();
 
 private:
-    struct asked_chunk
+    struct asked_part
     {
         std::shared_ptr<net::server_session> session;
-        std::string model;
         std::uint64_t version = 0;
+        bool manifest = false;
         std::uint32_t index = 0;
         base::time_point until;
     };
 
+    struct running_send
+    {
+        std::weak_ptr<net::server_session> session;
+        base::time_point until;
+    };
+
     void take(
         std::shared_ptr<net::server_session> const& session,
         net::request const& asked);
-    bool answer(asked_chunk const& asked);
+    bool can_answer(asked_part const& asked) const;
+    void answer(asked_part const& asked);
+    void pace(std::size_t bytes, base::time_point now);
 
     std::shared_ptr<agent_context> context;
     std::shared_ptr<net::http_server> server;
-    std::list<asked_chunk> waiting;
+    std::list<asked_part> waiting;
+    std::list<running_send> sends;
+    // No chunk is sent before then.
+    base::time_point next_send;
+    boost::asio::steady_timer timer;
 };
 
 } // namespace foxtailvale::gateway
--- a/libs/net/include/net/http_server.hpp
+++ b/libs/net/include/net/http_server.hpp
@@ -94,6 +94,9 @@
     // Called once when the client leaves before the answer is whole.
     void on_gone(std::function<void()> callback);
 
+    // Whether bytes of an answer are still on their way out.
+    bool is_sending() const;
+
     // Whether the client is still there and waits for an answer.
     bool awaits_answer() const;
 
--- a/libs/net/src/server_session.cpp
+++ b/libs/net/src/server_session.cpp
@@ -105,6 +105,11 @@
     return this->busy && !this->closed;
 }
 
+bool server_session::is_sending() const
+{
+    return !this->closed && !this->writing.empty();
+}
+
 void server_session::on_gone(std::function<void()> callback)
 {
     this->gone = std::move(callback);
--- a/libs/routing/include/routing/configuration.hpp
+++ b/libs/routing/include/routing/configuration.hpp
@@ -93,6 +93,8 @@
     std::optional<engine_costs> engine;
     // "IP:PORT" of the origin of weights where this service is one.
     std::string origin;
+    // Rate of the origin's link in bytes a second; zero if not said.
+    double origin_rate = 0;
 
     bool operator==(service const&) const = default;
 };
--- a/libs/weights/include/weights/chunk_transfer.hpp
+++ b/libs/weights/include/weights/chunk_transfer.hpp
@@ -31,6 +31,7 @@
     // Verified bytes; null where a chunk is missing.
     std::vector<chunk_data> chunks;
     std::uint32_t held = 0;
+    base::time_point begun;
     std::map<std::uint32_t, chunk_pending> pending;
     // Agents that said that they do not have a chunk, until when that counts.
     std::map<std::pair<std::uint32_t, std::string>, base::time_point> declined;
@@ -45,16 +46,20 @@
     std::string label;
 };
 
-// What may be under way at one time. Made for agents behind links of a few
-// megabits a second: six chunks of 32 KiB fill such a link over a round trip
-// and take a fifth of a second, so that live streams on the same link wait
-// little and a silent source takes few chunks with it.
+// What may be under way at one time. An agent that does not have a chunk yet
+// keeps the question until it has, so many are asked for at once: each chunk
+// then passes through a row of agents without a pause at any of them. Senders
+// send one chunk after the other, so asking early fills no link.
 struct transfer_limits
 {
-    std::size_t total = 6;
-    std::size_t per_agent = 3;
+    std::size_t total = 24;
+    std::size_t per_agent = 8;
     // Draws from the origin; its connections are few and its bytes dear.
     std::size_t origin = 2;
+    // The origin is asked for chunk after chunk at the rate of its link:
+    // asked for all at once, it would end all of them at the same late time
+    // and nobody could hand on anything before.
+    std::chrono::microseconds origin_interval{0};
 };
 
 struct chunk_ask
@@ -64,7 +69,13 @@
     chunk_source source;
 };
 
-void begin(chunk_transfer& state, std::vector<std::string> digests);
+// Begins with what another transfer holds: a chunk that did not change between
+// two versions is not fetched again.
+void begin(
+    chunk_transfer& state,
+    std::vector<std::string> digests,
+    base::time_point now);
+void reuse(chunk_transfer& state, chunk_transfer const& other);
 
 bool is_whole(chunk_transfer const& state);
 
--- a/libs/weights/include/weights/switch_time.hpp
+++ b/libs/weights/include/weights/switch_time.hpp
@@ -5,32 +5,58 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
+#include <span>
 
+// Which version an engine goes to, and when. Made for live traffic during a
+// burst: from the order on an engine takes nothing new until its running
+// requests have ended and the weights are loaded. An engine that switches is
+// lost for one to three seconds, so the engines of a failure domain take turns
+// in four waves over the time between the chunks' arrival and the bound.
 namespace foxtailvale::weights
 {
 
-// An agent's place among those that switch to the same version.
-struct switch_place
+// A version that operators named, and when that became known.
+struct named_target
 {
-    // Place among the agents of its failure domain, in order of name.
+    std::uint64_t version = 0;
+    base::time_point named;
+};
+
+struct switch_ask
+{
+    // Version that the engine serves; zero when it serves none.
+    std::uint64_t serving = 0;
+    // Oldest first.
+    std::span<named_target const> targets;
+    // From a version's naming until nothing may begin on an older one.
+    std::chrono::milliseconds bound{0};
+    // Place among the agents of the failure domain, in order of name.
     std::size_t rank = 0;
-    // The engine serves another version now, and not serving it costs
-    // capacity.
-    bool serves = false;
+    // Agents of the failure domain that has most.
+    std::size_t most_agents = 1;
+};
+
+// The version that the engine goes to next. Usually the newest. Where one is
+// named soon after another, every switch that is left out saves capacity: the
+// engines of the later two waves keep what they serve until the newest has
+// come and skip the one between, while those of the first two waves go there
+// and carry the traffic meanwhile. If the newest comes early enough, all skip.
+std::uint64_t choose_target(switch_ask const& ask);
+
+struct switch_plan
+{
+    // The order is given at this time, if the chunks are there.
+    base::time_point at;
+    // Streams that still run are cut and go on at other engines of the same
+    // version; there are some that will not be cut themselves. Otherwise they
+    // run to their end first.
+    bool cuts = false;
 };
 
-// When the engine may be ordered to switch to a version that was named at this
-// moment and must be in use everywhere after the bound. Made for live traffic
-// during a burst: an engine takes nothing new from the order until its running
-// requests have ended and the weights are loaded, a second or two. Engines
-// that serve take turns in three waves, a fixed time apart, so that two thirds
-// of each failure domain go on; the last wave begins early enough for its
-// longest requests to end within the bound. An engine without weights switches
-// at once.
-base::time_point switch_time(
-    switch_place const& place,
-    base::time_point named,
-    std::chrono::milliseconds bound);
+// When and how the engine switches to the target. An engine that serves
+// nothing does so at once.
+switch_plan plan_switch(switch_ask const& ask, std::uint64_t target);
 
 } // namespace foxtailvale::weights
 
--- a/libs/weights/src/chunk_transfer.cpp
+++ b/libs/weights/src/chunk_transfer.cpp
@@ -62,26 +62,32 @@
 
 } // namespace
 
-void begin(chunk_transfer& state, std::vector<std::string> digests)
+void begin(
+    chunk_transfer& state,
+    std::vector<std::string> digests,
+    base::time_point now)
 {
-    auto const before = std::move(state);
     state = {};
     state.digests = std::move(digests);
     state.chunks.resize(state.digests.size());
-    // A chunk that did not change between two versions is kept.
+    state.begun = now;
+}
+
+void reuse(chunk_transfer& state, chunk_transfer const& other)
+{
     for (std::size_t index = 0; index < state.digests.size(); ++index)
     {
         auto const same =
-            std::ranges::find(before.digests, state.digests[index]);
-        if (same == before.digests.end())
+            std::ranges::find(other.digests, state.digests[index]);
+        if (state.chunks[index] || same == other.digests.end())
         {
             continue;
         }
         auto const place =
-            static_cast<std::size_t>(same - before.digests.begin());
-        if (before.chunks[place])
+            static_cast<std::size_t>(same - other.digests.begin());
+        if (other.chunks[place])
         {
-            state.chunks[index] = before.chunks[place];
+            state.chunks[index] = other.chunks[place];
             ++state.held;
         }
     }
@@ -132,7 +138,9 @@
         }
         auto const source =
             choose_source(sources.value_or(chunk_sources{}), view);
-        auto const usable = !source.agent.empty() || origin_usable;
+        auto const in_turn =
+            now >= state.begun + index * limits.origin_interval;
+        auto const usable = !source.agent.empty() || (origin_usable && in_turn);
         if (!usable || !has_room_at(state, source.agent, limits))
         {
             continue;
