Agents ask whether a chunk is there and fetch two at a time; listings after a loss

Ruled out: hang-ups that the entry misses (the close had come, the request was on the wire already).

- cause of 486 refusals at 8 s (history dropped): the configuration was watched again after a loss, which confirms only after its wait; a listing confirms at once.

--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -17,6 +17,10 @@
 using std::chrono::milliseconds;
 using clock = std::chrono::steady_clock;
 
+// Taken off the time that a withdrawn key may be used: a watch may hear nothing
+// for a second while the platform drops its history.
+constexpr milliseconds stale_margin{1100};
+
 // Callers that name no time and routes without one.
 constexpr milliseconds longest_time{60000};
 
@@ -99,7 +103,7 @@
                          : milliseconds::max();
     routing::view_limits limits;
     auto const bound = this->context->settings.promised.key_withdrawal;
-    limits.for_keys = bound - bound / 4;
+    limits.for_keys = bound - stale_margin;
     limits.for_denials = limits.for_keys;
     auto const permitted = routing::permit(
         this->configuration.get(),
--- a/libs/gateway/src/store_watch.cpp
+++ b/libs/gateway/src/store_watch.cpp
@@ -13,7 +13,7 @@
 constexpr milliseconds list_limit{1500};
 
 // What a watch may take beyond its wait.
-constexpr milliseconds watch_slack{800};
+constexpr milliseconds watch_slack{500};
 
 constexpr milliseconds first_pause{60};
 constexpr milliseconds longest_pause{1000};
@@ -254,7 +254,9 @@
             {
                 return;
             }
-            if (self->revision == 0)
+            // After a failure a listing confirms the view at once; a watch
+            // would only after its wait.
+            if (self->lost_since || self->revision == 0)
             {
                 self->list({});
                 return;
--- a/libs/gateway/src/version_fetch.cpp
+++ b/libs/gateway/src/version_fetch.cpp
@@ -5,6 +5,8 @@
 
 #include <kernel/events.hpp>
 
+#include <algorithm>
+
 namespace foxtailvale::gateway
 {
 
@@ -16,7 +18,18 @@
 
 // An agent keeps a question for a chunk for a while and sends one chunk after
 // the other; what takes longer has met a silent or squeezed source.
-constexpr milliseconds chunk_limit{1800};
+constexpr milliseconds chunk_limit{2500};
+constexpr milliseconds question_limit{1500};
+
+// Chunks that are on their way here from other agents at one time. Two fill
+// the link without a pause between them, and a request to the engine waits
+// behind them for 70 ms at most on a link of 7.6 Mbit/s.
+constexpr std::size_t most_fetching = 2;
+
+// A chunk that takes longer than this has met a squeezed link.
+constexpr milliseconds slow_chunk{250};
+// How long a fast chunk from elsewhere shows that the own link is sound.
+constexpr milliseconds fast_memory{2000};
 constexpr milliseconds manifest_limit{800};
 constexpr milliseconds again_soon{100};
 
@@ -53,7 +66,7 @@
 } // namespace
 
 version_fetch::version_fetch(std::shared_ptr<agent_context> shared)
-    : context(std::move(shared))
+    : context(std::move(shared)), timer(this->context->loop)
 {
 }
 
@@ -173,34 +186,129 @@
 void version_fetch::ask(std::uint64_t version, weights::chunk_ask const& wanted)
 {
     auto& state = *this->context;
-    auto const from_origin = wanted.source.agent.empty();
-    auto const address = from_origin ? state.origin : wanted.source.address;
+    ready_chunk const asked{version, wanted};
+    if (wanted.source.agent.empty())
+    {
+        this->fetch_chunk(asked);
+        return;
+    }
+    fetch(
+        state.loop, state.pool, wanted.source.address,
+        peer_chunk_question(state.model, version, wanted.index), question_limit,
+        [self = this->shared_from_this(),
+         asked](std::optional<fetched> response)
+        {
+            if (response && response->status == weights_ready)
+            {
+                self->ready.push_back(asked);
+                self->fetch_ready();
+                return;
+            }
+            self->lose(asked, response ? response->status : 0);
+        });
+}
+
+void version_fetch::fetch_ready()
+{
+    auto const now = clock::now();
+    while (!this->ready.empty() && this->fetching < most_fetching &&
+           now >= this->next_fetch)
+    {
+        auto const next = this->ready.front();
+        this->ready.pop_front();
+        ++this->fetching;
+        this->fetch_chunk(next);
+    }
+    if (!this->ready.empty() && now < this->next_fetch)
+    {
+        this->timer.expires_at(this->next_fetch);
+        this->timer.async_wait(
+            [self = this->shared_from_this()](boost::system::error_code error)
+            {
+                if (!error)
+                {
+                    self->fetch_ready();
+                }
+            });
+    }
+}
+
+void version_fetch::fetch_chunk(ready_chunk const& next)
+{
+    auto& state = *this->context;
+    auto const from_origin = next.wanted.source.agent.empty();
+    auto const address =
+        from_origin ? state.origin : next.wanted.source.address;
+    auto const index = next.wanted.index;
     auto const request =
-        from_origin
-            ? platform::chunk_request(state.model, version, wanted.index)
-            : peer_chunk_request(state.model, version, wanted.index);
+        from_origin ? platform::chunk_request(state.model, next.version, index)
+                    : peer_chunk_request(state.model, next.version, index);
+    auto const begun = clock::now();
     fetch(
         state.loop, state.pool, address, request, chunk_limit,
-        [self = this->shared_from_this(), version, from_origin,
-         index = wanted.index](std::optional<fetched> response)
+        [self = this->shared_from_this(), next, from_origin,
+         begun](std::optional<fetched> response)
         {
+            if (!from_origin)
+            {
+                self->fetching -= 1;
+                auto const now = clock::now();
+                self->judge_speed(next.wanted.source.agent, now - begun, now);
+            }
             if (response && response->status == 200)
             {
-                self->take_chunk(version, index, std::move(response->body));
-                return;
+                self->take_chunk(
+                    next.version, next.wanted.index, std::move(response->body));
             }
-            auto why = weights::chunk_loss::failed;
-            if (response && !from_origin)
+            else
             {
-                why = response->status == weights_not_yet
-                          ? weights::chunk_loss::not_yet
-                          : weights::chunk_loss::missing;
+                self->lose(next, response ? response->status : 0);
             }
-            auto& known = *self->context;
-            weights::lose(
-                known.versions[version].transfer, known.sources, index, why,
-                clock::now());
+            self->fetch_ready();
+        });
+}
+
+void version_fetch::judge_speed(
+    std::string const& agent, base::duration took, base::time_point now)
+{
+    if (took <= slow_chunk)
+    {
+        this->last_fast[agent] = now;
+        return;
+    }
+    auto const others_fast = std::ranges::any_of(
+        this->last_fast,
+        [&](auto const& entry)
+        {
+            return entry.first != agent && now - entry.second < fast_memory;
         });
+    if (others_fast)
+    {
+        // The source's link is squeezed: its chunks come sooner from others.
+        weights::strike(this->context->sources, agent, now);
+        return;
+    }
+    // The own link is squeezed. Requests to the engine take the same way:
+    // leave them half of it.
+    this->next_fetch = now + took;
+}
+
+void version_fetch::lose(ready_chunk const& asked, unsigned status)
+{
+    auto& state = *this->context;
+    auto const from_origin = asked.wanted.source.agent.empty();
+    auto why = weights::chunk_loss::failed;
+    if (!from_origin && status == weights_not_yet)
+    {
+        why = weights::chunk_loss::not_yet;
+    }
+    else if (!from_origin && status != 0)
+    {
+        why = weights::chunk_loss::missing;
+    }
+    weights::lose(
+        state.versions[asked.version].transfer, state.sources,
+        asked.wanted.index, why, clock::now());
 }
 
 void version_fetch::take_chunk(
--- a/libs/gateway/src/version_fetch.hpp
+++ b/libs/gateway/src/version_fetch.hpp
@@ -3,6 +3,9 @@
 
 #include "agent_context.hpp"
 
+#include <boost/asio/steady_timer.hpp>
+
+#include <deque>
 #include <functional>
 
 namespace foxtailvale::gateway
@@ -28,11 +31,31 @@
     void take_manifest(
         std::uint64_t version, std::optional<std::string> const& body);
     void ask_for_chunks(std::uint64_t version);
+    // A chunk that its source holds and that waits for room on the own link.
+    struct ready_chunk
+    {
+        std::uint64_t version = 0;
+        weights::chunk_ask wanted;
+    };
+
     void ask(std::uint64_t version, weights::chunk_ask const& wanted);
+    void fetch_ready();
+    void fetch_chunk(ready_chunk const& next);
+    void lose(ready_chunk const& asked, unsigned status);
     void
     take_chunk(std::uint64_t version, std::uint32_t index, std::string bytes);
 
     std::shared_ptr<agent_context> context;
+    std::deque<ready_chunk> ready;
+    std::size_t fetching = 0;
+    void judge_speed(
+        std::string const& agent, base::duration took, base::time_point now);
+
+    // When a chunk last came at the speed of an unharmed link, by source.
+    std::map<std::string, base::time_point> last_fast;
+    // No chunk is fetched from another agent before then.
+    base::time_point next_fetch;
+    boost::asio::steady_timer timer;
 };
 
 } // namespace foxtailvale::gateway
--- a/libs/gateway/src/weights_door.cpp
+++ b/libs/gateway/src/weights_door.cpp
@@ -11,7 +11,7 @@
 
 using clock = std::chrono::steady_clock;
 
-constexpr std::chrono::milliseconds longest_wait{600};
+constexpr std::chrono::milliseconds longest_wait{500};
 
 // Share of the machine's link that chunks may fill. The events of the engine's
 // live streams go over the same link: chunks sent as fast as they are asked
@@ -25,6 +25,7 @@
 constexpr std::chrono::milliseconds longest_send{1500};
 
 constexpr std::string_view root = "/weights/";
+constexpr std::string_view question_mark = "/ready";
 
 net::request peer_request(std::string target)
 {
@@ -35,15 +36,6 @@
         .body = {}};
 }
 
-// "/weights/MODEL/VERSION/INDEX", or "manifest" in place of the index.
-struct asked_path
-{
-    std::string model;
-    std::uint64_t version = 0;
-    bool manifest = false;
-    std::uint32_t index = 0;
-};
-
 template <class Number>
 bool read_number(std::string_view text, Number& number)
 {
@@ -52,13 +44,48 @@
     return parsed.ec == std::errc{} && parsed.ptr == end;
 }
 
-std::optional<asked_path> read_path(std::string_view target)
+} // namespace
+
+net::request
+peer_manifest_request(std::string const& model, std::uint64_t version)
+{
+    return peer_request(
+        std::string(root) + model + "/" + std::to_string(version) +
+        "/manifest");
+}
+
+net::request peer_chunk_question(
+    std::string const& model, std::uint64_t version, std::uint32_t index)
+{
+    auto asked = peer_chunk_request(model, version, index);
+    asked.target.append(question_mark);
+    return asked;
+}
+
+net::request peer_chunk_request(
+    std::string const& model, std::uint64_t version, std::uint32_t index)
+{
+    return peer_request(
+        std::string(root) + model + "/" + std::to_string(version) + "/" +
+        std::to_string(index));
+}
+
+// "/weights/MODEL/VERSION/INDEX", with "manifest" in place of the index or
+// "/ready" behind it.
+std::optional<weights_door::asked_path>
+weights_door::read_path(std::string_view target)
 {
     if (!target.starts_with(root))
     {
         return std::nullopt;
     }
     target.remove_prefix(root.size());
+    asked_path read;
+    if (target.ends_with(question_mark))
+    {
+        read.kind = asked_kind::question;
+        target.remove_suffix(question_mark.size());
+    }
     auto const last = target.rfind('/');
     if (last == std::string_view::npos || last == 0)
     {
@@ -69,38 +96,19 @@
     {
         return std::nullopt;
     }
-    asked_path read;
     read.model = std::string(target.substr(0, middle));
     auto const version = target.substr(middle + 1, last - middle - 1);
     auto const what = target.substr(last + 1);
-    if (!read_number(version, read.version))
+    if (what == "manifest")
     {
-        return std::nullopt;
+        read.kind = asked_kind::manifest;
     }
-    read.manifest = what == "manifest";
-    if (!read.manifest && !read_number(what, read.index))
+    else if (!read_number(what, read.index))
     {
         return std::nullopt;
     }
-    return read;
-}
-
-} // namespace
-
-net::request
-peer_manifest_request(std::string const& model, std::uint64_t version)
-{
-    return peer_request(
-        std::string(root) + model + "/" + std::to_string(version) +
-        "/manifest");
-}
-
-net::request peer_chunk_request(
-    std::string const& model, std::uint64_t version, std::uint32_t index)
-{
-    return peer_request(
-        std::string(root) + model + "/" + std::to_string(version) + "/" +
-        std::to_string(index));
+    return read_number(version, read.version) ? std::optional(read)
+                                              : std::nullopt;
 }
 
 weights_door::weights_door(std::shared_ptr<agent_context> shared)
@@ -149,7 +157,7 @@
         return;
     }
     this->waiting.push_back(
-        {session, path->version, path->manifest, path->index,
+        {session, path->version, path->kind, path->index,
          clock::now() + longest_wait});
     this->serve_waiting();
 }
@@ -163,17 +171,21 @@
         return false;
     }
     auto const& chunks = found->second.transfer.chunks;
-    if (asked.manifest || asked.index >= chunks.size())
+    if (asked.kind == asked_kind::manifest || asked.index >= chunks.size())
     {
         return true;
     }
+    if (asked.kind == asked_kind::question)
+    {
+        return chunks[asked.index] != nullptr;
+    }
     return chunks[asked.index] != nullptr && clock::now() >= this->next_send;
 }
 
 void weights_door::answer(asked_part const& asked)
 {
     auto const& held = this->context->versions.at(asked.version);
-    if (asked.manifest)
+    if (asked.kind == asked_kind::manifest)
     {
         asked.session->respond(200, {}, platform::to_text(*held.manifest));
         return;
@@ -183,6 +195,11 @@
         asked.session->respond(weights_missing, {}, {});
         return;
     }
+    if (asked.kind == asked_kind::question)
+    {
+        asked.session->respond(weights_ready, {}, {});
+        return;
+    }
     auto const& bytes = *held.transfer.chunks[asked.index];
     auto const now = clock::now();
     this->sends.push_back({asked.session, now + longest_send});
--- a/libs/gateway/src/weights_door.hpp
+++ b/libs/gateway/src/weights_door.hpp
@@ -10,13 +10,18 @@
 namespace foxtailvale::gateway
 {
 
-// Requests between agents for a version's manifest and chunks.
+// Requests between agents for a version's manifest and chunks. An agent first
+// asks whether a chunk is there, which is answered when it has come, and then
+// fetches it when its own link has room: a question in wait fills no link.
 net::request
 peer_manifest_request(std::string const& model, std::uint64_t version);
+net::request peer_chunk_question(
+    std::string const& model, std::uint64_t version, std::uint32_t index);
 net::request peer_chunk_request(
     std::string const& model, std::uint64_t version, std::uint32_t index);
 
 // Statuses that the door answers with, beside 200.
+inline constexpr unsigned weights_ready = 204;
 inline constexpr unsigned weights_missing = 404;
 inline constexpr unsigned weights_not_yet = 503;
 
@@ -41,11 +46,24 @@
     void stop();
 
 private:
+    enum class asked_kind
+    {
+        manifest,
+        question,
+        chunk,
+    };
+    struct asked_path
+    {
+        std::string model;
+        std::uint64_t version = 0;
+        asked_kind kind = asked_kind::chunk;
+        std::uint32_t index = 0;
+    };
     struct asked_part
     {
         std::shared_ptr<net::server_session> session;
         std::uint64_t version = 0;
-        bool manifest = false;
+        asked_kind kind = asked_kind::chunk;
         std::uint32_t index = 0;
         base::time_point until;
     };
@@ -56,6 +74,7 @@
         base::time_point until;
     };
 
+    static std::optional<asked_path> read_path(std::string_view target);
     void take(
         std::shared_ptr<net::server_session> const& session,
         net::request const& asked);
--- a/libs/weights/src/chunk_transfer.cpp
+++ b/libs/weights/src/chunk_transfer.cpp
@@ -12,6 +12,15 @@
 // How long "I do not have it" counts; a chunk travels a hop in a fraction.
 constexpr std::chrono::milliseconds declined_time{600};
 
+// How long an agent waits for those before it while they answer but have
+// nothing, before it draws from the origin itself. Failure: the importer is cut
+// off from the origin and alive otherwise, and its whole tree waits for it. A
+// copy takes less than this to pass through a fleet.
+constexpr std::chrono::milliseconds patience{4500};
+
+// A chunk has usually come to every agent by then.
+constexpr std::chrono::milliseconds usual_time{2500};
+
 std::size_t pending_at(chunk_transfer const& state, std::string const& agent)
 {
     return static_cast<std::size_t>(std::ranges::count_if(
@@ -51,6 +60,19 @@
     return found;
 }
 
+// Whether an agent that stands before this one answers, although it does not
+// have the chunk yet.
+bool others_may_come(
+    source_book const& book, chunk_sources const& sources, base::time_point now)
+{
+    auto const answers = [&](chunk_source const& source)
+    {
+        return is_usable(book, source.agent, now);
+    };
+    return std::ranges::any_of(sources.ancestors, answers) ||
+           std::ranges::any_of(sources.outside, answers);
+}
+
 bool has_room_at(
     chunk_transfer const& state,
     std::string const& agent,
@@ -138,6 +160,11 @@
         }
         auto const source =
             choose_source(sources.value_or(chunk_sources{}), view);
+        if (source.agent.empty() && sources && now < state.begun + patience &&
+            others_may_come(book, *sources, now))
+        {
+            continue;
+        }
         auto const in_turn =
             now >= state.begun + index * limits.origin_interval;
         auto const usable = !source.agent.empty() || (origin_usable && in_turn);
@@ -214,6 +241,12 @@
         state.declined[{index, agent}] = now + declined_time;
         break;
     case chunk_loss::not_yet:
+        // It waits itself. When that lasts, it may stand behind a squeezed
+        // link: the ones before it in the tree may have the chunk already.
+        if (now > state.begun + usual_time)
+        {
+            state.declined[{index, agent}] = now + declined_time;
+        }
         note_heard(book, agent, now);
         break;
     case chunk_loss::failed:
