--- a/libs/direct/include/direct/placement.hpp
+++ b/libs/direct/include/direct/placement.hpp
@@ -29,6 +29,10 @@
     std::uint32_t depth = 1;
     cold_bound cold;
     std::size_t entries = 1;
+    // Names of all entries and of this one; null while the others are not
+    // known.
+    std::set<std::string> const* all_entries = nullptr;
+    std::string own_entry;
     // Go on with this version only, if it is not zero.
     std::uint64_t version = 0;
     // How long the request will run; it is not sent where the endpoint stops
--- a/libs/direct/include/direct/shares.hpp
+++ b/libs/direct/include/direct/shares.hpp
@@ -8,6 +8,8 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <set>
+#include <string>
 
 // Bounds that hold for all entries together, cut into parts that each entry
 // keeps by itself: no message between entries is in time when a zone is cut
@@ -37,8 +39,20 @@
     double tolerance = 0;
 };
 
+// Whether this entry sends to the endpoint at all. Where there are more entries
+// than a cold endpoint bears requests a second, each sending a single one is too
+// much: as many entries as it bears send there, others to other endpoints. Which
+// they are follows from the names alone, the same for all that know the same
+// entries.
+bool has_part(
+    std::set<std::string> const& entries,
+    std::string const& own,
+    std::string const& endpoint,
+    cold_bound const& bound);
+
 // Whether this entry may send one more to an endpoint to which it sent at
-// these moments. Made for a burst that meets an endpoint which has just turned
+// these moments; at most as many entries as the endpoint bears requests a
+// second may ask. Made for a burst that meets an endpoint which has just turned
 // cold: entries hear of it up to two seconds later, so the part is kept for
 // warm endpoints too. At 8 entries, 36 a second and a tolerance of 5 a part is
 // 5 a second, three times what an endpoint's slots let through on average.
--- a/libs/direct/src/placement.cpp
+++ b/libs/direct/src/placement.cpp
@@ -89,6 +89,11 @@
     {
         return false;
     }
+    if (ask.all_entries != nullptr &&
+        !has_part(*ask.all_entries, ask.own_entry, state.listed.id, ask.cold))
+    {
+        return false;
+    }
     if (!may_send_within_part(state.recent, ask.cold, ask.entries, now))
     {
         return false;
--- a/libs/direct/src/shares.cpp
+++ b/libs/direct/src/shares.cpp
@@ -1,3 +1,4 @@
+#include <base/digest.hpp>
 #include <direct/shares.hpp>
 
 #include <algorithm>
@@ -13,6 +14,13 @@
 // that arrive in the next and entries that have just come.
 constexpr double used_part = 0.8;
 
+// Requests a second that are handed out; at least one.
+std::size_t parts_of(cold_bound const& bound)
+{
+    auto const parts = used_part * (bound.per_second + bound.tolerance);
+    return static_cast<std::size_t>(std::max(1.0, parts));
+}
+
 std::int64_t second_of(base::time_point now)
 {
     return std::chrono::duration_cast<std::chrono::seconds>(
@@ -51,6 +59,27 @@
     count.most_seen = std::max(count.most_seen, alive);
 }
 
+bool has_part(
+    std::set<std::string> const& entries,
+    std::string const& own,
+    std::string const& endpoint,
+    cold_bound const& bound)
+{
+    auto const parts = parts_of(bound);
+    if (bound.per_second <= 0 || entries.size() <= parts)
+    {
+        return true;
+    }
+    auto const own_hash = base::stable_hash(own + "/" + endpoint);
+    auto const before = std::ranges::count_if(
+        entries,
+        [&](std::string const& other)
+        {
+            return base::stable_hash(other + "/" + endpoint) < own_hash;
+        });
+    return static_cast<std::size_t>(before) < parts;
+}
+
 bool may_send_within_part(
     std::deque<base::time_point> const& recent,
     cold_bound const& bound,
@@ -61,16 +90,14 @@
     {
         return true;
     }
-    auto const part = used_part * (bound.per_second + bound.tolerance) /
-                      static_cast<double>(entries);
-    // A part below one request a second is one request in a longer time.
-    auto const span = std::chrono::duration<double>(std::max(1.0, 1 / part));
-    auto const allowed = static_cast<std::size_t>(std::max(1.0, part));
+    auto const parts = parts_of(bound);
+    auto const sharing = std::clamp<std::size_t>(entries, 1, parts);
+    auto const allowed = parts / sharing;
     auto const begun = std::ranges::count_if(
         recent,
-        [now, span](base::time_point at)
+        [now](base::time_point at)
         {
-            return now - at <= span;
+            return now - at <= std::chrono::seconds(1);
         });
     return static_cast<std::size_t>(begun) < allowed;
 }
--- /dev/null
+++ b/libs/direct/tests/endpoint_book_tests.cpp
@@ -0,0 +1,135 @@
+#include <direct/endpoint_book.hpp>
+
+#include <gtest/gtest.h>
+
+namespace foxtailvale::direct
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+base::time_point const start{std::chrono::hours(1)};
+
+endpoint_record engine(std::string id, std::string address = "10.0.0.1:80")
+{
+    endpoint_record made;
+    made.id = std::move(id);
+    made.service = "s";
+    made.address = std::move(address);
+    made.failure_domain = "d";
+    made.slots = 16;
+    made.weights = {"m", 1, true};
+    return made;
+}
+
+} // namespace
+
+TEST(endpoint_book, what_left_is_gone_at_once)
+{
+    endpoint_book book;
+    put(book, engine("a"));
+    remove(book, "a", false, start);
+    EXPECT_TRUE(book.endpoints.empty());
+}
+
+// The platform is away, the entries of its list run out, and it comes back
+// with an empty list. All callers are refused until the endpoints have
+// registered anew, although all of them live.
+TEST(endpoint_book, what_a_lost_list_misses_is_used_a_little_longer)
+{
+    endpoint_book book;
+    put(book, engine("a"));
+    replace_all(book, {}, true, start);
+    expire(book, start + milliseconds(1400));
+    EXPECT_EQ(book.endpoints.size(), 1U);
+    expire(book, start + lapse_time);
+    EXPECT_TRUE(book.endpoints.empty());
+}
+
+TEST(endpoint_book, one_that_returns_does_not_lapse)
+{
+    endpoint_book book;
+    put(book, engine("a"));
+    replace_all(book, {}, true, start);
+    put(book, engine("a"));
+    expire(book, start + seconds(10));
+    EXPECT_EQ(book.endpoints.size(), 1U);
+}
+
+// An endpoint announced that it leaves, and the list is lost just then. Kept
+// as one that lapsed, it would get requests after its end.
+TEST(endpoint_book, one_that_was_leaving_does_not_stay)
+{
+    endpoint_book book;
+    auto leaving = engine("a");
+    leaving.draining = true;
+    put(book, leaving);
+    replace_all(book, {}, true, start);
+    EXPECT_TRUE(book.endpoints.empty());
+}
+
+TEST(endpoint_book, a_fresh_report_goes_before_the_list)
+{
+    endpoint_book book;
+    put(book, engine("a"));
+    note_report(book, "10.0.0.1", {.weights = {"m", 2, true}}, start);
+    auto const& state = book.endpoints.at("a");
+    EXPECT_EQ(weights_of(state, start).version, 2U);
+    EXPECT_EQ(weights_of(state, start + seconds(5)).version, 1U);
+}
+
+// The address of an endpoint that ended is used again by another. The report
+// on the old one must not speak for the new one.
+TEST(endpoint_book, a_report_does_not_outlive_its_address)
+{
+    endpoint_book book;
+    put(book, engine("a"));
+    note_report(book, "10.0.0.1", {.weights = {"m", 2, true}}, start);
+    put(book, engine("a", "10.0.0.2:80"));
+    EXPECT_EQ(weights_of(book.endpoints.at("a"), start).version, 1U);
+}
+
+TEST(versions, an_older_one_is_allowed_until_its_time)
+{
+    endpoint_book book;
+    name_version(book, "m", {2, start, start + seconds(7)});
+    name_version(book, "m", {3, start, start + seconds(11)});
+    EXPECT_FALSE(name_version(book, "m", {2, start, start}));
+    EXPECT_EQ(oldest_allowed(book, "m", start), 0U);
+    EXPECT_EQ(oldest_allowed(book, "m", start + seconds(7)), 2U);
+    EXPECT_EQ(oldest_allowed(book, "m", start + seconds(11)), 3U);
+    EXPECT_EQ(oldest_allowed(book, "other", start + seconds(11)), 0U);
+}
+
+TEST(use, an_endpoint_that_cannot_be_reached_is_left_alone_longer_each_time)
+{
+    endpoint_book book;
+    put(book, engine("a"));
+    auto& state = book.endpoints.at("a");
+    begin_use(book, "a", start);
+    end_use(book, "a", use_end::not_connected, start);
+    auto const first = state.avoid_until;
+    EXPECT_GT(first, start);
+    begin_use(book, "a", first);
+    end_use(book, "a", use_end::not_connected, first);
+    EXPECT_GT(state.avoid_until - first, first - start);
+}
+
+TEST(use, silence_while_answers_are_owed_is_a_stall)
+{
+    endpoint_book book;
+    put(book, engine("a"));
+    auto const& state = book.endpoints.at("a");
+    begin_use(book, "a", start);
+    EXPECT_FALSE(is_stalled(state, start + milliseconds(400)));
+    EXPECT_TRUE(is_stalled(state, start + milliseconds(600)));
+    note_heard(book, "a", start + milliseconds(550));
+    EXPECT_FALSE(is_stalled(state, start + milliseconds(600)));
+    end_use(book, "a", use_end::answered, start + milliseconds(700));
+    EXPECT_FALSE(is_stalled(state, start + seconds(60)));
+}
+
+} // namespace foxtailvale::direct
--- /dev/null
+++ b/libs/direct/tests/placement_tests.cpp
@@ -0,0 +1,249 @@
+#include <direct/placement.hpp>
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <vector>
+
+namespace foxtailvale::direct
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+base::time_point const start{std::chrono::hours(1)};
+
+endpoint_record
+engine(std::string const& id, std::string address, std::string domain)
+{
+    endpoint_record made;
+    made.id = id;
+    made.service = "s";
+    made.address = std::move(address);
+    made.failure_domain = std::move(domain);
+    made.slots = 16;
+    made.weights = {"m", 1, true};
+    return made;
+}
+
+// Engines e0, e1, ... at 10.0.0.N, in two failure domains by turns.
+endpoint_book engines(std::size_t count)
+{
+    endpoint_book book;
+    book.regions = {{"d0", "r0"}, {"d1", "r1"}};
+    for (std::size_t number = 0; number < count; ++number)
+    {
+        auto const name = std::to_string(number);
+        put(book, engine(
+                      "e" + name, "10.0.0." + name + ":80",
+                      "d" + std::to_string(number % 2)));
+    }
+    return book;
+}
+
+placement_ask ask_from(std::string domain)
+{
+    placement_ask ask;
+    ask.service = "s";
+    ask.model = "m";
+    ask.own_domain = std::move(domain);
+    return ask;
+}
+
+std::string
+chosen_id(endpoint_book const& book, placement_ask const& ask)
+{
+    base::random_state random{3};
+    auto const found = choose(book, ask, start, random);
+    return found.chosen == nullptr ? "" : found.chosen->listed.id;
+}
+
+void report(
+    endpoint_book& book, std::string const& address, std::uint32_t running)
+{
+    load_report said;
+    said.running = running;
+    said.weights = {"m", 1, true};
+    note_report(book, address, said, start);
+}
+
+} // namespace
+
+TEST(placement, own_failure_domain_comes_first_while_it_has_room)
+{
+    auto book = engines(2);
+    EXPECT_EQ(chosen_id(book, ask_from("d0")), "e0");
+    EXPECT_EQ(chosen_id(book, ask_from("d1")), "e1");
+    report(book, "10.0.0.0", 12);
+    report(book, "10.0.0.1", 2);
+    EXPECT_EQ(chosen_id(book, ask_from("d0")), "e1");
+}
+
+TEST(placement, what_may_not_serve_is_never_chosen)
+{
+    auto ask = ask_from("d0");
+    auto draining = engines(1);
+    draining.endpoints.at("e0").listed.draining = true;
+    EXPECT_EQ(chosen_id(draining, ask), "");
+    auto out = engines(1);
+    out.domains_out.insert("d0");
+    EXPECT_EQ(chosen_id(out, ask), "");
+    auto elsewhere = engines(1);
+    ask.regions = {"r1"};
+    EXPECT_EQ(chosen_id(elsewhere, ask), "");
+    ask.regions = {};
+    auto part = engines(1);
+    part.endpoints.at("e0").listed.weights.whole = false;
+    EXPECT_EQ(chosen_id(part, ask), "");
+    auto other = engines(1);
+    other.endpoints.at("e0").listed.weights.model = "n";
+    EXPECT_EQ(chosen_id(other, ask), "");
+}
+
+// A newer version was named long ago and one engine has not reached it. A
+// caller would be answered from weights that operators withdrew.
+TEST(placement, an_engine_on_a_version_past_its_time_gets_nothing)
+{
+    auto book = engines(2);
+    name_version(book, "m", {2, start - seconds(9), start - seconds(1)});
+    base::random_state random{3};
+    auto const none = choose(book, ask_from("d0"), start, random);
+    EXPECT_EQ(none.chosen, nullptr);
+    EXPECT_EQ(none.why, no_choice::no_weights);
+    book.endpoints.at("e1").listed.weights.version = 2;
+    auto const found = choose(book, ask_from("d0"), start, random);
+    ASSERT_NE(found.chosen, nullptr);
+    EXPECT_EQ(found.version, 2U);
+}
+
+// A stream is cut in the middle of a version change and goes on elsewhere.
+// Its rest must come from the weights that it began with.
+TEST(placement, a_stream_goes_on_with_its_version_only)
+{
+    auto book = engines(2);
+    book.endpoints.at("e1").listed.weights.version = 2;
+    auto ask = ask_from("d1");
+    ask.version = 1;
+    EXPECT_EQ(chosen_id(book, ask), "e0");
+    ask.version = 3;
+    EXPECT_EQ(chosen_id(book, ask), "");
+}
+
+TEST(placement, an_engine_that_switches_soon_gets_only_what_ends_before)
+{
+    auto book = engines(1);
+    load_report said;
+    said.weights = {"m", 1, true};
+    said.switches_at = start + milliseconds(800);
+    note_report(book, "10.0.0.0", said, start);
+    auto ask = ask_from("d0");
+    ask.expected = milliseconds(500);
+    EXPECT_EQ(chosen_id(book, ask), "e0");
+    ask.expected = milliseconds(900);
+    EXPECT_EQ(chosen_id(book, ask), "");
+    ask.version = 1;
+    EXPECT_EQ(chosen_id(book, ask), "e0");
+}
+
+TEST(placement, a_silent_agents_engine_is_the_last_choice)
+{
+    auto book = engines(2);
+    report(book, "10.0.0.0", 0);
+    report(book, "10.0.0.1", 15);
+    book.endpoints.at("e0").reported = start - seconds(2);
+    EXPECT_EQ(chosen_id(book, ask_from("d0")), "e1");
+    book.endpoints.erase("e1");
+    EXPECT_EQ(chosen_id(book, ask_from("d0")), "e0");
+}
+
+TEST(placement, full_engines_leave_the_request_waiting)
+{
+    auto book = engines(2);
+    report(book, "10.0.0.0", 17);
+    report(book, "10.0.0.1", 17);
+    base::random_state random{3};
+    auto const none = choose(book, ask_from("d0"), start, random);
+    EXPECT_EQ(none.chosen, nullptr);
+    EXPECT_EQ(none.why, no_choice::all_busy);
+}
+
+// One engine fails four answers in ten while its health is good. Its callers
+// see faults for as long as it gets its share.
+TEST(placement, an_engine_whose_answers_are_faults_gets_little)
+{
+    auto book = engines(4);
+    base::random_state random{7};
+    std::map<std::string, int> counts;
+    for (auto number = 0; number < 1000; ++number)
+    {
+        auto const now = start + milliseconds(number * 10);
+        auto const found = choose(book, ask_from("d0"), now, random);
+        auto const id = found.chosen->listed.id;
+        ++counts[id];
+        begin_use(book, id, now);
+        auto const faulty = id == "e0" && base::random_below(random, 10) < 4;
+        end_use(
+            book, id, faulty ? use_end::faulty : use_end::answered, now);
+    }
+    EXPECT_LT(counts["e0"], counts["e2"] / 2);
+}
+
+// Eight entries see the load a tenth of a second late. If all follow the same
+// report, one engine gets everything until the next one.
+TEST(placement, entries_with_the_same_report_do_not_herd)
+{
+    constexpr std::size_t entries = 8;
+    std::vector<endpoint_book> books(entries, engines(8));
+    std::vector<base::random_state> seeds;
+    for (std::size_t entry = 0; entry < entries; ++entry)
+    {
+        seeds.push_back({entry + 1});
+    }
+    std::map<std::string, std::uint32_t> running;
+    for (std::size_t entry = 0; entry < entries; ++entry)
+    {
+        for (auto number = 0; number < 8; ++number)
+        {
+            report(books[entry], "10.0.0." + std::to_string(number), 4);
+        }
+    }
+    for (auto round = 0; round < 3; ++round)
+    {
+        for (std::size_t entry = 0; entry < entries; ++entry)
+        {
+            auto const found = choose(
+                books[entry], ask_from("d0"), start, seeds[entry]);
+            begin_use(books[entry], found.chosen->listed.id, start);
+            ++running[found.chosen->listed.id];
+        }
+    }
+    auto const most = std::ranges::max_element(
+        running, {},
+        [](auto const& entry)
+        {
+            return entry.second;
+        });
+    // 24 requests for the four engines of the domain: six each on average.
+    EXPECT_LE(most->second, 10U);
+}
+
+TEST(expected_time, grows_with_the_answer_and_falls_back_to_the_usual)
+{
+    routing::engine_costs costs;
+    costs.slots = 16;
+    costs.step = std::chrono::duration<double, std::milli>(6.73);
+    costs.read_per_second = 30600;
+    costs.usual_prompt = 964;
+    costs.usual_answer = 119;
+    auto const usual = expected_time(costs, 0, 0);
+    EXPECT_GT(usual, milliseconds(800));
+    EXPECT_LT(usual, milliseconds(2000));
+    EXPECT_LT(expected_time(costs, 600, 30), usual);
+    EXPECT_GT(expected_time(costs, 600, 300), usual);
+}
+
+} // namespace foxtailvale::direct
--- /dev/null
+++ b/libs/direct/tests/repeat_tests.cpp
@@ -0,0 +1,154 @@
+#include <base/random.hpp>
+#include <direct/repeat.hpp>
+
+#include <gtest/gtest.h>
+
+namespace foxtailvale::direct
+{
+
+namespace
+{
+
+using base::ran_state;
+using routing::repetition;
+
+repeat_ask failed_once(repetition repeats, ran_state ran)
+{
+    repeat_ask ask;
+    ask.repeats = repeats;
+    ask.ran = ran;
+    ask.runs = ran == ran_state::no ? 0 : 1;
+    ask.most_attempts = 2;
+    ask.sends = 1;
+    return ask;
+}
+
+} // namespace
+
+TEST(judge_run, nothing_written_is_not_run)
+{
+    EXPECT_EQ(judge_run({}), ran_state::no);
+}
+
+// A booking is sent, the connection is reset, and the booking ran: sent again
+// it runs twice, and two vans go out.
+TEST(judge_run, silence_after_the_first_byte_is_unknown)
+{
+    EXPECT_EQ(judge_run({.written = true}), ran_state::unknown);
+}
+
+TEST(judge_run, only_the_endpoints_own_word_says_not_run)
+{
+    attempt_facts facts{.written = true, .head_seen = true, .status = 503};
+    EXPECT_EQ(judge_run(facts), ran_state::unknown);
+    facts.says_not_run = true;
+    EXPECT_EQ(judge_run(facts), ran_state::no);
+}
+
+TEST(judge_run, a_sealed_answer_ran)
+{
+    attempt_facts const facts{
+        .written = true,
+        .head_seen = true,
+        .whole = true,
+        .sealed = true,
+        .status = 500};
+    EXPECT_EQ(judge_run(facts), ran_state::yes);
+    EXPECT_TRUE(is_answer(facts));
+}
+
+TEST(is_answer, a_cut_or_unsealed_response_is_none)
+{
+    attempt_facts facts{
+        .written = true,
+        .head_seen = true,
+        .whole = true,
+        .sealed = false,
+        .status = 200};
+    EXPECT_FALSE(is_answer(facts));
+    facts.sealed = true;
+    facts.whole = false;
+    EXPECT_FALSE(is_answer(facts));
+}
+
+TEST(may_repeat, what_may_run_once_is_repeated_only_when_it_did_not_run)
+{
+    EXPECT_TRUE(
+        may_repeat(failed_once(repetition::non_idempotent, ran_state::no)));
+    EXPECT_FALSE(may_repeat(
+        failed_once(repetition::non_idempotent, ran_state::unknown)));
+    EXPECT_FALSE(
+        may_repeat(failed_once(repetition::non_idempotent, ran_state::yes)));
+}
+
+TEST(may_repeat, what_may_run_again_is_repeated_up_to_its_attempts)
+{
+    auto ask = failed_once(repetition::idempotent, ran_state::unknown);
+    EXPECT_TRUE(may_repeat(ask));
+    ask.runs = 2;
+    EXPECT_FALSE(may_repeat(ask));
+}
+
+TEST(may_repeat, only_a_stream_that_resumes_goes_on_after_its_first_event)
+{
+    auto ask = failed_once(repetition::resumable, ran_state::yes);
+    ask.answer_begun = true;
+    EXPECT_TRUE(may_repeat(ask));
+    ask.repeats = repetition::idempotent;
+    EXPECT_FALSE(may_repeat(ask));
+}
+
+// Random courses of a request that may run once: whatever order of facts
+// comes, it is never sent again after an attempt that may have run.
+TEST(may_repeat, no_course_sends_a_non_idempotent_request_after_a_run)
+{
+    base::random_state random{11};
+    for (auto course = 0; course < 20000; ++course)
+    {
+        auto may_have_run = false;
+        repeat_ask ask;
+        ask.most_attempts =
+            1 + static_cast<std::uint32_t>(base::random_below(random, 4));
+        while (true)
+        {
+            ASSERT_FALSE(may_have_run) << "seed 11, course " << course;
+            ++ask.sends;
+            attempt_facts facts;
+            facts.written = base::random_below(random, 4) != 0;
+            facts.head_seen =
+                facts.written && base::random_below(random, 2) == 0;
+            facts.says_not_run =
+                facts.head_seen && base::random_below(random, 2) == 0;
+            facts.sealed = base::random_below(random, 2) == 0;
+            facts.whole = base::random_below(random, 2) == 0;
+            ask.ran = judge_run(facts);
+            may_have_run = facts.written && !facts.says_not_run;
+            ask.runs += may_have_run ? 1 : 0;
+            if (!may_repeat(ask))
+            {
+                break;
+            }
+        }
+        EXPECT_LE(ask.sends, most_sends);
+    }
+}
+
+// What the caller is told: "not run" only if no attempt may have run.
+TEST(final_error, promises_not_run_only_then)
+{
+    for (auto const time_is_up : {false, true})
+    {
+        auto const& not_run =
+            base::row_of(final_error(ran_state::no, time_is_up));
+        EXPECT_EQ(not_run.ran, ran_state::no);
+        EXPECT_EQ(not_run.status, 503);
+        for (auto const ran : {ran_state::unknown, ran_state::yes})
+        {
+            auto const& row = base::row_of(final_error(ran, time_is_up));
+            EXPECT_NE(row.ran, ran_state::no);
+            EXPECT_NE(row.status, 503);
+        }
+    }
+}
+
+} // namespace foxtailvale::direct
--- /dev/null
+++ b/libs/direct/tests/shares_tests.cpp
@@ -0,0 +1,125 @@
+#include <direct/shares.hpp>
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <set>
+#include <string>
+
+namespace foxtailvale::direct
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+base::time_point const start{std::chrono::hours(1)};
+cold_bound const engines{54, 5};
+
+// Most sends in any second when this many entries send whenever they may.
+std::size_t
+most_in_a_second(std::size_t entries, cold_bound const& bound)
+{
+    std::set<std::string> names;
+    for (std::size_t entry = 0; entry < entries; ++entry)
+    {
+        names.insert(std::to_string(entry));
+    }
+    std::map<std::string, std::deque<base::time_point>> recent;
+    for (auto const& name : names)
+    {
+        if (has_part(names, name, "endpoint", bound))
+        {
+            recent[name] = {};
+        }
+    }
+    std::deque<base::time_point> all;
+    std::size_t most = 0;
+    for (auto now = start; now < start + seconds(6); now += milliseconds(7))
+    {
+        for (auto& [name, own] : recent)
+        {
+            while (!own.empty() && own.front() + seconds(3) < now)
+            {
+                own.pop_front();
+            }
+            if (may_send_within_part(own, bound, entries, now))
+            {
+                own.push_back(now);
+                all.push_back(now);
+            }
+        }
+        while (!all.empty() && all.front() + seconds(1) < now)
+        {
+            all.pop_front();
+        }
+        most = std::max(most, all.size());
+    }
+    return most;
+}
+
+} // namespace
+
+// An endpoint turns cold just as a burst comes, and all entries send to it as
+// fast as they may. More than it bears in one second and it falls over.
+TEST(cold_share, all_entries_together_stay_below_the_bound)
+{
+    for (auto const entries : {1UL, 3UL, 8UL, 11UL, 34UL, 45UL, 200UL})
+    {
+        EXPECT_LE(most_in_a_second(entries, engines), 59U)
+            << entries << " entries";
+        EXPECT_GE(most_in_a_second(entries, engines), 20U)
+            << entries << " entries";
+    }
+}
+
+TEST(cold_share, without_a_bound_everything_passes)
+{
+    std::deque<base::time_point> const recent(1000, start);
+    EXPECT_TRUE(may_send_within_part(recent, {}, 8, start));
+}
+
+TEST(entry_count, never_shrinks)
+{
+    entry_count count;
+    EXPECT_EQ(sharers(count), count.assumed);
+    note_entries(count, 8);
+    note_entries(count, 3);
+    EXPECT_EQ(sharers(count), 8U);
+}
+
+// Endpoints fail and every request is repeated: the load doubles just when
+// there is least room for it.
+TEST(retry_share, repeats_stay_a_share_of_the_requests)
+{
+    retry_window window;
+    retry_bound const bound{0.2, seconds(10), 104};
+    auto repeats = 0;
+    for (auto second = 0; second < 10; ++second)
+    {
+        for (auto request = 0; request < 30; ++request)
+        {
+            auto const now = start + seconds(second) + milliseconds(request);
+            note_request(window, now);
+            repeats += spend_repeat(window, bound, 8, now) ? 1 : 0;
+        }
+    }
+    EXPECT_LE(repeats, 0.2 * 300 + 104 / 8.0);
+    EXPECT_GT(repeats, 40);
+}
+
+TEST(retry_share, comes_back_when_the_window_has_passed)
+{
+    retry_window window;
+    retry_bound const bound{0.2, seconds(10), 16};
+    while (spend_repeat(window, bound, 8, start))
+    {
+    }
+    EXPECT_FALSE(spend_repeat(window, bound, 8, start + seconds(9)));
+    EXPECT_TRUE(spend_repeat(window, bound, 8, start + seconds(10)));
+    EXPECT_TRUE(spend_repeat(window, bound, 8, start + seconds(500)));
+}
+
+} // namespace foxtailvale::direct
--- a/libs/gateway/include/gateway/entry_context.hpp
+++ b/libs/gateway/include/gateway/entry_context.hpp
@@ -18,6 +18,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -52,6 +53,8 @@
     std::optional<base::boot_time> confirmed;
     direct::endpoint_book book;
     direct::entry_count entries;
+    // IP addresses of all entries that were seen, this one among them.
+    std::set<std::string> entry_addresses;
     // By service.
     std::map<std::string, direct::retry_window> repeats;
     std::map<std::string, waiting_line> waiting;
--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -158,6 +158,8 @@
     ask.cold.per_second = this->service->cold_per_second * bounds.cold_factor;
     ask.cold.tolerance = bounds.cold_tolerance;
     ask.entries = direct::sharers(this->context->entries);
+    ask.all_entries = &this->context->entry_addresses;
+    ask.own_entry = this->context->settings.ip;
     // One answer comes from one version's weights.
     ask.version = this->answer_begun ? this->version : 0;
     if (this->service->engine)
--- a/libs/gateway/src/entry_context.cpp
+++ b/libs/gateway/src/entry_context.cpp
@@ -13,6 +13,7 @@
       pool(event_loop), random{base::entropy_seed()}
 {
     this->book.regions = this->settings.regions;
+    this->entry_addresses.insert(this->settings.ip);
 }
 
 void serve_waiting(entry_context& context, std::string const& service)
--- a/libs/gateway/src/peer_link.cpp
+++ b/libs/gateway/src/peer_link.cpp
@@ -125,10 +125,7 @@
             read_state(state, now), now);
         for (auto const& entry : state.entries())
         {
-            if (entry != this->context->settings.ip)
-            {
-                this->entries.insert(entry);
-            }
+            this->context->entry_addresses.insert(entry);
         }
         if (state.entries_size() > 0)
         {
@@ -164,8 +161,12 @@
     notice.set_endpoint(endpoint);
     notice.set_answered(answered);
     auto const bytes = message.SerializeAsString();
-    for (auto const& entry : this->entries)
+    for (auto const& entry : this->context->entry_addresses)
     {
+        if (entry == this->context->settings.ip)
+        {
+            continue;
+        }
         boost::system::error_code error;
         auto const ip = boost::asio::ip::make_address(entry, error);
         if (!error)
--- a/libs/gateway/src/peer_link.hpp
+++ b/libs/gateway/src/peer_link.hpp
@@ -4,7 +4,6 @@
 #include <gateway/entry_context.hpp>
 #include <net/datagram_socket.hpp>
 
-#include <set>
 #include <utility>
 
 namespace foxtailvale::gateway
@@ -33,8 +32,6 @@
 
     std::shared_ptr<entry_context> context;
     std::shared_ptr<net::datagram_socket> socket;
-    // IP addresses of other entries.
-    std::set<std::string> entries;
 };
 
 } // namespace foxtailvale::gateway
--- /dev/null
+++ b/libs/weights/tests/chunk_transfer_tests.cpp
@@ -0,0 +1,226 @@
+#include <base/digest.hpp>
+#include <weights/chunk_transfer.hpp>
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+
+namespace foxtailvale::weights
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+base::time_point const start{std::chrono::hours(1)};
+constexpr std::uint32_t chunk_count = 64;
+
+std::string bytes_of(std::uint32_t index, std::uint64_t version = 2)
+{
+    return "v" + std::to_string(version) + " chunk " + std::to_string(index);
+}
+
+std::vector<std::string> digests(std::uint64_t version = 2)
+{
+    std::vector<std::string> made;
+    for (std::uint32_t index = 0; index < chunk_count; ++index)
+    {
+        made.push_back(base::sha256_hex(bytes_of(index, version)));
+    }
+    return made;
+}
+
+// Three failure domains of five agents a0..a4, b0.., c0...
+plan_set fleet()
+{
+    plan_set plans;
+    for (std::string const domain : {"a", "b", "c"})
+    {
+        auto& plan = plans[domain];
+        plan.failure_domain = domain;
+        plan.region = "all";
+        for (auto number = 0; number < 5; ++number)
+        {
+            auto const name = domain + std::to_string(number);
+            plan.endpoints.push_back({name, name + ":1", {{"m", "m@2"}}});
+        }
+    }
+    return plans;
+}
+
+// What has become of a fleet that exchanges chunks.
+struct exchange
+{
+    std::map<std::string, chunk_transfer> agents;
+    std::map<std::string, source_book> books;
+    std::uint32_t drawn = 0;
+    std::uint32_t rounds = 0;
+};
+
+// Lets all agents ask and answer in rounds of 20 ms until all hold everything.
+// Agents in `dead` never answer; the origin spoils every tenth chunk when told.
+exchange run(std::set<std::string> const& dead, bool origin_spoils)
+{
+    exchange state;
+    auto const plans = fleet();
+    for (auto const& [domain, plan] : plans)
+    {
+        for (auto const& endpoint : plan.endpoints)
+        {
+            if (!dead.contains(endpoint.agent))
+            {
+                begin(state.agents[endpoint.agent], digests(), start);
+            }
+        }
+    }
+    auto now = start;
+    auto const unfinished = [&]
+    {
+        return std::ranges::any_of(
+            state.agents,
+            [](auto const& entry)
+            {
+                return !is_whole(entry.second);
+            });
+    };
+    while (unfinished() && state.rounds < 2000)
+    {
+        ++state.rounds;
+        now += milliseconds(20);
+        for (auto& [name, transfer] : state.agents)
+        {
+            auto& book = state.books[name];
+            auto const asks = next_asks(
+                transfer, book, plans, {name.substr(0, 1), name, "m@2"}, {},
+                now);
+            for (auto const& wanted : asks)
+            {
+                auto const& source = wanted.source.agent;
+                if (source.empty())
+                {
+                    ++state.drawn;
+                    auto const spoilt = origin_spoils && state.drawn % 10 == 0;
+                    deliver(
+                        transfer, book, wanted.index,
+                        spoilt ? "rubbish" : bytes_of(wanted.index), now);
+                    continue;
+                }
+                if (dead.contains(source))
+                {
+                    lose(
+                        transfer, book, wanted.index, chunk_loss::failed, now);
+                    continue;
+                }
+                auto const& held = state.agents[source].chunks[wanted.index];
+                if (held)
+                {
+                    deliver(transfer, book, wanted.index, *held, now);
+                }
+                else
+                {
+                    lose(
+                        transfer, book, wanted.index, chunk_loss::not_yet,
+                        now);
+                }
+            }
+        }
+    }
+    return state;
+}
+
+} // namespace
+
+TEST(chunk_transfer, one_copy_from_the_origin_serves_a_fleet)
+{
+    auto const state = run({}, false);
+    for (auto const& [name, transfer] : state.agents)
+    {
+        EXPECT_TRUE(is_whole(transfer)) << name;
+    }
+    EXPECT_EQ(state.drawn, chunk_count);
+}
+
+// A third of the agents is dead when a version is named. The others wait for
+// chunks that never come, or all of them turn to the origin.
+TEST(chunk_transfer, dead_agents_cost_few_copies)
+{
+    auto const state = run({"a0", "a3", "b1", "c0", "c4"}, false);
+    for (auto const& [name, transfer] : state.agents)
+    {
+        EXPECT_TRUE(is_whole(transfer)) << name;
+    }
+    EXPECT_LE(state.drawn, 2 * chunk_count);
+}
+
+TEST(chunk_transfer, a_failure_domain_alone_helps_itself)
+{
+    auto const state = run(
+        {"a0", "a1", "a2", "a3", "a4", "c0", "c1", "c2", "c3", "c4"}, false);
+    for (auto const& [name, transfer] : state.agents)
+    {
+        EXPECT_TRUE(is_whole(transfer)) << name;
+    }
+}
+
+// Chunks arrive corrupted. One that is kept, or handed on, ends in an engine
+// that answers callers from broken weights.
+TEST(chunk_transfer, spoilt_chunks_are_never_kept)
+{
+    auto const state = run({}, true);
+    for (auto const& [name, transfer] : state.agents)
+    {
+        ASSERT_TRUE(is_whole(transfer)) << name;
+        for (std::uint32_t index = 0; index < chunk_count; ++index)
+        {
+            EXPECT_EQ(*transfer.chunks[index], bytes_of(index));
+        }
+    }
+}
+
+TEST(chunk_transfer, unchanged_chunks_are_kept_between_versions)
+{
+    chunk_transfer earlier;
+    begin(earlier, digests(1), start);
+    ASSERT_TRUE(offer(earlier, 5, bytes_of(5, 1)));
+    auto changed = digests(2);
+    changed[7] = earlier.digests[5];
+    chunk_transfer next;
+    begin(next, changed, start);
+    reuse(next, earlier);
+    EXPECT_EQ(next.held, 1U);
+    ASSERT_TRUE(next.chunks[7]);
+    EXPECT_EQ(*next.chunks[7], bytes_of(5, 1));
+}
+
+TEST(chunk_transfer, bytes_of_another_chunk_are_refused)
+{
+    chunk_transfer state;
+    begin(state, digests(), start);
+    EXPECT_FALSE(offer(state, 3, bytes_of(4)));
+    EXPECT_FALSE(offer(state, chunk_count, bytes_of(4)));
+    EXPECT_EQ(state.held, 0U);
+}
+
+// All agents ask a slow origin for all chunks at once. They all end at the
+// same late time, and nobody has anything to hand on before.
+TEST(chunk_transfer, the_origin_is_asked_at_the_rate_of_its_link)
+{
+    chunk_transfer state;
+    begin(state, digests(), start);
+    source_book book;
+    transfer_limits limits;
+    limits.origin = chunk_count;
+    limits.total = chunk_count;
+    limits.origin_interval = std::chrono::microseconds(25000);
+    transfer_place const alone{"z", "z0", "m@2"};
+    EXPECT_EQ(next_asks(state, book, {}, alone, limits, start).size(), 1U);
+    EXPECT_EQ(
+        next_asks(state, book, {}, alone, limits, start + milliseconds(250))
+            .size(),
+        10U);
+}
+
+} // namespace foxtailvale::weights
--- /dev/null
+++ b/libs/weights/tests/switch_time_tests.cpp
@@ -0,0 +1,185 @@
+#include <weights/switch_time.hpp>
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <vector>
+
+namespace foxtailvale::weights
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+base::time_point const start{std::chrono::hours(1)};
+milliseconds const bound{8000};
+
+// What an engine is lost for when it switches: running requests end or are
+// cut, and the weights are loaded.
+milliseconds const lost{1400};
+
+// When chunks of a version are whole at an agent.
+milliseconds const arrival{3200};
+
+// One engine of a simulated failure domain.
+struct engine
+{
+    std::uint64_t serving = 1;
+    std::size_t switches = 0;
+    base::time_point back;
+    std::map<std::uint64_t, base::time_point> reached;
+};
+
+struct outcome
+{
+    std::vector<engine> engines;
+    std::size_t most_lost = 0;
+};
+
+// Runs a failure domain through versions named at these moments.
+outcome run(std::size_t count, std::vector<named_target> const& named)
+{
+    outcome result;
+    result.engines.resize(count);
+    for (auto now = start; now < start + seconds(30); now += milliseconds(10))
+    {
+        std::vector<named_target> known;
+        for (auto const& target : named)
+        {
+            if (target.named <= now)
+            {
+                known.push_back(target);
+            }
+        }
+        std::size_t gone = 0;
+        for (std::size_t rank = 0; rank < count; ++rank)
+        {
+            auto& own = result.engines[rank];
+            if (now < own.back)
+            {
+                ++gone;
+                continue;
+            }
+            switch_ask const ask{own.serving, known, bound, rank, count};
+            auto const target = choose_target(ask);
+            if (target <= own.serving)
+            {
+                continue;
+            }
+            auto const found = std::ranges::find(
+                known, target, &named_target::version);
+            if (now >= plan_switch(ask, target).at &&
+                now >= found->named + arrival)
+            {
+                own.serving = target;
+                own.back = now + lost;
+                own.reached[target] = now;
+                ++own.switches;
+                ++gone;
+            }
+        }
+        result.most_lost = std::max(result.most_lost, gone);
+    }
+    return result;
+}
+
+} // namespace
+
+// New weights are named under live traffic. All engines switch at the moment
+// the chunks are there, and for two seconds nobody is served.
+TEST(switch_time, engines_take_turns_within_the_bound)
+{
+    for (std::size_t const count : {1, 3, 14, 52})
+    {
+        auto const result = run(count, {{2, start}});
+        for (auto const& own : result.engines)
+        {
+            EXPECT_EQ(own.serving, 2U);
+            EXPECT_EQ(own.switches, 1U);
+            EXPECT_LE(own.reached.at(2), start + bound);
+        }
+        if (count >= 4)
+        {
+            EXPECT_LE(result.most_lost, count / 2 + 1) << count;
+        }
+    }
+}
+
+// A second version is named four seconds after the first. If every engine
+// goes through both, each is lost twice and the rest cannot carry the traffic.
+TEST(switch_time, half_of_the_engines_skip_a_version_that_another_follows)
+{
+    for (std::size_t const count : {4, 14, 52})
+    {
+        auto const result =
+            run(count, {{2, start}, {3, start + seconds(4)}});
+        std::size_t switches = 0;
+        for (auto const& own : result.engines)
+        {
+            EXPECT_EQ(own.serving, 3U);
+            EXPECT_LE(own.reached.at(3), start + seconds(4) + bound);
+            // Whatever it served until then was allowed until then.
+            auto const first = own.reached.begin()->second;
+            EXPECT_LE(first, start + bound);
+            switches += own.switches;
+        }
+        EXPECT_LE(switches, count * 3 / 2 + 1);
+        EXPECT_LE(result.most_lost, count / 2 + 1);
+    }
+}
+
+TEST(switch_time, all_skip_when_the_newest_comes_early)
+{
+    auto const result =
+        run(14, {{2, start}, {3, start + milliseconds(1500)}});
+    for (auto const& own : result.engines)
+    {
+        EXPECT_EQ(own.switches, 1U);
+        EXPECT_EQ(own.serving, 3U);
+        EXPECT_LE(own.reached.at(3), start + bound);
+    }
+}
+
+TEST(switch_time, an_engine_without_weights_waits_for_nobody)
+{
+    std::vector<named_target> const named{{2, start}};
+    switch_ask const ask{0, named, bound, 3, 14};
+    EXPECT_EQ(choose_target(ask), 2U);
+    EXPECT_LE(plan_switch(ask, 2).at, start);
+}
+
+TEST(switch_time, without_a_named_version_the_first_is_meant)
+{
+    EXPECT_EQ(choose_target({0, {}, bound, 0, 1}), 1U);
+}
+
+// Streams are cut to free an engine early, and nobody is left that serves
+// their version: they cannot go on and their callers have half an answer.
+TEST(switch_time, streams_are_cut_only_while_others_keep_the_version)
+{
+    std::vector<named_target> const named{{2, start}};
+    for (std::size_t const count : {1, 2, 3, 4, 14})
+    {
+        auto last = start;
+        for (std::size_t rank = 0; rank < count; ++rank)
+        {
+            last = std::max(
+                last, plan_switch({1, named, bound, rank, count}, 2).at);
+        }
+        for (std::size_t rank = 0; rank < count; ++rank)
+        {
+            auto const plan =
+                plan_switch({1, named, bound, rank, count}, 2);
+            if (plan.at == last)
+            {
+                EXPECT_FALSE(plan.cuts) << rank << " of " << count;
+            }
+        }
+    }
+}
+
+} // namespace foxtailvale::weights
