A full engine gets nothing just before its version's time ends

The margin of 700 ms did not cover a queue. Ruled out: late news (the version was known after 15 ms). Now the placement asks whether the request would begin in time: 0.6 s with a free slot, 0.5 s more for each place in line. Test: failed before, passes now.

--- a/libs/direct/src/placement.cpp
+++ b/libs/direct/src/placement.cpp
@@ -50,6 +50,19 @@
     return region != book.regions.end() && ask.regions.contains(region->second);
 }
 
+// How long a request may wait at the endpoint before it begins. Seen under full
+// load: 0.67 s at an engine with one request more than slots.
+base::duration time_to_begin(
+    endpoint_state const& state, std::size_t entries, base::time_point now)
+{
+    constexpr std::chrono::milliseconds with_a_slot{600};
+    constexpr std::chrono::milliseconds in_line{500};
+    auto const work = work_at(state, entries, now);
+    auto const slots = state.listed.slots;
+    return work < slots ? with_a_slot
+                        : with_a_slot + in_line * (work - slots + 1);
+}
+
 bool has_weights(
     endpoint_book const& book,
     endpoint_state const& state,
@@ -69,7 +82,8 @@
     {
         return false;
     }
-    return weights.version >= oldest_allowed(book, ask.model, now);
+    auto const begins = now + time_to_begin(state, ask.entries, now);
+    return weights.version >= oldest_allowed(book, ask.model, begins);
 }
 
 bool takes_work(
--- a/libs/direct/tests/placement_tests.cpp
+++ b/libs/direct/tests/placement_tests.cpp
@@ -54,8 +54,7 @@
     return ask;
 }
 
-std::string
-chosen_id(endpoint_book const& book, placement_ask const& ask)
+std::string chosen_id(endpoint_book const& book, placement_ask const& ask)
 {
     base::random_state random{3};
     auto const found = choose(book, ask, start, random);
@@ -120,6 +119,23 @@
     EXPECT_EQ(found.version, 2U);
 }
 
+// The time of an older version is nearly over. A request sent to a full engine
+// waits in its queue and begins after that time: its caller is answered from
+// weights that were withdrawn.
+TEST(placement, a_full_engine_gets_nothing_just_before_its_version_ends)
+{
+    auto book = engines(1);
+    auto const ends = start + milliseconds(1000);
+    name_version(book, "m", {2, start - seconds(7), ends});
+    report(book, "10.0.0.0", 4);
+    EXPECT_EQ(chosen_id(book, ask_from("d0")), "e0");
+    report(book, "10.0.0.0", 16);
+    EXPECT_EQ(chosen_id(book, ask_from("d0")), "");
+    book.versions["m"].front().older_until = start + milliseconds(300);
+    report(book, "10.0.0.0", 0);
+    EXPECT_EQ(chosen_id(book, ask_from("d0")), "");
+}
+
 // A stream is cut in the middle of a version change and goes on elsewhere.
 // Its rest must come from the weights that it began with.
 TEST(placement, a_stream_goes_on_with_its_version_only)
@@ -186,8 +202,7 @@
         ++counts[id];
         begin_use(book, id, now);
         auto const faulty = id == "e0" && base::random_below(random, 10) < 4;
-        end_use(
-            book, id, faulty ? use_end::faulty : use_end::answered, now);
+        end_use(book, id, faulty ? use_end::faulty : use_end::answered, now);
     }
     EXPECT_LT(counts["e0"], counts["e2"] / 2);
 }
@@ -215,8 +230,8 @@
     {
         for (std::size_t entry = 0; entry < entries; ++entry)
         {
-            auto const found = choose(
-                books[entry], ask_from("d0"), start, seeds[entry]);
+            auto const found =
+                choose(books[entry], ask_from("d0"), start, seeds[entry]);
             begin_use(books[entry], found.chosen->listed.id, start);
             ++running[found.chosen->listed.id];
         }
--- /dev/null
+++ b/libs/gateway/src/entry.hpp
@@ -0,0 +1,57 @@
+#ifndef FOXTAILVALE_GATEWAY_ENTRY_HPP
+#define FOXTAILVALE_GATEWAY_ENTRY_HPP
+
+#include "entry_views.hpp"
+#include "peer_link.hpp"
+#include "settings_file.hpp"
+
+#include <gateway/entry_context.hpp>
+#include <net/http_server.hpp>
+
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace foxtailvale::gateway
+{
+
+// An entry as a whole: its doors, its views of the platform, its peers.
+class entry_process : public std::enable_shared_from_this<entry_process>
+{
+public:
+    entry_process(
+        boost::asio::io_context& event_loop,
+        settings_file& file,
+        platform::settings const& given);
+
+    // An error text when an address cannot be listened on.
+    std::optional<std::string> start();
+
+    // Begins a planned stop: new work goes elsewhere, what runs ends.
+    void stop();
+
+private:
+    std::shared_ptr<net::http_server> make_caller_door();
+    std::shared_ptr<net::http_server> make_ready_door();
+    void await_signal();
+    void run_tick();
+    void run_chores();
+    void await_end();
+    bool is_ready() const;
+
+    boost::asio::io_context& loop;
+    settings_file& file;
+    std::shared_ptr<entry_context> context;
+    std::shared_ptr<net::http_server> caller_door;
+    std::shared_ptr<net::http_server> ready_door;
+    std::shared_ptr<peer_link> peers;
+    std::shared_ptr<entry_views> views;
+    boost::asio::signal_set signals;
+    boost::asio::steady_timer tick_timer;
+    boost::asio::steady_timer chore_timer;
+    boost::asio::steady_timer stop_timer;
+    base::time_point stop_began;
+};
+
+} // namespace foxtailvale::gateway
+
+#endif
--- a/libs/gateway/src/entry_views.cpp
+++ b/libs/gateway/src/entry_views.cpp
@@ -24,9 +24,10 @@
 // two seconds.
 constexpr milliseconds endpoints_pause{200};
 
-// Taken off the time until an older version may begin nothing more: the news
-// travels some milliseconds, and a request may wait in an endpoint's queue.
-constexpr milliseconds version_margin{700};
+// Taken off the time until an older version may begin nothing more, for the way
+// of the news and of the request. What a request may wait at the endpoint is
+// the placement's matter.
+constexpr milliseconds version_margin{500};
 
 } // namespace
 
