Tests of the entry against stand-ins of the store and of endpoints

Found: a request whose only endpoint had declined it waited half its goal for room that could not come (201 ms); one that was tried is no longer waited for.

--- a/libs/direct/src/placement.cpp
+++ b/libs/direct/src/placement.cpp
@@ -89,7 +89,7 @@
 bool takes_work(
     endpoint_state const& state, placement_ask const& ask, base::time_point now)
 {
-    if (state.avoid_until > now || ask.tried.contains(state.listed.id))
+    if (state.avoid_until > now)
     {
         return false;
     }
@@ -169,7 +169,8 @@
     auto best = std::numeric_limits<double>::max();
     for (auto const& [id, state] : book.endpoints)
     {
-        if (!is_listed_for(book, state, ask))
+        // One that was tried cannot be waited for.
+        if (!is_listed_for(book, state, ask) || ask.tried.contains(id))
         {
             continue;
         }
--- /dev/null
+++ b/libs/gateway/tests/entry_rig.cpp
@@ -0,0 +1,396 @@
+#include "entry_rig.hpp"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+#include <test_address.hpp>
+
+#include <cstdio>
+#include <fstream>
+
+namespace foxtailvale::gateway
+{
+
+namespace
+{
+
+using json = nlohmann::json;
+using std::chrono::milliseconds;
+
+// Long enough for any machine; a test that reaches it has failed.
+constexpr std::chrono::seconds longest_test{20};
+
+json object_of(std::string const& name, std::string const& spec)
+{
+    return {
+        {"metadata", {{"name", name}, {"revision", 1}}},
+        {"spec", spec.empty() ? json(nullptr) : json::parse(spec)},
+        {"status", nullptr}};
+}
+
+std::string kind_of(std::string const& target)
+{
+    constexpr std::string_view root = "/v1/objects/";
+    auto const rest = target.substr(root.size());
+    return rest.substr(0, rest.find('?'));
+}
+
+std::optional<std::uint64_t>
+number_in(std::string const& target, std::string const& key)
+{
+    auto const found = target.find(key + "=");
+    if (found == std::string::npos)
+    {
+        return std::nullopt;
+    }
+    return std::stoull(target.substr(found + key.size() + 1));
+}
+
+} // namespace
+
+net::field_list sealed(net::request const& asked)
+{
+    return {
+        {"Attempt-Id",
+         std::string(net::find_field(asked.fields, "attempt-id").value_or(""))},
+        {"Response-Seal", "seal"}};
+}
+
+store_standin::store_standin(
+    boost::asio::io_context& event_loop, net::tcp_endpoint address)
+    : loop(event_loop)
+{
+    net::server_handlers handlers;
+    handlers.on_request =
+        [this](
+            std::shared_ptr<net::server_session> const& session,
+            net::request const& call)
+    {
+        this->take(session, call);
+    };
+    handlers.on_fault = [](net::server_session& session, net::read_fault)
+    {
+        session.abort();
+    };
+    this->server = std::make_shared<net::http_server>(
+        event_loop, net::server_limits{}, std::move(handlers));
+    EXPECT_FALSE(this->server->listen(address));
+}
+
+void store_standin::put(
+    std::string const& kind, std::string const& name, std::string spec)
+{
+    this->note(kind, {++this->revision, name, std::move(spec), false});
+}
+
+void store_standin::remove(std::string const& kind, std::string const& name)
+{
+    this->note(kind, {++this->revision, name, "", true});
+}
+
+void store_standin::note(std::string const& kind, change what)
+{
+    if (what.removed)
+    {
+        this->objects[kind].erase(what.name);
+    }
+    else
+    {
+        this->objects[kind][what.name] = what;
+    }
+    this->history[kind].push_back(std::move(what));
+    std::erase_if(
+        this->watches,
+        [this](waiting_watch const& watch)
+        {
+            return this->answer(watch, false);
+        });
+}
+
+void store_standin::take(
+    std::shared_ptr<net::server_session> const& session,
+    net::request const& call)
+{
+    ++this->calls;
+    if (this->silent)
+    {
+        return;
+    }
+    if (this->refuses)
+    {
+        session->respond(503, {}, {});
+        return;
+    }
+    auto const kind = kind_of(call.target);
+    auto const after = number_in(call.target, "watch");
+    if (!after)
+    {
+        this->list(*session, kind);
+        return;
+    }
+    waiting_watch const watch{session, kind, *after};
+    if (this->answer(watch, false))
+    {
+        return;
+    }
+    this->watches.push_back(watch);
+    auto const timer = std::make_shared<boost::asio::steady_timer>(
+        this->loop,
+        milliseconds(number_in(call.target, "wait_ms").value_or(0)));
+    timer->async_wait(
+        [this, watch](boost::system::error_code error)
+        {
+            if (!error && watch.session->awaits_answer() && !this->silent)
+            {
+                this->answer(watch, true);
+            }
+        });
+    this->timers.push_back(timer);
+}
+
+void store_standin::list(net::server_session& session, std::string const& kind)
+{
+    json items = json::array();
+    for (auto const& [name, what] : this->objects[kind])
+    {
+        items.push_back(object_of(name, what.spec));
+    }
+    session.respond(
+        200, {},
+        json{
+            {"items", items},
+            {"truncated", false},
+            {"store_revision", this->revision}}
+            .dump());
+}
+
+bool store_standin::answer(waiting_watch const& watch, bool at_once)
+{
+    if (!watch.session->awaits_answer())
+    {
+        return true;
+    }
+    json events = json::array();
+    for (auto const& what : this->history[watch.kind])
+    {
+        if (what.revision > watch.after)
+        {
+            events.push_back(
+                {{"removed", what.removed},
+                 {"object", object_of(what.name, what.spec)}});
+        }
+    }
+    if (events.empty() && !at_once)
+    {
+        return false;
+    }
+    watch.session->respond(
+        200, {},
+        json{{"events", events}, {"store_revision", this->revision}}.dump());
+    return true;
+}
+
+endpoint_standin::endpoint_standin(
+    boost::asio::io_context& loop, net::tcp_endpoint address, answer chosen)
+{
+    net::server_handlers handlers;
+    handlers.on_request =
+        [this, chosen](
+            std::shared_ptr<net::server_session> const& session,
+            net::request const& asked)
+    {
+        this->received.push_back(asked);
+        this->sessions.push_back(session);
+        session->on_gone(
+            [this]
+            {
+                ++this->gone;
+            });
+        chosen(*session, asked);
+    };
+    handlers.on_fault = [](net::server_session& session, net::read_fault)
+    {
+        session.abort();
+    };
+    this->server = std::make_shared<net::http_server>(
+        loop, net::server_limits{}, std::move(handlers));
+    EXPECT_FALSE(this->server->listen(address));
+}
+
+entry_rig::entry_rig() : ip(testing::own_address()), next_port(21000)
+{
+    this->store =
+        std::make_unique<store_standin>(this->loop, this->next_address());
+    this->settings.name = "entry-1";
+    this->settings.ip = this->ip;
+    this->settings.failure_domain = "a";
+    this->settings.region = "ra";
+    this->settings.regions = {{"a", "ra"}};
+    this->settings.store_address = this->ip + ":21000";
+    auto const callers = this->next_address();
+    auto const balancer = this->next_address();
+    this->settings.caller_address =
+        this->ip + ":" + std::to_string(callers.port());
+    this->settings.ready_address =
+        this->ip + ":" + std::to_string(balancer.port());
+    this->settings.peer_port = this->next_address().port();
+    this->settings.promised.retry_slack = 104;
+    this->configure(1, {"k1", "k2"});
+}
+
+entry_rig::~entry_rig()
+{
+    this->loop.stop();
+}
+
+net::tcp_endpoint entry_rig::next_address()
+{
+    return {boost::asio::ip::make_address(this->ip), this->next_port++};
+}
+
+void entry_rig::configure(
+    std::uint64_t version, std::vector<std::string> const& keys)
+{
+    auto const route = [](char const* prefix, char const* kind,
+                          char const* service, bool resumable)
+    {
+        return json{{"name", prefix},        {"host", "h.example"},
+                    {"path_prefix", prefix}, {"kind", kind},
+                    {"timeout_ms", 4000},    {"latency_goal_ms", 400},
+                    {"max_attempts", 2},     {"service", service},
+                    {"resumable", resumable}};
+    };
+    json const spec{
+        {"version", version},
+        {"route_table",
+         {route("/book/", "non_idempotent", "plain", false),
+          route("/look/", "idempotent", "plain", false),
+          route("/chat/", "streaming", "plain", true)}},
+        {"services", {{{"name", "plain"}, {"max_connections", 100}}}},
+        {"limits", {{"max_header_bytes", 4000}, {"max_body_bytes", 20000}}},
+        {"tenants", {{{"name", "w"}, {"api_keys", keys}, {"priority", 1}}}}};
+    this->store->put("config", "main", spec.dump());
+}
+
+endpoint_standin& entry_rig::add_endpoint(
+    std::string const& id,
+    std::string const& service,
+    endpoint_standin::answer answer)
+{
+    auto const address = this->next_address();
+    this->endpoints.push_back(std::make_unique<endpoint_standin>(
+        this->loop, address, std::move(answer)));
+    json const spec{
+        {"service", service},
+        {"address", this->ip + ":" + std::to_string(address.port())},
+        {"zone", "a"},
+        {"slots", 4},
+        {"state", "ready"},
+        {"warmup_left_ms", 0}};
+    this->store->put("servers", id, spec.dump());
+    return *this->endpoints.back();
+}
+
+void entry_rig::start()
+{
+    this->file = std::make_unique<settings_file>("");
+    this->entry = std::make_shared<entry_process>(
+        this->loop, *this->file, this->settings);
+    auto const fault = this->entry->start();
+    ASSERT_FALSE(fault) << *fault;
+    for (auto tries = 0; tries < 200 && this->readiness() != 200; ++tries)
+    {
+    }
+}
+
+bool entry_rig::run_until(std::function<bool()> const& condition)
+{
+    auto const give_up = std::chrono::steady_clock::now() + longest_test;
+    while (!condition())
+    {
+        if (std::chrono::steady_clock::now() > give_up)
+        {
+            return false;
+        }
+        this->loop.run_one_for(milliseconds(20));
+        this->loop.restart();
+    }
+    return true;
+}
+
+std::shared_ptr<caller_answer> entry_rig::ask(
+    std::string const& path, std::string const& attempt, std::string const& key)
+{
+    auto const found = std::make_shared<caller_answer>();
+    net::request const request{
+        "POST",
+        path,
+        {{"Host", "h.example"},
+         {"Attempt-Id", attempt},
+         {"Deadline-Ms", "5000"},
+         {"Authorization", "Bearer " + key}},
+        "body"};
+    this->caller = std::make_shared<net::client_connection>(
+        this->loop, *net::parse_endpoint(this->settings.caller_address));
+    this->caller->start(
+        net::serialize(request), {[found](net::response_head const& head)
+                                  {
+                                      found->status = head.status;
+                                      found->fields = head.fields;
+                                      return net::head_verdict::take;
+                                  },
+                                  [found](std::string_view data)
+                                  {
+                                      found->body.append(data);
+                                  },
+                                  [found](net::exchange_result const& result)
+                                  {
+                                      found->result = result;
+                                  }});
+    return found;
+}
+
+caller_answer entry_rig::ask_and_wait(
+    std::string const& path, std::string const& attempt, std::string const& key)
+{
+    auto const found = this->ask(path, attempt, key);
+    EXPECT_TRUE(this->run_until(
+        [&]
+        {
+            return found->result.has_value();
+        }));
+    return *found;
+}
+
+unsigned entry_rig::readiness()
+{
+    auto const connection = std::make_shared<net::client_connection>(
+        this->loop, *net::parse_endpoint(this->settings.ready_address));
+    auto status = 0U;
+    auto done = false;
+    connection->start(
+        net::serialize({"GET", "/v1/readyz", {{"Host", "h"}}, {}}),
+        {[&status](net::response_head const& head)
+         {
+             status = head.status;
+             return net::head_verdict::take;
+         },
+         [](std::string_view) {},
+         [&done](net::exchange_result const&)
+         {
+             done = true;
+         }});
+    this->run_until(
+        [&done]
+        {
+            return done;
+        });
+    connection->close();
+    return status;
+}
+
+void entry_rig::hang_up()
+{
+    this->caller->close();
+}
+
+} // namespace foxtailvale::gateway
--- /dev/null
+++ b/libs/gateway/tests/entry_rig.hpp
@@ -0,0 +1,159 @@
+#ifndef FOXTAILVALE_GATEWAY_ENTRY_RIG_HPP
+#define FOXTAILVALE_GATEWAY_ENTRY_RIG_HPP
+
+#include "../src/entry.hpp"
+
+#include <net/client_connection.hpp>
+#include <net/http_server.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+// An entry with stand-ins for the platform's store and for endpoints, all on
+// one loop and on loopback addresses.
+namespace foxtailvale::gateway
+{
+
+// The platform's store: keeps documents by kind and name, lists them, and
+// answers a watch when something changed or its wait is over.
+class store_standin
+{
+public:
+    store_standin(boost::asio::io_context& loop, net::tcp_endpoint address);
+
+    void
+    put(std::string const& kind, std::string const& name, std::string spec);
+    void remove(std::string const& kind, std::string const& name);
+
+    // While set, calls get no answer at all.
+    bool silent = false;
+    // While set, each call is answered with 503.
+    bool refuses = false;
+    std::size_t calls = 0;
+
+private:
+    struct change
+    {
+        std::uint64_t revision = 0;
+        std::string name;
+        std::string spec;
+        bool removed = false;
+    };
+
+    struct waiting_watch
+    {
+        std::shared_ptr<net::server_session> session;
+        std::string kind;
+        std::uint64_t after = 0;
+    };
+
+    void take(
+        std::shared_ptr<net::server_session> const& session,
+        net::request const& call);
+    void list(net::server_session& session, std::string const& kind);
+    bool answer(waiting_watch const& watch, bool at_once);
+    void note(std::string const& kind, change what);
+
+    boost::asio::io_context& loop;
+    std::shared_ptr<net::http_server> server;
+    std::uint64_t revision = 1;
+    std::map<std::string, std::map<std::string, change>> objects;
+    std::map<std::string, std::vector<change>> history;
+    std::vector<waiting_watch> watches;
+    std::vector<std::shared_ptr<boost::asio::steady_timer>> timers;
+};
+
+// One endpoint, which answers as the test says.
+class endpoint_standin
+{
+public:
+    using answer =
+        std::function<void(net::server_session&, net::request const&)>;
+
+    endpoint_standin(
+        boost::asio::io_context& loop,
+        net::tcp_endpoint address,
+        answer chosen);
+
+    std::vector<net::request> received;
+    std::size_t gone = 0;
+
+private:
+    std::shared_ptr<net::http_server> server;
+    std::vector<std::shared_ptr<net::server_session>> sessions;
+};
+
+// What a caller got.
+struct caller_answer
+{
+    unsigned status = 0;
+    net::field_list fields;
+    std::string body;
+    std::optional<net::exchange_result> result;
+};
+
+class entry_rig
+{
+public:
+    entry_rig();
+    ~entry_rig();
+
+    // Adds an endpoint of the service "plain" or "engine" to the list.
+    endpoint_standin& add_endpoint(
+        std::string const& id,
+        std::string const& service,
+        endpoint_standin::answer answer);
+
+    // Writes a configuration with this version and these keys of workspace w.
+    void configure(std::uint64_t version, std::vector<std::string> const& keys);
+
+    // Starts the entry and waits until it is ready.
+    void start();
+
+    // Sends a request; the answer is filled as it comes.
+    std::shared_ptr<caller_answer>
+    ask(std::string const& path,
+        std::string const& attempt,
+        std::string const& key = "k1");
+
+    // Sends a request and waits for its end.
+    caller_answer ask_and_wait(
+        std::string const& path,
+        std::string const& attempt,
+        std::string const& key = "k1");
+
+    // Status of the readiness call.
+    unsigned readiness();
+
+    // Hangs up on the last request.
+    void hang_up();
+
+    // Runs the loop until the condition holds; false when it never did.
+    bool run_until(std::function<bool()> const& condition);
+
+    boost::asio::io_context loop;
+    std::unique_ptr<store_standin> store;
+    std::shared_ptr<entry_process> entry;
+
+private:
+    net::tcp_endpoint next_address();
+
+    std::string ip;
+    std::uint16_t next_port;
+    std::string settings_path;
+    platform::settings settings;
+    std::unique_ptr<settings_file> file;
+    std::vector<std::unique_ptr<endpoint_standin>> endpoints;
+    std::shared_ptr<net::client_connection> caller;
+    std::size_t in_list = 0;
+};
+
+// The fields of an endpoint's own answer to the request.
+net::field_list sealed(net::request const& asked);
+
+} // namespace foxtailvale::gateway
+
+#endif
--- /dev/null
+++ b/libs/gateway/tests/entry_tests.cpp
@@ -0,0 +1,364 @@
+#include "entry_rig.hpp"
+
+#include <gtest/gtest.h>
+
+namespace foxtailvale::gateway
+{
+
+namespace
+{
+
+void answer_whole(net::server_session& session, net::request const& asked)
+{
+    session.respond(200, sealed(asked), "answer to " + asked.target);
+}
+
+void decline(net::server_session& session, net::request const& asked)
+{
+    session.respond(
+        503,
+        {{"Attempt-Id",
+          std::string(*net::find_field(asked.fields, "attempt-id"))},
+         {"Not-Executed", "1"}},
+        "full");
+}
+
+void cut(net::server_session& session, net::request const&)
+{
+    session.abort();
+}
+
+std::string event(int number)
+{
+    return "id: " + std::to_string(number) + "\ndata: e\n\n";
+}
+
+// Streams events up to the fifth, beginning after the last that the asker has.
+void stream_rest(net::server_session& session, net::request const& asked)
+{
+    auto const last = net::find_field(asked.fields, "last-event-id");
+    session.begin_stream(200, sealed(asked));
+    for (auto number = last ? std::stoi(std::string(*last)) + 1 : 1;
+         number <= 5; ++number)
+    {
+        session.send(event(number));
+    }
+    session.end_stream();
+}
+
+std::string all_events()
+{
+    std::string text;
+    for (auto number = 1; number <= 5; ++number)
+    {
+        text += event(number);
+    }
+    return text;
+}
+
+std::size_t received(std::vector<endpoint_standin*> const& endpoints)
+{
+    std::size_t count = 0;
+    for (auto const* endpoint : endpoints)
+    {
+        count += endpoint->received.size();
+    }
+    return count;
+}
+
+} // namespace
+
+TEST(entry, passes_a_request_and_its_answer_on)
+{
+    entry_rig rig;
+    auto const& endpoint = rig.add_endpoint("i-1", "plain", answer_whole);
+    rig.start();
+    auto const got = rig.ask_and_wait("/book/x?q=1", "a1");
+    EXPECT_EQ(got.status, 200U);
+    EXPECT_EQ(got.body, "answer to /book/x?q=1");
+    EXPECT_EQ(net::find_field(got.fields, "response-seal"), "seal");
+    ASSERT_EQ(endpoint.received.size(), 1U);
+    auto const& sent = endpoint.received[0];
+    EXPECT_EQ(sent.body, "body");
+    EXPECT_EQ(net::find_field(sent.fields, "tenant"), "w");
+    EXPECT_EQ(net::find_field(sent.fields, "expect-instance"), "i-1");
+    EXPECT_FALSE(net::find_field(sent.fields, "authorization"));
+}
+
+// A technician confirms a visit, the connection to the booking service is
+// reset and the booking ran. Sent again, two vans go out; answered "not run",
+// the technician books once more.
+TEST(entry, a_cut_booking_is_neither_repeated_nor_called_not_run)
+{
+    entry_rig rig;
+    auto& one = rig.add_endpoint("i-1", "plain", cut);
+    auto& other = rig.add_endpoint("i-2", "plain", cut);
+    rig.start();
+    auto const got = rig.ask_and_wait("/book/x", "a1");
+    EXPECT_EQ(got.status, 502U);
+    EXPECT_EQ(received({&one, &other}), 1U);
+}
+
+TEST(entry, a_lookup_that_was_cut_is_asked_elsewhere)
+{
+    entry_rig rig;
+    auto broken = true;
+    auto const first_breaks =
+        [&broken](net::server_session& session, net::request const& asked)
+    {
+        if (std::exchange(broken, false))
+        {
+            session.abort();
+            return;
+        }
+        answer_whole(session, asked);
+    };
+    rig.add_endpoint("i-1", "plain", first_breaks);
+    rig.add_endpoint("i-2", "plain", first_breaks);
+    rig.start();
+    EXPECT_EQ(rig.ask_and_wait("/look/x", "a1").status, 200U);
+}
+
+TEST(entry, what_an_endpoint_did_not_run_goes_to_another)
+{
+    entry_rig rig;
+    auto full = true;
+    auto const first_declines =
+        [&full](net::server_session& session, net::request const& asked)
+    {
+        if (std::exchange(full, false))
+        {
+            decline(session, asked);
+            return;
+        }
+        answer_whole(session, asked);
+    };
+    rig.add_endpoint("i-1", "plain", first_declines);
+    rig.add_endpoint("i-2", "plain", first_declines);
+    rig.start();
+    EXPECT_EQ(rig.ask_and_wait("/book/x", "a1").status, 200U);
+}
+
+TEST(entry, when_nobody_ran_it_the_caller_is_told_when_to_come_back)
+{
+    entry_rig rig;
+    rig.add_endpoint("i-1", "plain", decline);
+    rig.start();
+    auto const got = rig.ask_and_wait("/book/x", "a1");
+    EXPECT_EQ(got.status, 503U);
+    EXPECT_TRUE(net::find_field(got.fields, "retry-after"));
+}
+
+// A tenant reads a contract summary and the endpoint dies in the middle of an
+// event. The rest comes from another, and no event is missing or comes twice.
+TEST(entry, a_stream_that_breaks_goes_on_elsewhere)
+{
+    entry_rig rig;
+    auto breaks = true;
+    auto const first_breaks =
+        [&breaks](net::server_session& session, net::request const& asked)
+    {
+        if (!std::exchange(breaks, false))
+        {
+            stream_rest(session, asked);
+            return;
+        }
+        session.begin_stream(200, sealed(asked));
+        session.send(event(1) + event(2) + "id: 3\nda");
+        session.close_after_writing();
+    };
+    rig.add_endpoint("i-1", "plain", first_breaks);
+    rig.add_endpoint("i-2", "plain", first_breaks);
+    rig.start();
+    auto const got = rig.ask_and_wait("/chat/x", "a1");
+    EXPECT_EQ(got.status, 200U);
+    EXPECT_EQ(got.body, all_events());
+    EXPECT_EQ(got.result->end, net::exchange_end::whole);
+}
+
+TEST(entry, a_stream_that_cannot_go_on_does_not_look_whole)
+{
+    entry_rig rig;
+    auto const breaks =
+        [](net::server_session& session, net::request const& asked)
+    {
+        session.begin_stream(200, sealed(asked));
+        session.send(event(1));
+        session.close_after_writing();
+    };
+    rig.add_endpoint("i-1", "plain", breaks);
+    rig.start();
+    auto const got = rig.ask_and_wait("/chat/x", "a1");
+    EXPECT_EQ(got.body, event(1));
+    EXPECT_EQ(got.result->end, net::exchange_end::cut);
+}
+
+// The answer of an earlier request comes late, where the next one is expected.
+// Passed on, a caller reads another caller's contract.
+TEST(entry, an_answer_to_another_request_is_dropped)
+{
+    entry_rig rig;
+    rig.add_endpoint(
+        "i-1", "plain",
+        [](net::server_session& session, net::request const&)
+        {
+            session.respond(
+                200, {{"Attempt-Id", "other"}, {"Response-Seal", "s"}}, "no");
+        });
+    rig.start();
+    auto const found = rig.ask("/look/x", "a1");
+    rig.run_until(
+        [&]
+        {
+            return found->result.has_value();
+        });
+    EXPECT_NE(found->status, 200U);
+    EXPECT_NE(found->body, "no");
+}
+
+TEST(entry, an_answer_without_a_seal_is_not_passed_on)
+{
+    entry_rig rig;
+    rig.add_endpoint(
+        "i-1", "plain",
+        [](net::server_session& session, net::request const&)
+        {
+            session.respond(200, {}, "forged");
+        });
+    rig.start();
+    auto const got = rig.ask_and_wait("/book/x", "a1");
+    EXPECT_EQ(got.status, 502U);
+}
+
+TEST(entry, a_caller_that_leaves_ends_the_work)
+{
+    entry_rig rig;
+    auto& endpoint = rig.add_endpoint(
+        "i-1", "plain", [](net::server_session&, net::request const&) {});
+    rig.start();
+    rig.ask("/look/x", "a1");
+    ASSERT_TRUE(rig.run_until(
+        [&]
+        {
+            return endpoint.received.size() == 1;
+        }));
+    rig.hang_up();
+    EXPECT_TRUE(rig.run_until(
+        [&]
+        {
+            return endpoint.gone == 1;
+        }));
+}
+
+TEST(entry, keys_follow_the_configuration)
+{
+    entry_rig rig;
+    rig.add_endpoint("i-1", "plain", answer_whole);
+    rig.start();
+    EXPECT_EQ(rig.ask_and_wait("/look/x", "a1", "k2").status, 200U);
+    EXPECT_EQ(rig.ask_and_wait("/look/x", "a2", "k3").status, 401U);
+    EXPECT_EQ(rig.ask_and_wait("/none/x", "a3", "k1").status, 404U);
+    rig.configure(2, {"k1", "k3"});
+    EXPECT_TRUE(rig.run_until(
+        [&]
+        {
+            return rig.ask_and_wait("/look/x", "a4", "k2").status == 401;
+        }));
+    EXPECT_EQ(rig.ask_and_wait("/look/x", "a5", "k3").status, 200U);
+}
+
+// An answer of the store that was delayed brings an older configuration. A key
+// that was taken away works again.
+TEST(entry, an_older_configuration_is_never_adopted)
+{
+    entry_rig rig;
+    rig.add_endpoint("i-1", "plain", answer_whole);
+    rig.configure(5, {"k1"});
+    rig.start();
+    EXPECT_EQ(rig.ask_and_wait("/look/x", "a1", "k2").status, 401U);
+    auto const calls = rig.store->calls;
+    rig.configure(4, {"k1", "k2"});
+    ASSERT_TRUE(rig.run_until(
+        [&]
+        {
+            return rig.store->calls > calls;
+        }));
+    EXPECT_EQ(rig.ask_and_wait("/look/x", "a2", "k2").status, 401U);
+}
+
+// The store falls silent. For as long as a key may be used the entry serves;
+// then it says "not run" and is not ready.
+TEST(entry, a_lost_store_ends_the_use_of_keys)
+{
+    entry_rig rig;
+    rig.add_endpoint("i-1", "plain", answer_whole);
+    rig.start();
+    rig.store->silent = true;
+    EXPECT_TRUE(rig.run_until(
+        [&]
+        {
+            return rig.ask_and_wait("/look/x", "a1").status == 503;
+        }));
+    EXPECT_EQ(rig.readiness(), 503U);
+}
+
+TEST(entry, an_endpoint_that_left_the_list_gets_nothing)
+{
+    entry_rig rig;
+    auto& endpoint = rig.add_endpoint("i-1", "plain", answer_whole);
+    rig.start();
+    EXPECT_EQ(rig.ask_and_wait("/look/x", "a1").status, 200U);
+    rig.store->remove("servers", "i-1");
+    EXPECT_TRUE(rig.run_until(
+        [&]
+        {
+            return rig.ask_and_wait("/look/x", "a2").status == 503;
+        }));
+    auto const before = endpoint.received.size();
+    EXPECT_EQ(rig.ask_and_wait("/look/x", "a3").status, 503U);
+    EXPECT_EQ(endpoint.received.size(), before);
+}
+
+TEST(entry, a_failure_domain_that_is_out_gets_nothing)
+{
+    entry_rig rig;
+    rig.add_endpoint("i-1", "plain", answer_whole);
+    rig.start();
+    rig.store->put("evacuations", "a", "{}");
+    EXPECT_TRUE(rig.run_until(
+        [&]
+        {
+            return rig.ask_and_wait("/look/x", "a1").status == 503;
+        }));
+    rig.store->remove("evacuations", "a");
+    EXPECT_TRUE(rig.run_until(
+        [&]
+        {
+            return rig.ask_and_wait("/look/x", "a2").status == 200;
+        }));
+}
+
+TEST(entry, limits_are_the_configurations)
+{
+    entry_rig rig;
+    rig.add_endpoint("i-1", "plain", answer_whole);
+    rig.start();
+    std::string const long_key(5000, 'k');
+    EXPECT_EQ(rig.ask_and_wait("/look/x", "a1", long_key).status, 431U);
+}
+
+// A planned stop: the balancer must see it, and what comes until then is
+// served on a connection that announces its end.
+TEST(entry, a_planned_stop_serves_what_still_comes)
+{
+    entry_rig rig;
+    rig.add_endpoint("i-1", "plain", answer_whole);
+    rig.start();
+    rig.entry->stop();
+    EXPECT_EQ(rig.readiness(), 503U);
+    auto const got = rig.ask_and_wait("/look/x", "a1");
+    EXPECT_EQ(got.status, 200U);
+    EXPECT_EQ(net::find_field(got.fields, "connection"), "close");
+}
+
+} // namespace foxtailvale::gateway
--- a/libs/net/include/net/http_server.hpp
+++ b/libs/net/include/net/http_server.hpp
@@ -1,11 +1,12 @@
 #ifndef FOXTAILVALE_NET_HTTP_SERVER_HPP
 #define FOXTAILVALE_NET_HTTP_SERVER_HPP
 
+#include <net/client_connection.hpp>
+#include <net/message.hpp>
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <net/client_connection.hpp>
-#include <net/message.hpp>
 
 #include <array>
 #include <chrono>
@@ -87,6 +88,10 @@
     // Marks the body as whole.
     void end_stream();
 
+    // Ends the connection in the middle of the answer once what was given so
+    // far is written.
+    void close_after_writing();
+
     // Ends the connection in the middle of the answer, so that the client
     // cannot take what it has for whole.
     void abort();
@@ -136,6 +141,7 @@
     bool streaming = false;
     bool reading = false;
     bool last_answer = false;
+    bool ends_early = false;
     // The answer was the last one; what still comes is read and dropped, since
     // closing with unread bytes would reset the connection under the answer.
     bool lingering = false;
--- a/libs/net/src/server_session.cpp
+++ b/libs/net/src/server_session.cpp
@@ -1,10 +1,11 @@
+#include <net/http_server.hpp>
+
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
-#include <net/http_server.hpp>
 
 #include <cstdio>
 #include <utility>
@@ -283,6 +284,16 @@
     this->write("0\r\n\r\n");
 }
 
+void server_session::close_after_writing()
+{
+    this->gone = {};
+    this->ends_early = true;
+    if (this->writing.empty())
+    {
+        this->close();
+    }
+}
+
 void server_session::abort()
 {
     this->gone = {};
@@ -343,6 +354,11 @@
                 self->write_next();
                 return;
             }
+            if (self->ends_early)
+            {
+                self->close();
+                return;
+            }
             if (self->lingering)
             {
                 boost::system::error_code ignored;
