--- a/libs/gateway/src/agent_context.cpp
+++ b/libs/gateway/src/agent_context.cpp
@@ -34,7 +34,7 @@
     // A missing chunk takes about this long.
     constexpr std::chrono::milliseconds chunk_time{40};
     auto const ask = switch_ask_of(state);
-    auto const target = weights::choose_target(ask);
+    auto const target = next_version(state, now);
     if (ask.serving == 0 || ask.serving >= target)
     {
         return std::nullopt;
@@ -51,6 +51,19 @@
     return at - now <= notice ? std::optional(at) : std::nullopt;
 }
 
+std::uint64_t next_version(agent_context const& state, base::time_point now)
+{
+    auto const ask = switch_ask_of(state);
+    auto const is_whole = [&state](std::uint64_t version)
+    {
+        auto const found = state.versions.find(version);
+        return found != state.versions.end() &&
+               weights::is_whole(found->second.transfer);
+    };
+    return weights::fall_back(
+        ask, weights::choose_target(ask), is_whole, now);
+}
+
 weights::switch_ask switch_ask_of(agent_context const& state)
 {
     weights::switch_ask ask;
--- a/libs/gateway/src/agent_context.hpp
+++ b/libs/gateway/src/agent_context.hpp
@@ -78,6 +78,9 @@
 std::optional<base::time_point>
 expected_switch(agent_context const& state, base::time_point now);
 
+// The version that the engine goes to next, as things stand here.
+std::uint64_t next_version(agent_context const& state, base::time_point now);
+
 // What the decisions on switching go by.
 weights::switch_ask switch_ask_of(agent_context const& state);
 
--- a/libs/gateway/src/agent_process.cpp
+++ b/libs/gateway/src/agent_process.cpp
@@ -76,6 +76,7 @@
     void tell_entries(bool at_once);
     void watch_versions();
     void drive();
+    bool is_half_there(std::uint64_t version) const;
     void drop_old_versions();
     void read_lists();
     void take_configuration(platform::store_object const& object);
@@ -408,7 +409,7 @@
     {
         return;
     }
-    auto const target = weights::choose_target(switch_ask_of(state));
+    auto const target = next_version(state, clock::now());
     auto const newest = newest_version(state);
     auto const serving = serving_version(state);
     if (state.model.empty() || serving < newest)
@@ -421,9 +422,14 @@
     }
     this->drop_old_versions();
     this->fetcher->drive(newest, serving < newest);
-    if (target != newest)
+    for (auto const& between : state.targets)
     {
-        this->fetcher->drive(target, true);
+        auto const version = between.version;
+        if (version > serving && version < newest &&
+            (version == target || this->is_half_there(version)))
+        {
+            this->fetcher->drive(version, true);
+        }
     }
     auto const may_lie_staged = serving == 0 || serving == target;
     if (state.versions[target].manifest && may_lie_staged &&
@@ -435,6 +441,17 @@
     this->switcher->drive(target);
 }
 
+bool agent_process::is_half_there(std::uint64_t version) const
+{
+    // The rest of it comes from other agents soon; it serves when the newest
+    // does not come.
+    auto const found = this->context->versions.find(version);
+    return found != this->context->versions.end() &&
+           found->second.manifest &&
+           found->second.transfer.held * 2 >=
+               found->second.transfer.digests.size();
+}
+
 void agent_process::drop_old_versions()
 {
     // The one before the newest may still be on its way to slower agents.
--- a/libs/weights/include/weights/source_book.hpp
+++ b/libs/weights/include/weights/source_book.hpp
@@ -80,6 +80,13 @@
 // The source failed: avoided for a time that doubles with each failure.
 void strike(source_book& book, std::string const& agent, base::time_point now);
 
+// The source failed and is asked again soon: avoided for a fraction of a second
+// that doubles up to one and a half. Made for a fleet whose versions must be in
+// use within seconds, where an origin that was away for six seconds must not be
+// avoided for ten more. Failures of several chunks at once count as one.
+void hold_off(
+    source_book& book, std::string const& agent, base::time_point now);
+
 // The source sent bytes that are not the chunk: avoided for minutes.
 void blame(source_book& book, std::string const& agent, base::time_point now);
 
--- a/libs/weights/include/weights/switch_time.hpp
+++ b/libs/weights/include/weights/switch_time.hpp
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <span>
 
 // Which version an engine goes to, and when. Made for live traffic during a
@@ -44,6 +45,17 @@
 // and carry the traffic meanwhile. If the newest comes early enough, all skip.
 std::uint64_t choose_target(switch_ask const& ask);
 
+// The version to go to instead of the chosen one, when its chunks do not come:
+// the newest of those between that is whole at this agent, once the engines'
+// turn has come and the version they serve nears its end. Failure: the origin
+// dies just after a second version was named, and engines that skipped the first
+// serve nobody until it is back.
+std::uint64_t fall_back(
+    switch_ask const& ask,
+    std::uint64_t chosen,
+    std::function<bool(std::uint64_t)> const& is_whole,
+    base::time_point now);
+
 struct switch_plan
 {
     // The order is given at this time, if the chunks are there.
--- a/libs/weights/src/chunk_transfer.cpp
+++ b/libs/weights/src/chunk_transfer.cpp
@@ -211,7 +211,7 @@
     if (!offer(state, index, bytes))
     {
         note_dropped(book, asked.source.agent);
-        strike(book, asked.source.agent, now);
+        hold_off(book, asked.source.agent, now);
         return false;
     }
     note_delivered(
@@ -250,7 +250,7 @@
         note_heard(book, agent, now);
         break;
     case chunk_loss::failed:
-        strike(book, agent, now);
+        hold_off(book, agent, now);
         break;
     }
 }
--- a/libs/weights/src/source_book.cpp
+++ b/libs/weights/src/source_book.cpp
@@ -23,6 +23,8 @@
 constexpr milliseconds connect_limit{1000};
 
 constexpr milliseconds first_avoidance{2000};
+constexpr milliseconds first_hold_off{200};
+constexpr milliseconds longest_hold_off{1500};
 constexpr std::uint32_t most_doublings = 4;
 constexpr milliseconds blame_time{300'000};
 
@@ -123,6 +125,21 @@
     record.unreachable = false;
 }
 
+void hold_off(
+    source_book& book, std::string const& agent, base::time_point now)
+{
+    auto& record = book.sources[agent];
+    if (record.avoid_until > now)
+    {
+        return;
+    }
+    auto const doublings = std::min(record.strikes, most_doublings);
+    ++record.strikes;
+    record.avoid_until =
+        now + std::min<milliseconds>(
+                  first_hold_off * (1U << doublings), longest_hold_off);
+}
+
 void blame(source_book& book, std::string const& agent, base::time_point now)
 {
     auto& record = book.sources[agent];
--- a/libs/weights/src/switch_time.cpp
+++ b/libs/weights/src/switch_time.cpp
@@ -27,6 +27,10 @@
 // what it serves.
 constexpr double late_patience = 0.95;
 
+// When the chunks of a version that was to be skipped to are still missing then,
+// they will not come in time.
+constexpr double last_hope = 0.7;
+
 base::duration part_of(std::chrono::milliseconds bound, double share)
 {
     return std::chrono::duration_cast<base::duration>(bound * share);
@@ -97,6 +101,30 @@
     return chosen;
 }
 
+std::uint64_t fall_back(
+    switch_ask const& ask,
+    std::uint64_t chosen,
+    std::function<bool(std::uint64_t)> const& is_whole,
+    base::time_point now)
+{
+    auto const* unmet = first_unmet(ask);
+    if (ask.serving == 0 || unmet == nullptr || is_whole(chosen) ||
+        now < unmet->named + part_of(ask.bound, last_hope))
+    {
+        return chosen;
+    }
+    auto best = chosen;
+    for (auto const& target : ask.targets)
+    {
+        if (target.version > ask.serving && target.version < chosen &&
+            is_whole(target.version))
+        {
+            best = target.version;
+        }
+    }
+    return best;
+}
+
 switch_plan plan_switch(switch_ask const& ask, std::uint64_t target)
 {
     auto const found =
--- a/libs/weights/tests/chunk_transfer_tests.cpp
+++ b/libs/weights/tests/chunk_transfer_tests.cpp
@@ -180,6 +180,33 @@
     }
 }
 
+// The origin dies in the middle of a burst and is back six seconds later. The
+// fleet leaves it alone for ten more, while every engine's version is past its
+// time and all callers are refused.
+TEST(chunk_transfer, an_origin_that_was_away_is_asked_again_soon)
+{
+    chunk_transfer state;
+    begin(state, digests(), start);
+    source_book book;
+    transfer_place const alone{"z", "z0", "m@2"};
+    auto const back = start + seconds(6);
+    auto now = start;
+    for (; !is_whole(state) && now < start + seconds(60);
+         now += milliseconds(50))
+    {
+        for (auto const& wanted : next_asks(state, book, {}, alone, {}, now))
+        {
+            if (now < back)
+            {
+                lose(state, book, wanted.index, chunk_loss::failed, now);
+                continue;
+            }
+            deliver(state, book, wanted.index, bytes_of(wanted.index), now);
+        }
+    }
+    EXPECT_LE(now, back + seconds(4));
+}
+
 TEST(chunk_transfer, unchanged_chunks_are_kept_between_versions)
 {
     chunk_transfer earlier;
--- a/libs/weights/tests/switch_time_tests.cpp
+++ b/libs/weights/tests/switch_time_tests.cpp
@@ -157,6 +157,32 @@
     EXPECT_EQ(choose_target({0, {}, bound, 0, 1}), 1U);
 }
 
+// A second version is named two seconds after the first, and the origin dies
+// before its chunks have come. The engines wait for it past the end of what
+// they serve, although the first version lies whole beside them.
+TEST(switch_time, a_whole_version_between_is_used_when_the_newest_does_not_come)
+{
+    std::vector<named_target> const named{{2, start}, {3, start + seconds(2)}};
+    switch_ask const ask{1, named, bound, 0, 14};
+    ASSERT_EQ(choose_target(ask), 3U);
+    auto const only_second = [](std::uint64_t version)
+    {
+        return version == 2;
+    };
+    EXPECT_EQ(fall_back(ask, 3, only_second, start + seconds(4)), 3U);
+    EXPECT_EQ(fall_back(ask, 3, only_second, start + seconds(6)), 2U);
+    auto const both = [](std::uint64_t)
+    {
+        return true;
+    };
+    EXPECT_EQ(fall_back(ask, 3, both, start + seconds(6)), 3U);
+    auto const none = [](std::uint64_t)
+    {
+        return false;
+    };
+    EXPECT_EQ(fall_back(ask, 3, none, start + seconds(6)), 3U);
+}
+
 // Streams are cut to free an engine early, and nobody is left that serves
 // their version: they cannot go on and their callers have half an answer.
 TEST(switch_time, streams_are_cut_only_while_others_keep_the_version)
