Under lasting overload: fresh requests first, waits that the goal leaves

Requests were given up as silent after 0.6 s while they stood in an engine's queue, and callers who had come back took the places of fresh ones.

--- a/libs/direct/include/direct/placement.hpp
+++ b/libs/direct/include/direct/placement.hpp
@@ -2,9 +2,9 @@
 #define FOXTAILVALE_DIRECT_PLACEMENT_HPP
 
 #include <base/random.hpp>
-
 #include <direct/endpoint_book.hpp>
 #include <direct/shares.hpp>
+#include <request/admission.hpp>
 #include <routing/configuration.hpp>
 
 #include <optional>
@@ -26,7 +26,7 @@
     // Endpoints that it was sent to already.
     std::set<std::string> tried;
     // Requests that an endpoint may hold beyond its slots.
-    std::uint32_t depth = 1;
+    std::int32_t depth = 0;
     cold_bound cold;
     std::size_t entries = 1;
     // Names of all entries and of this one; null while the others are not
@@ -80,6 +80,22 @@
     std::uint64_t prompt_tokens,
     std::uint64_t answer_tokens);
 
+// How long a request may wait here for room: what its goal leaves when the
+// usual time to the first event is taken off. Made for lasting overload, where
+// there is always a line: one that waits longer is answered late and takes the
+// place of another that would have been on time. A request with a goal of 400
+// ms waits 140 ms when first events take 260 ms, and a fifth of its goal at
+// least.
+std::chrono::milliseconds longest_wait(
+    std::chrono::milliseconds goal, request::measured_time const& first_event);
+
+// Depth for a request whose goal is past, as its caller has come back with less
+// time than others of its route bring: a fifth of an engine's slots is kept
+// from it. It can only be answered late, and under lasting overload it would
+// take the place of one that would be on time; where there is room to spare it
+// is served.
+std::int32_t depth_for_returned(std::uint32_t slots);
+
 // Requests at the endpoint as known best: reported, and own ones since.
 std::uint32_t
 work_at(endpoint_state const& state, std::size_t entries, base::time_point now);
--- a/libs/direct/src/placement.cpp
+++ b/libs/direct/src/placement.cpp
@@ -55,7 +55,7 @@
 base::duration time_to_begin(
     endpoint_state const& state, std::size_t entries, base::time_point now)
 {
-    constexpr std::chrono::milliseconds with_a_slot{600};
+    constexpr std::chrono::milliseconds with_a_slot{450};
     constexpr std::chrono::milliseconds in_line{500};
     auto const work = work_at(state, entries, now);
     auto const slots = state.listed.slots;
@@ -112,7 +112,8 @@
     {
         return false;
     }
-    return work_at(state, ask.entries, now) < state.listed.slots + ask.depth;
+    return static_cast<std::int64_t>(work_at(state, ask.entries, now)) <
+           static_cast<std::int64_t>(state.listed.slots) + ask.depth;
 }
 
 bool is_distrusted(endpoint_state const& state, base::time_point now)
@@ -133,8 +134,15 @@
         auto const others = std::min<std::size_t>(entries, 2);
         return state.own_running * static_cast<std::uint32_t>(others);
     }
+    // All others are assumed to have sent as much since the report as this
+    // entry. Failure: an engine comes back while few others serve, all entries
+    // send what waits in the same tenth of a second, and a request waits for
+    // more than a second in the engine's queue.
+    auto const all = static_cast<std::int64_t>(entries);
+    auto const change =
+        state.own_change > 0 ? state.own_change * all : state.own_change;
     auto const known = static_cast<std::int64_t>(state.report->running) +
-                       state.report->waiting + state.own_change;
+                       state.report->waiting + change;
     return static_cast<std::uint32_t>(
         std::max<std::int64_t>(known, state.own_running));
 }
@@ -159,6 +167,26 @@
         static_cast<std::int64_t>(read + reading * answer * step));
 }
 
+std::chrono::milliseconds longest_wait(
+    std::chrono::milliseconds goal, request::measured_time const& first_event)
+{
+    constexpr int least_share = 5;
+    constexpr int most_share = 2;
+    if (!first_event.known)
+    {
+        return goal / most_share;
+    }
+    auto const usual = std::chrono::duration_cast<std::chrono::milliseconds>(
+        first_event.mean + first_event.deviation / 2);
+    return std::clamp(goal - usual, goal / least_share, goal / most_share);
+}
+
+std::int32_t depth_for_returned(std::uint32_t slots)
+{
+    constexpr std::uint32_t share = 12;
+    return -static_cast<std::int32_t>(slots / share);
+}
+
 choice choose(
     endpoint_book const& book,
     placement_ask const& ask,
--- a/libs/direct/tests/placement_tests.cpp
+++ b/libs/direct/tests/placement_tests.cpp
@@ -246,6 +246,62 @@
     EXPECT_LE(most->second, 10U);
 }
 
+// Seven of eight engines are gone when one comes back empty, and every entry
+// has requests waiting. All are sent there within the same tenth of a second.
+TEST(placement, an_engine_that_returns_is_not_overrun)
+{
+    constexpr std::size_t entries = 8;
+    std::vector<endpoint_book> books(entries, engines(1));
+    std::uint32_t sent = 0;
+    for (auto& book : books)
+    {
+        report(book, "10.0.0.0", 0);
+        auto ask = ask_from("d0");
+        ask.entries = entries;
+        base::random_state random{5};
+        for (auto waiting = 0; waiting < 20; ++waiting)
+        {
+            auto const found = choose(book, ask, start, random);
+            if (found.chosen != nullptr)
+            {
+                begin_use(book, found.chosen->listed.id, start);
+                ++sent;
+            }
+        }
+    }
+    EXPECT_GE(sent, 16U);
+    EXPECT_LE(sent, 24U);
+}
+
+// Lasting overload: there is always a line. What has waited half its goal is
+// answered late and has taken the place of another that is late in turn.
+TEST(longest_wait, leaves_time_for_the_first_event)
+{
+    request::measured_time first;
+    EXPECT_EQ(longest_wait(milliseconds(400), first), milliseconds(200));
+    first = {milliseconds(240), milliseconds(40), true};
+    EXPECT_EQ(longest_wait(milliseconds(400), first), milliseconds(140));
+    first = {milliseconds(900), milliseconds(40), true};
+    EXPECT_EQ(longest_wait(milliseconds(400), first), milliseconds(80));
+    first = {milliseconds(20), milliseconds(4), true};
+    EXPECT_EQ(longest_wait(milliseconds(400), first), milliseconds(200));
+}
+
+// A caller that was refused comes back when its goal is past. Served before
+// fresh ones, it makes one of them late for an answer that is late itself.
+TEST(placement, callers_who_have_come_back_get_room_to_spare_only)
+{
+    auto book = engines(1);
+    auto ask = ask_from("d0");
+    ask.depth = depth_for_returned(16);
+    report(book, "10.0.0.0", 14);
+    EXPECT_EQ(chosen_id(book, ask), "e0");
+    report(book, "10.0.0.0", 15);
+    EXPECT_EQ(chosen_id(book, ask), "");
+    ask.depth = 0;
+    EXPECT_EQ(chosen_id(book, ask), "e0");
+}
+
 TEST(expected_time, grows_with_the_answer_and_falls_back_to_the_usual)
 {
     routing::engine_costs costs;
--- a/libs/gateway/include/gateway/entry_context.hpp
+++ b/libs/gateway/include/gateway/entry_context.hpp
@@ -3,17 +3,18 @@
 
 #include <base/boot_clock.hpp>
 #include <base/random.hpp>
-#include <kernel/metrics.hpp>
-#include <request/suspects.hpp>
-
-#include <boost/asio/io_context.hpp>
 #include <direct/endpoint_book.hpp>
 #include <direct/shares.hpp>
 #include <gateway/connection_pool.hpp>
+#include <kernel/metrics.hpp>
 #include <platform/settings.hpp>
+#include <request/admission.hpp>
+#include <request/suspects.hpp>
 #include <routing/configuration.hpp>
 #include <routing/routes.hpp>
 
+#include <boost/asio/io_context.hpp>
+
 #include <functional>
 #include <map>
 #include <memory>
@@ -28,10 +29,13 @@
 class call;
 
 // Order in which requests of one service wait for an endpoint: the more urgent
-// first, then the older.
+// first, then those that can still be answered within their goal, then those
+// that have the least time left to wait.
 struct waiting_place
 {
     std::uint32_t priority = 0;
+    bool returned = false;
+    base::time_point until;
     std::uint64_t arrival = 0;
 
     auto operator<=>(waiting_place const&) const = default;
@@ -58,6 +62,10 @@
     // By service.
     std::map<std::string, direct::retry_window> repeats;
     std::map<std::string, waiting_line> waiting;
+    // The longest time that callers of a route were seen to wait, by route.
+    std::map<std::string, std::chrono::milliseconds> patience;
+    // From a request's sending to its first event, by service.
+    std::map<std::string, request::measured_time> first_answer;
     request::suspect_list suspects;
     // Tells the other entries of a crash or that it was none of this request.
     std::function<void(
--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -24,18 +24,17 @@
 // Callers that name no time and routes without one.
 constexpr milliseconds longest_time{60000};
 
-// Part of its goal that a request waits for room here. Beyond it even a free
-// endpoint would answer late, and the caller does better to come back.
-constexpr double waiting_share = 0.5;
-
 // A connection on one machine or across a region opens within milliseconds;
 // a lost opening packet is sent again after a second.
 constexpr milliseconds connect_limit{400};
 
-// Time to the first byte after which another endpoint does better, for
-// requests that may run twice: twice the goal.
+// Time to the first byte after which a silent endpoint is given up, for
+// requests that may run twice: one that sends to nobody is gone, one that sends
+// to others has the request in its queue. Failure: under full load requests
+// were given up while they waited, and each repeat took the place of another.
 constexpr int first_byte_goals = 2;
 constexpr milliseconds least_first_byte{600};
+constexpr milliseconds longest_first_byte{1600};
 
 // Silence in the middle of a stream after which it goes on elsewhere: callers
 // count a pause over the route's gap goal as late, and endpoints that are
@@ -89,13 +88,32 @@
     }
     auto& window = this->context->repeats[this->service_name];
     direct::note_request(window, this->arrived);
-    if (this->place(true))
+    // What cannot be on time any more does not go before what can.
+    auto const stands_back = this->returned && this->has_line();
+    if (!stands_back && this->place(true))
     {
         return;
     }
     this->wait();
 }
 
+bool call::has_line() const
+{
+    auto const found = this->context->waiting.find(this->service_name);
+    return found != this->context->waiting.end() && !found->second.empty();
+}
+
+bool call::has_returned(milliseconds goal)
+{
+    if (!this->said.patience)
+    {
+        return false;
+    }
+    auto& longest = this->context->patience[this->allowed.chosen->name];
+    longest = std::max(longest, *this->said.patience);
+    return longest - *this->said.patience > goal / 2;
+}
+
 bool call::admit()
 {
     auto const age = this->context->confirmed
@@ -139,10 +157,10 @@
     }
     this->deadline = this->arrived + time;
     auto const goal = chosen.goal.count() > 0 ? chosen.goal : time;
-    this->wait_until = std::min(
-        this->deadline, this->arrived + milliseconds(static_cast<std::int64_t>(
-                                            static_cast<double>(goal.count()) *
-                                            waiting_share)));
+    this->returned = this->has_returned(goal);
+    auto const& first_answer = this->context->first_answer[this->service_name];
+    this->wait_until = this->arrived + direct::longest_wait(goal, first_answer);
+    this->wait_until = std::min(this->wait_until, this->deadline);
     return true;
 }
 
@@ -158,6 +176,10 @@
     ask.cold.per_second = this->service->cold_per_second * bounds.cold_factor;
     ask.cold.tolerance = bounds.cold_tolerance;
     ask.entries = direct::sharers(this->context->entries);
+    if (this->returned && this->service->engine)
+    {
+        ask.depth = direct::depth_for_returned(this->service->engine->slots);
+    }
     ask.all_entries = &this->context->entry_addresses;
     ask.own_entry = this->context->settings.ip;
     // One answer comes from one version's weights.
@@ -197,7 +219,9 @@
 
 void call::wait()
 {
-    this->place_in_line = {this->allowed.priority, ++this->context->arrivals};
+    this->place_in_line = {
+        this->allowed.priority, this->returned, this->wait_until,
+        ++this->context->arrivals};
     this->context->waiting[this->service_name][this->place_in_line] =
         this->shared_from_this();
     this->in_line = true;
@@ -366,6 +390,17 @@
     this->session->send(passed);
 }
 
+void call::note_first_answer()
+{
+    if (this->sends == 1)
+    {
+        request::note(
+            this->context->first_answer[this->service_name],
+            std::chrono::duration_cast<std::chrono::microseconds>(
+                clock::now() - this->current->begun));
+    }
+}
+
 void call::begin_answer()
 {
     if (this->answer_begun)
@@ -373,6 +408,7 @@
         return;
     }
     this->answer_begun = true;
+    this->note_first_answer();
     this->session->begin_stream(
         this->current->said.status,
         platform::caller_fields(this->current->head));
@@ -641,6 +677,22 @@
         this->deadline - clock::now());
 }
 
+bool call::endpoint_is_lost() const
+{
+    auto const& known = this->context->book.endpoints;
+    auto const found = known.find(this->current->endpoint);
+    if (found == known.end())
+    {
+        return true;
+    }
+    auto const now = clock::now();
+    auto const& state = found->second;
+    auto const agent_silent = state.report && !direct::is_fresh(state, now);
+    auto const agent_says =
+        direct::is_fresh(state, now) && state.report->unreachable;
+    return direct::is_stalled(state, now) || agent_silent || agent_says;
+}
+
 std::optional<base::time_point> call::attempt_limit() const
 {
     auto const& now_running = *this->current;
@@ -654,13 +706,16 @@
     {
         return std::nullopt;
     }
+    auto const lost = this->endpoint_is_lost();
     if (now_running.events_sent > 0)
     {
-        return now_running.last_byte +
-               std::max(least_gap, chosen.gap_goal * gap_goals);
+        auto const gap = std::max(least_gap, chosen.gap_goal * gap_goals);
+        return now_running.last_byte + (lost ? gap : 2 * gap);
     }
+    auto const soon =
+        std::max(least_first_byte, chosen.goal * first_byte_goals);
     return now_running.begun +
-           std::max(least_first_byte, chosen.goal * first_byte_goals);
+           (lost ? soon : std::max(soon, longest_first_byte));
 }
 
 void call::set_timer()
@@ -672,9 +727,12 @@
     }
     if (this->current)
     {
+        // An endpoint may be lost at any moment, which brings the limit
+        // forward; it is looked at anew this often.
+        constexpr milliseconds look_again{150};
         if (auto const limit = this->attempt_limit())
         {
-            next = std::min(next, *limit);
+            next = std::min(next, std::min(*limit, clock::now() + look_again));
         }
     }
     this->timer.expires_at(next);
--- a/libs/gateway/src/call.hpp
+++ b/libs/gateway/src/call.hpp
@@ -1,7 +1,6 @@
 #ifndef FOXTAILVALE_GATEWAY_CALL_HPP
 #define FOXTAILVALE_GATEWAY_CALL_HPP
 
-#include <boost/asio/steady_timer.hpp>
 #include <direct/placement.hpp>
 #include <direct/repeat.hpp>
 #include <gateway/entry_context.hpp>
@@ -10,6 +9,8 @@
 #include <net/http_server.hpp>
 #include <platform/requests.hpp>
 
+#include <boost/asio/steady_timer.hpp>
+
 #include <utility>
 
 namespace foxtailvale::gateway
@@ -51,6 +52,8 @@
     };
 
     bool admit();
+    bool has_returned(std::chrono::milliseconds goal);
+    bool has_line() const;
     bool place(bool may_wait);
     direct::placement_ask placement() const;
     void wait();
@@ -67,6 +70,7 @@
     void after_failure(base::ran_state ran, char const* reason);
     void answer();
     void begin_answer();
+    void note_first_answer();
     void refuse(base::error_kind kind, char const* reason);
     void fail(base::error_kind kind, char const* reason);
     void cut(char const* reason);
@@ -74,6 +78,8 @@
     void on_caller_gone();
     void set_timer();
     void on_timer();
+    // Whether the endpoint of the attempt sends to nobody any more.
+    bool endpoint_is_lost() const;
     std::optional<base::time_point> attempt_limit() const;
     std::chrono::milliseconds time_left() const;
     std::chrono::milliseconds retry_after() const;
@@ -93,6 +99,8 @@
     base::time_point wait_until;
     waiting_place place_in_line;
     bool in_line = false;
+    // The caller has come back after a refusal or a failure.
+    bool returned = false;
     bool done = false;
     std::optional<attempt> current;
     std::uint64_t attempt_number = 0;
--- a/libs/gateway/src/entry_views.cpp
+++ b/libs/gateway/src/entry_views.cpp
@@ -27,7 +27,7 @@
 // Taken off the time until an older version may begin nothing more, for the way
 // of the news and of the request. What a request may wait at the endpoint is
 // the placement's matter.
-constexpr milliseconds version_margin{500};
+constexpr milliseconds version_margin{400};
 
 } // namespace
 
