--- a/libs/gateway/src/agent_process.cpp
+++ b/libs/gateway/src/agent_process.cpp
@@ -1,18 +1,19 @@
 #include "agent_context.hpp"
 #include "engine_switch.hpp"
 #include "fetch.hpp"
+#include "metrics_door.hpp"
 #include "settings_file.hpp"
 #include "store_list.hpp"
 #include "version_fetch.hpp"
 #include "weights_door.hpp"
 
+#include <gateway/agent_process.hpp>
+#include <gateway/store_watch.hpp>
 #include <kernel/events.hpp>
+#include <net/datagram_socket.hpp>
 #include <proto/foxtailvale.pb.h>
 
 #include <boost/asio/signal_set.hpp>
-#include <gateway/agent_process.hpp>
-#include <gateway/store_watch.hpp>
-#include <net/datagram_socket.hpp>
 
 #include <csignal>
 
@@ -59,6 +60,8 @@
 
     std::optional<std::string> start();
 
+    kernel::metrics const& counters() const;
+
 private:
     // An entry that asked for reports.
     struct subscriber
@@ -153,6 +156,11 @@
     return std::nullopt;
 }
 
+kernel::metrics const& agent_process::counters() const
+{
+    return this->context->counters;
+}
+
 std::optional<std::string> agent_process::open_datagrams()
 {
     std::weak_ptr<agent_process> const self = this->shared_from_this();
@@ -446,8 +454,7 @@
     // The rest of it comes from other agents soon; it serves when the newest
     // does not come.
     auto const found = this->context->versions.find(version);
-    return found != this->context->versions.end() &&
-           found->second.manifest &&
+    return found != this->context->versions.end() && found->second.manifest &&
            found->second.transfer.held * 2 >=
                found->second.transfer.digests.size();
 }
@@ -594,6 +601,8 @@
         kernel::log_error({base::error_kind::bad_settings, *fault});
         return 1;
     }
+    auto const shown =
+        open_metrics_door(loop, settings.value().ip, process->counters());
     kernel::log_event(
         kernel::event_id::process_started,
         {{"engine", settings.value().engine_address}});
--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -265,10 +265,17 @@
     }
     ++this->sends;
     ++this->attempt_number;
+    if (this->sends == 1)
+    {
+        this->context->counters.observe(
+            "foxtailvale_wait_for_room_ms",
+            std::chrono::duration_cast<milliseconds>(now - this->arrived));
+    }
     this->tried.insert(target.id);
     this->version = chosen.version;
     this->current.emplace();
     this->current->endpoint = target.id;
+    this->last_endpoint = target.id;
     this->current->address = target.address;
     this->current->connection = connection;
     this->current->begun = now;
@@ -392,12 +399,16 @@
 
 void call::note_first_answer()
 {
+    auto const now = clock::now();
+    this->context->counters.observe(
+        "foxtailvale_first_event_ms",
+        std::chrono::duration_cast<milliseconds>(now - this->arrived));
     if (this->sends == 1)
     {
         request::note(
             this->context->first_answer[this->service_name],
             std::chrono::duration_cast<std::chrono::microseconds>(
-                clock::now() - this->current->begun));
+                now - this->current->begun));
     }
 }
 
@@ -520,6 +531,7 @@
             this->send(chosen);
             return;
         }
+        this->log_answer(failed.said.status);
         this->session->respond(
             failed.said.status, platform::caller_fields(failed.head),
             failed.body);
@@ -544,6 +556,7 @@
             status, platform::caller_fields(now_running.head),
             now_running.body);
     }
+    this->log_answer(status);
     if (request::has_crashed(this->context->suspects, this->print))
     {
         request::note_answered(this->context->suspects, this->print);
@@ -590,7 +603,9 @@
     }
     this->context->counters.count_retry(
         direct::final_error(this->ran_so_far, false));
-    this->log("retried", error_kind::endpoint_lost, reason);
+    this->log(
+        kernel::event_id::request_retried,
+        direct::final_error(this->ran_so_far, false), reason);
     auto const now = clock::now();
     this->wait_until = std::min(
         this->deadline, std::max(this->wait_until, now + milliseconds(100)));
@@ -615,7 +630,10 @@
     this->leave_line();
     auto const& row = base::row_of(kind);
     this->context->counters.count_error(kind);
-    this->log("refused", kind, reason);
+    this->log(
+        row.ran == ran_state::no ? kernel::event_id::request_refused
+                                 : kernel::event_id::request_failed,
+        kind, reason);
     // A request that crashed endpoints was not run this time; the platform's
     // callers know no other word for that.
     auto const status = kind == error_kind::suspect_request
@@ -633,7 +651,7 @@
 void call::cut(char const* reason)
 {
     this->context->counters.count_error(error_kind::endpoint_lost);
-    this->log("cut", error_kind::endpoint_lost, reason);
+    this->log(kernel::event_id::request_cut, error_kind::endpoint_lost, reason);
     this->session->abort();
     this->finish();
 }
@@ -667,6 +685,8 @@
         this->end_attempt(direct::use_end::cancelled);
     }
     this->context->counters.count_error(error_kind::caller_gone);
+    this->log(
+        kernel::event_id::request_left, error_kind::caller_gone, "caller left");
     this->done = true;
     this->timer.cancel();
 }
@@ -787,25 +807,47 @@
     this->set_timer();
 }
 
-void call::log(char const* outcome, error_kind kind, char const* reason)
+void call::log(
+    kernel::event_id event, error_kind kind, char const* reason) const
 {
-    auto const& row = base::row_of(kind);
-    auto const now = clock::now();
+    auto const since = [now = clock::now()](base::time_point then)
+    {
+        return std::chrono::duration_cast<milliseconds>(now - then).count();
+    };
+    auto const age =
+        this->context->confirmed
+            ? (base::boot_now() - *this->context->confirmed).count()
+            : -1;
+    kernel::log_event(
+        event, {{"request", this->said.attempt},
+                {"kind", base::row_of(kind).name},
+                {"reason", reason},
+                {"service", this->service_name},
+                {"endpoint", this->last_endpoint},
+                {"version", this->version},
+                {"sends", this->sends},
+                {"runs", this->runs},
+                {"ran", base::to_string(this->ran_so_far)},
+                {"last_event", this->last_event.value_or(0)},
+                {"configuration",
+                 this->configuration ? this->configuration->version : 0},
+                {"view_age_ms", age},
+                {"after_ms", since(this->arrived)}});
+}
+
+void call::log_answer(unsigned status) const
+{
+    auto const total =
+        std::chrono::duration_cast<milliseconds>(clock::now() - this->arrived);
+    this->context->counters.observe("foxtailvale_answer_ms", total);
     kernel::log_event(
-        kernel::event_id::request_refused,
-        {{"outcome", outcome},
-         {"kind", row.name},
-         {"reason", reason},
-         {"request", this->said.attempt},
-         {"service", this->service_name},
-         {"endpoint", this->current ? this->current->endpoint : ""},
-         {"sends", this->sends},
-         {"runs", this->runs},
-         {"configuration",
-          this->configuration ? this->configuration->version : 0},
-         {"after_ms",
-          std::chrono::duration_cast<milliseconds>(now - this->arrived)
-              .count()}});
+        kernel::event_id::request_answered, {{"request", this->said.attempt},
+                                             {"status", status},
+                                             {"service", this->service_name},
+                                             {"endpoint", this->last_endpoint},
+                                             {"version", this->version},
+                                             {"sends", this->sends},
+                                             {"after_ms", total.count()}});
 }
 
 } // namespace foxtailvale::gateway
--- a/libs/gateway/src/call.hpp
+++ b/libs/gateway/src/call.hpp
@@ -5,6 +5,7 @@
 #include <direct/repeat.hpp>
 #include <gateway/entry_context.hpp>
 #include <gateway/event_splitter.hpp>
+#include <kernel/events.hpp>
 #include <net/client_connection.hpp>
 #include <net/http_server.hpp>
 #include <platform/requests.hpp>
@@ -83,7 +84,9 @@
     std::optional<base::time_point> attempt_limit() const;
     std::chrono::milliseconds time_left() const;
     std::chrono::milliseconds retry_after() const;
-    void log(char const* outcome, base::error_kind kind, char const* reason);
+    void log(kernel::event_id event, base::error_kind kind, char const* reason)
+        const;
+    void log_answer(unsigned status) const;
 
     std::shared_ptr<entry_context> context;
     std::shared_ptr<net::server_session> session;
@@ -102,6 +105,8 @@
     // The caller has come back after a refusal or a failure.
     bool returned = false;
     bool done = false;
+    // The endpoint that it was sent to last.
+    std::string last_endpoint;
     std::optional<attempt> current;
     std::uint64_t attempt_number = 0;
     std::set<std::string> tried;
--- a/libs/gateway/src/entry.cpp
+++ b/libs/gateway/src/entry.cpp
@@ -164,6 +164,11 @@
     return std::nullopt;
 }
 
+kernel::metrics const& entry_process::counters() const
+{
+    return this->context->counters;
+}
+
 void entry_process::await_signal()
 {
     this->signals.async_wait(
--- a/libs/gateway/src/entry.hpp
+++ b/libs/gateway/src/entry.hpp
@@ -26,6 +26,8 @@
     // An error text when an address cannot be listened on.
     std::optional<std::string> start();
 
+    kernel::metrics const& counters() const;
+
     // Begins a planned stop: new work goes elsewhere, what runs ends.
     void stop();
 
--- a/libs/gateway/src/entry_process.cpp
+++ b/libs/gateway/src/entry_process.cpp
@@ -1,4 +1,5 @@
 #include "entry.hpp"
+#include "metrics_door.hpp"
 
 #include <gateway/entry_process.hpp>
 #include <kernel/events.hpp>
@@ -27,9 +28,12 @@
         kernel::log_error({base::error_kind::bad_settings, *fault});
         return 1;
     }
+    auto const shown =
+        open_metrics_door(loop, settings.value().ip, process->counters());
     kernel::log_event(
         kernel::event_id::process_started,
-        {{"callers", settings.value().caller_address}});
+        {{"callers", settings.value().caller_address},
+         {"peer_port", settings.value().peer_port}});
     loop.run();
     return 0;
 }
--- a/libs/kernel/include/kernel/events.hpp
+++ b/libs/kernel/include/kernel/events.hpp
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <cstdint>
 #include <span>
 #include <string>
 #include <string_view>
@@ -21,6 +22,7 @@
     process_stopped = 1003,
     settings_refused = 1004,
     settings_reloaded = 1005,
+    log_lines_left_out = 1006,
     configuration_adopted = 1101,
     plan_adopted = 1102,
     plan_written = 1103,
@@ -48,6 +50,9 @@
     late_reply_dropped = 1404,
     suspect_marked = 1405,
     suspect_released = 1406,
+    request_answered = 1407,
+    request_cut = 1408,
+    request_left = 1409,
     domain_out = 1501,
     domain_in = 1502,
 };
@@ -66,9 +71,14 @@
 enum class log_target
 {
     standard_error,
+    // Never waits for a reader: a line that does not fit is left out, and
+    // so are more than most_lines_a_second of one event. What was left out is
+    // told by log_lines_left_out once a second.
     standard_output,
 };
 
+inline constexpr std::uint32_t most_lines_a_second = 100;
+
 // Writes log lines of one process as JSON, one object a line. Call once,
 // before the first log line.
 void start_logging(
--- a/libs/kernel/include/kernel/metrics.hpp
+++ b/libs/kernel/include/kernel/metrics.hpp
@@ -5,6 +5,7 @@
 
 #include <prometheus/registry.h>
 
+#include <chrono>
 #include <map>
 #include <memory>
 #include <string>
@@ -37,6 +38,10 @@
         std::map<std::string, std::string> labels,
         double value);
 
+    // Adds a time to a histogram of milliseconds, with buckets from 5 ms to
+    // four seconds.
+    void observe(std::string const& name, std::chrono::milliseconds value);
+
     // Text in the Prometheus exposition format.
     std::string expose() const;
 
--- a/libs/kernel/src/events.cpp
+++ b/libs/kernel/src/events.cpp
@@ -1,8 +1,12 @@
+#include "nonblocking_appender.hpp"
+
 #include <kernel/events.hpp>
+#include <kernel/log_budget.hpp>
 
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/patternlayout.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <array>
@@ -19,6 +23,7 @@
     event_row{event_id::process_stopped, "process_stopped"},
     event_row{event_id::settings_refused, "settings_refused"},
     event_row{event_id::settings_reloaded, "settings_reloaded"},
+    event_row{event_id::log_lines_left_out, "log_lines_left_out"},
     event_row{event_id::configuration_adopted, "configuration_adopted"},
     event_row{event_id::plan_adopted, "plan_adopted"},
     event_row{event_id::plan_written, "plan_written"},
@@ -46,6 +51,9 @@
     event_row{event_id::late_reply_dropped, "late_reply_dropped"},
     event_row{event_id::suspect_marked, "suspect_marked"},
     event_row{event_id::suspect_released, "suspect_released"},
+    event_row{event_id::request_answered, "request_answered"},
+    event_row{event_id::request_cut, "request_cut"},
+    event_row{event_id::request_left, "request_left"},
     event_row{event_id::domain_out, "domain_out"},
     event_row{event_id::domain_in, "domain_in"},
 };
@@ -72,6 +80,39 @@
         -1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
+log_budget& budget()
+{
+    static log_budget instance;
+    return instance;
+}
+
+bool& is_bounded()
+{
+    static bool bounded = false;
+    return bounded;
+}
+
+// Whether the line of this event may be written now; tells what was left out
+// when a new second begins.
+bool may_write(int number)
+{
+    if (!is_bounded())
+    {
+        return true;
+    }
+    auto const left_out =
+        take(budget(), number, std::chrono::steady_clock::now());
+    if (left_out.lines > 0)
+    {
+        auto const text = line(
+            static_cast<int>(event_id::log_lines_left_out),
+            "log_lines_left_out",
+            {{"lines", left_out.lines + unwritten_lines()}});
+        LOG4CXX_WARN(logger(), text);
+    }
+    return left_out.may_write;
+}
+
 } // namespace
 
 std::span<event_row const> event_table()
@@ -86,10 +127,11 @@
     auto const layout = std::make_shared<log4cxx::PatternLayout>(
         "{\"time\":\"%d{yyyy-MM-ddTHH:mm:ss.SSSZ}\",\"level\":\"%p\","
         "\"body\":%m}%n");
-    auto const appender = std::make_shared<log4cxx::ConsoleAppender>(
-        layout, target == log_target::standard_output
-                    ? log4cxx::ConsoleAppender::getSystemOut()
-                    : log4cxx::ConsoleAppender::getSystemErr());
+    is_bounded() = target == log_target::standard_output;
+    log4cxx::AppenderPtr const appender =
+        is_bounded() ? make_nonblocking_appender(STDOUT_FILENO, layout)
+                     : std::make_shared<log4cxx::ConsoleAppender>(
+                           layout, log4cxx::ConsoleAppender::getSystemErr());
     logger()->removeAllAppenders();
     logger()->addAppender(appender);
     logger()->setAdditivity(false);
@@ -98,6 +140,10 @@
 
 void log_event(event_id id, nlohmann::json fields)
 {
+    if (!may_write(static_cast<int>(id)))
+    {
+        return;
+    }
     auto const found = std::ranges::find(catalogue, id, &event_row::id);
     auto const text =
         line(static_cast<int>(id), found->name, std::move(fields));
@@ -107,6 +153,10 @@
 void log_error(base::error const& error, nlohmann::json fields)
 {
     auto const& row = base::row_of(error.kind);
+    if (!may_write(row.event))
+    {
+        return;
+    }
     fields["detail"] = error.detail;
     auto const text = line(row.event, row.name, std::move(fields));
     LOG4CXX_WARN(logger(), text);
--- a/libs/kernel/src/metrics.cpp
+++ b/libs/kernel/src/metrics.cpp
@@ -2,6 +2,7 @@
 
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
 #include <prometheus/text_serializer.h>
 
 namespace foxtailvale::kernel
@@ -63,6 +64,17 @@
         .Set(value);
 }
 
+void metrics::observe(std::string const& name, std::chrono::milliseconds value)
+{
+    static prometheus::Histogram::BucketBoundaries const bounds{
+        5, 10, 20, 50, 100, 150, 200, 300, 400, 600, 1000, 2000, 4000};
+    prometheus::BuildHistogram()
+        .Name(name)
+        .Register(*this->families)
+        .Add({}, bounds)
+        .Observe(static_cast<double>(value.count()));
+}
+
 std::string metrics::expose() const
 {
     return prometheus::TextSerializer().Serialize(this->families->Collect());
