New engines are filled by those that serve; a misdirected request spares the endpoint

Half of the own domain serving, they are asked. - after all machines lost power (42 s) 243 requests were turned away by engines that the list still showed as loaded, and 532 refused as no repeat was left: such an endpoint is left alone until its list entry or its agent says more.

--- a/libs/direct/include/direct/endpoint_book.hpp
+++ b/libs/direct/include/direct/endpoint_book.hpp
@@ -79,7 +79,8 @@
     // Share of its answers that were faults, weighted to the latest.
     double fault_share = 0;
     base::time_point last_fault;
-    // Not tried before then, after a connection that did not come about.
+    // Not tried before then, after a connection that did not come about or a
+    // request that was turned away.
     base::time_point avoid_until;
     std::uint32_t connect_faults = 0;
     // Left the list while the platform was not stable; kept until then.
@@ -153,8 +154,11 @@
 enum class use_end
 {
     answered,
-    // It said that it did not run it.
+    // It said that it did not run it: full.
     declined,
+    // It said that it is not what the request was sent for: another endpoint
+    // has the address, or it holds other weights.
+    misdirected,
     // A fault of its own, a cut answer or silence.
     faulty,
     // No connection came about.
--- a/libs/direct/src/endpoint_book.cpp
+++ b/libs/direct/src/endpoint_book.cpp
@@ -20,6 +20,15 @@
 constexpr std::chrono::milliseconds first_avoidance{300};
 constexpr std::chrono::milliseconds longest_avoidance{2400};
 
+// An endpoint that said that it is full ends a request about this soon.
+constexpr std::chrono::milliseconds full_avoidance{60};
+
+// An endpoint that holds other weights than listed. Failure: all machines lose
+// power, engines come back empty while the list still shows what they held, and
+// every request is turned away until the repeats of ten seconds are spent. The
+// list, or the agent, says within this time what it holds.
+constexpr std::chrono::milliseconds misdirected_avoidance{1000};
+
 // Own sends are kept for as long as any share of a cold limit looks back.
 constexpr std::chrono::seconds recent_time{3};
 
@@ -56,6 +65,10 @@
     {
         state.report.reset();
     }
+    if (state.listed.weights != record.weights)
+    {
+        state.avoid_until = {};
+    }
     state.listed = std::move(record);
     return true;
 }
@@ -128,6 +141,10 @@
     {
         if (ip_of(state.listed.address) == address)
         {
+            if (state.report && state.report->weights != report.weights)
+            {
+                state.avoid_until = {};
+            }
             state.report = report;
             state.reported = now;
             state.own_change = 0;
@@ -209,6 +226,14 @@
     {
         state.connect_faults = 0;
     }
+    if (how == use_end::declined)
+    {
+        state.avoid_until = now + full_avoidance;
+    }
+    if (how == use_end::misdirected)
+    {
+        state.avoid_until = now + misdirected_avoidance;
+    }
     if (how == use_end::not_connected)
     {
         auto const doublings = std::min<std::uint32_t>(state.connect_faults, 3);
--- a/libs/direct/tests/endpoint_book_tests.cpp
+++ b/libs/direct/tests/endpoint_book_tests.cpp
@@ -118,6 +118,22 @@
     EXPECT_GT(state.avoid_until - first, first - start);
 }
 
+// All machines lose power. Engines come back empty while the list still shows
+// what they held; every request is turned away, and the repeats are spent.
+TEST(use, an_engine_that_turned_a_request_away_is_left_alone_until_it_changes)
+{
+    endpoint_book book;
+    put(book, engine("a"));
+    auto const& state = book.endpoints.at("a");
+    begin_use(book, "a", start);
+    end_use(book, "a", use_end::misdirected, start);
+    EXPECT_GE(state.avoid_until, start + milliseconds(500));
+    auto loaded = engine("a");
+    loaded.weights.version = 2;
+    put(book, loaded);
+    EXPECT_LE(state.avoid_until, start);
+}
+
 TEST(use, silence_while_answers_are_owed_is_a_stall)
 {
     endpoint_book book;
--- a/libs/gateway/src/agent_context.cpp
+++ b/libs/gateway/src/agent_context.cpp
@@ -49,6 +49,26 @@
     return at - now <= notice ? std::optional(at) : std::nullopt;
 }
 
+std::vector<weights::chunk_source>
+holders_of(agent_context const& state, std::uint64_t version)
+{
+    auto const found = state.holders.find(version);
+    if (found == state.holders.end())
+    {
+        return {};
+    }
+    // During a burst the first few that serve would be asked by all the others;
+    // the forest spreads that load. They are asked once they are the half.
+    auto const own = found->second.find(state.settings.failure_domain);
+    auto const plan = state.fleet.find(state.settings.failure_domain);
+    if (own != found->second.end() && plan != state.fleet.end() &&
+        own->second.size() * 2 >= plan->second.endpoints.size())
+    {
+        return own->second;
+    }
+    return {};
+}
+
 std::uint64_t next_version(agent_context const& state, base::time_point now)
 {
     auto const ask = switch_ask_of(state);
--- a/libs/gateway/src/agent_context.hpp
+++ b/libs/gateway/src/agent_context.hpp
@@ -3,14 +3,14 @@
 
 #include <base/ids.hpp>
 #include <base/random.hpp>
+#include <gateway/connection_pool.hpp>
 #include <kernel/metrics.hpp>
+#include <platform/engine_calls.hpp>
+#include <platform/settings.hpp>
 #include <weights/chunk_transfer.hpp>
 #include <weights/switch_time.hpp>
 
 #include <boost/asio/io_context.hpp>
-#include <gateway/connection_pool.hpp>
-#include <platform/engine_calls.hpp>
-#include <platform/settings.hpp>
 
 #include <map>
 #include <memory>
@@ -53,6 +53,12 @@
     // Agents beside engines of the same service, by failure domain.
     weights::plan_set fleet;
 
+    // Agents whose engine serves a version whole, by version and domain.
+    std::map<
+        std::uint64_t,
+        std::map<std::string, std::vector<weights::chunk_source>>>
+        holders;
+
     // What the engine last said, while it answers.
     std::optional<platform::engine_report> engine;
     // An order of ours is on its way or being carried out.
@@ -78,6 +84,11 @@
 std::optional<base::time_point>
 expected_switch(agent_context const& state, base::time_point now);
 
+// Agents of the own failure domain to ask for chunks of a version that half of
+// them serve already; none for a version that is still on its way to most.
+std::vector<weights::chunk_source>
+holders_of(agent_context const& state, std::uint64_t version);
+
 // The version that the engine goes to next, as things stand here.
 std::uint64_t next_version(agent_context const& state, base::time_point now);
 
--- a/libs/gateway/src/agent_process.cpp
+++ b/libs/gateway/src/agent_process.cpp
@@ -87,6 +87,8 @@
         net::udp_endpoint const& source, wire::Subscribe const& asked);
     void name_version(
         std::string const& model, std::uint64_t version, base::time_point at);
+    void
+    note_holder(direct::endpoint_record const& engine, std::string const& ip);
     void take_endpoints(std::vector<platform::store_object> const& objects);
 
     boost::asio::io_context& loop;
@@ -547,11 +549,26 @@
     state.targets = this->named[state.model];
 }
 
+void agent_process::note_holder(
+    direct::endpoint_record const& engine, std::string const& ip)
+{
+    auto& state = *this->context;
+    auto const serves =
+        engine.weights.whole && engine.weights.model == state.model;
+    if (serves && ip != state.settings.ip)
+    {
+        auto const port = ":" + std::to_string(state.settings.peer_port);
+        state.holders[engine.weights.version][engine.failure_domain].push_back(
+            {ip, ip + port});
+    }
+}
+
 void agent_process::take_endpoints(
     std::vector<platform::store_object> const& objects)
 {
     auto& state = *this->context;
     std::map<std::string, std::set<std::string>> agents;
+    state.holders.clear();
     for (auto const& object : objects)
     {
         auto const read = platform::read_endpoint(object.name, object.content);
@@ -559,6 +576,7 @@
         {
             auto const ip = read->address.substr(0, read->address.rfind(':'));
             agents[read->failure_domain].insert(ip);
+            this->note_holder(*read, ip);
         }
     }
     agents[state.settings.failure_domain].insert(state.settings.ip);
--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -446,9 +446,11 @@
     }
     if (result.end == net::exchange_end::whole)
     {
+        auto const misdirected = now_running.said.misdirected;
         this->end_attempt(
-            ran == ran_state::no ? direct::use_end::declined
-                                 : direct::use_end::faulty);
+            ran != ran_state::no ? direct::use_end::faulty
+            : misdirected        ? direct::use_end::misdirected
+                                 : direct::use_end::declined);
         this->after_failure(
             ran, ran == ran_state::no ? "endpoint declined"
                                       : "answer is not the endpoint's");
--- a/libs/gateway/src/version_fetch.cpp
+++ b/libs/gateway/src/version_fetch.cpp
@@ -171,7 +171,8 @@
     auto& held = state.versions[version];
     auto const label = state.model + "@" + std::to_string(version);
     weights::transfer_place const place{
-        state.settings.failure_domain, state.settings.ip, label};
+        state.settings.failure_domain, state.settings.ip, label,
+        holders_of(state, version)};
     weights::transfer_limits limits;
     limits.origin_interval = origin_interval(state);
     auto const asks = weights::next_asks(
--- a/libs/weights/include/weights/chunk_transfer.hpp
+++ b/libs/weights/include/weights/chunk_transfer.hpp
@@ -44,6 +44,11 @@
     std::string agent;
     // The digest under which the plans list the version's holders.
     std::string label;
+    // Agents beside engines that serve the version, those of the own failure
+    // domain alone if there are any. They hold every chunk, so whoever comes
+    // later asks them and neither waits for others that have just come nor
+    // draws from the origin.
+    std::vector<chunk_source> holders;
 };
 
 // What may be under way at one time. An agent that does not have a chunk yet
--- a/libs/weights/src/chunk_transfer.cpp
+++ b/libs/weights/src/chunk_transfer.cpp
@@ -2,6 +2,8 @@
 #include <weights/chunk_transfer.hpp>
 
 #include <algorithm>
+#include <limits>
+#include <optional>
 
 namespace foxtailvale::weights
 {
@@ -73,6 +75,31 @@
            std::ranges::any_of(sources.outside, answers);
 }
 
+// The usable holder with the fewest chunks asked for, taken in another order
+// for each chunk and agent.
+std::optional<chunk_source> free_holder(
+    chunk_transfer const& state,
+    transfer_place const& place,
+    std::uint32_t index,
+    source_view const& view)
+{
+    std::optional<chunk_source> best;
+    auto fewest = std::numeric_limits<std::size_t>::max();
+    auto const count = place.holders.size();
+    auto const first = base::stable_hash(place.agent, index);
+    for (std::size_t step = 0; step < count; ++step)
+    {
+        auto const& holder = place.holders[(first + step) % count];
+        auto const asked = pending_at(state, holder.agent);
+        if (asked < fewest && view.is_usable(holder.agent))
+        {
+            best = holder;
+            fewest = asked;
+        }
+    }
+    return best;
+}
+
 bool has_room_at(
     chunk_transfer const& state,
     std::string const& agent,
@@ -158,8 +185,10 @@
                 }
             }
         }
+        auto const holder = free_holder(state, place, index, view);
         auto const source =
-            choose_source(sources.value_or(chunk_sources{}), view);
+            holder ? *holder
+                   : choose_source(sources.value_or(chunk_sources{}), view);
         if (source.agent.empty() && sources && now < state.begun + patience &&
             others_may_come(book, *sources, now))
         {
--- a/libs/weights/src/switch_time.cpp
+++ b/libs/weights/src/switch_time.cpp
@@ -27,6 +27,10 @@
 // what it serves.
 constexpr double late_patience = 0.95;
 
+// What an engine is lost for by one switch more: what comes sooner is worth
+// waiting for.
+constexpr std::chrono::milliseconds switch_cost{1000};
+
 base::duration part_of(std::chrono::milliseconds bound, double share)
 {
     return std::chrono::duration_cast<base::duration>(bound * share);
@@ -108,8 +112,8 @@
     {
         return chosen;
     }
-    auto const missing = static_cast<int>(chunks_to_come(chosen));
-    if (missing == 0 || now + chunk_time * missing <= unmet->named + ask.bound)
+    auto const left = chunk_time * static_cast<int>(chunks_to_come(chosen));
+    if (left < switch_cost || now + left <= unmet->named + ask.bound)
     {
         return chosen;
     }
--- a/libs/weights/tests/chunk_transfer_tests.cpp
+++ b/libs/weights/tests/chunk_transfer_tests.cpp
@@ -110,8 +110,7 @@
                 }
                 if (dead.contains(source))
                 {
-                    lose(
-                        transfer, book, wanted.index, chunk_loss::failed, now);
+                    lose(transfer, book, wanted.index, chunk_loss::failed, now);
                     continue;
                 }
                 auto const& held = state.agents[source].chunks[wanted.index];
@@ -122,8 +121,7 @@
                 else
                 {
                     lose(
-                        transfer, book, wanted.index, chunk_loss::not_yet,
-                        now);
+                        transfer, book, wanted.index, chunk_loss::not_yet, now);
                 }
             }
         }
@@ -180,6 +178,32 @@
     }
 }
 
+// Engines are added while the origin is away. Each waits for others that have
+// just come, or for the origin, although their neighbours serve the version.
+TEST(chunk_transfer, whoever_comes_later_asks_those_that_serve)
+{
+    chunk_transfer state;
+    begin(state, digests(), start);
+    source_book book;
+    transfer_place const place{
+        "a", "a4", "m@2", {{"a0", "a0:1"}, {"a1", "a1:1"}, {"a2", "a2:1"}}};
+    std::map<std::string, int> asked;
+    for (auto now = start; !is_whole(state) && now < start + seconds(5);
+         now += milliseconds(20))
+    {
+        for (auto const& wanted :
+             next_asks(state, book, fleet(), place, {}, now))
+        {
+            ++asked[wanted.source.agent];
+            deliver(state, book, wanted.index, bytes_of(wanted.index), now);
+        }
+    }
+    EXPECT_TRUE(is_whole(state));
+    EXPECT_EQ(asked.size(), 3U);
+    EXPECT_EQ(asked[""], 0);
+    EXPECT_GT(asked["a0"], 10);
+}
+
 // The origin dies in the middle of a burst and is back six seconds later. The
 // fleet leaves it alone for ten more, while every engine's version is past its
 // time and all callers are refused.
--- a/libs/weights/tests/switch_time_tests.cpp
+++ b/libs/weights/tests/switch_time_tests.cpp
@@ -174,6 +174,8 @@
         return version == 2 ? 0 : 5;
     };
     EXPECT_EQ(fall_back(ask, 3, nearly, start + seconds(7)), 3U);
+    // A switch that comes a moment too late is better than two.
+    EXPECT_EQ(fall_back(ask, 3, nearly, start + milliseconds(7900)), 3U);
     auto const none = [](std::uint64_t) -> std::size_t
     {
         return 64;
