A cut answer is a crash only where the endpoint is found gone

Two lost answers made a request suspect, and what is refused is never answered and so stays suspect: everybody who asked the same was refused for minutes. Ruled out: crashes (no endpoint left the list, no agent said unreachable). Now a cut is noted and counts when the endpoint cannot be reached, its agent says so, or it leaves the list.

--- a/libs/direct/include/direct/endpoint_book.hpp
+++ b/libs/direct/include/direct/endpoint_book.hpp
@@ -10,6 +10,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 // What an entry knows of the endpoints that it sends requests to itself: what
@@ -83,6 +84,8 @@
     // request that was turned away.
     base::time_point avoid_until;
     std::uint32_t connect_faults = 0;
+    // Requests whose answers were cut before they began, with the time.
+    std::vector<std::pair<std::uint64_t, base::time_point>> cuts;
     // Left the list while the platform was not stable; kept until then.
     std::optional<base::time_point> lapses;
 };
@@ -175,6 +178,20 @@
     use_end how,
     base::time_point now);
 
+// The answer to a request was cut before it began: the request may have crashed
+// the endpoint, or only its answer was lost.
+void note_cut(
+    endpoint_book& book,
+    std::string const& id,
+    std::uint64_t request,
+    base::time_point now);
+
+// The endpoint is gone: the requests that were cut there a moment before, each
+// told once. Failure: lost answers were taken for crashes, and everybody who
+// asked the same was refused for minutes while the endpoints lived.
+std::vector<std::uint64_t>
+take_cuts(endpoint_book& book, std::string const& id, base::time_point now);
+
 // Anything came from the endpoint.
 void note_heard(
     endpoint_book& book, std::string const& id, base::time_point now);
--- a/libs/direct/src/endpoint_book.cpp
+++ b/libs/direct/src/endpoint_book.cpp
@@ -32,6 +32,10 @@
 // Own sends are kept for as long as any share of a cold limit looks back.
 constexpr std::chrono::seconds recent_time{3};
 
+// An endpoint that crashed is found gone within this time: by the next
+// connection, by its agent, or by the list, which misses three heartbeats.
+constexpr std::chrono::milliseconds cut_memory{5000};
+
 std::string_view ip_of(std::string_view address)
 {
     return address.substr(0, address.rfind(':'));
@@ -244,6 +248,47 @@
     }
 }
 
+void note_cut(
+    endpoint_book& book,
+    std::string const& id,
+    std::uint64_t request,
+    base::time_point now)
+{
+    auto const found = book.endpoints.find(id);
+    if (found == book.endpoints.end())
+    {
+        return;
+    }
+    auto& cuts = found->second.cuts;
+    std::erase_if(
+        cuts,
+        [now](auto const& cut)
+        {
+            return cut.second + cut_memory < now;
+        });
+    cuts.emplace_back(request, now);
+}
+
+std::vector<std::uint64_t>
+take_cuts(endpoint_book& book, std::string const& id, base::time_point now)
+{
+    std::vector<std::uint64_t> requests;
+    auto const found = book.endpoints.find(id);
+    if (found == book.endpoints.end())
+    {
+        return requests;
+    }
+    for (auto const& [request, at] : found->second.cuts)
+    {
+        if (at + cut_memory >= now)
+        {
+            requests.push_back(request);
+        }
+    }
+    found->second.cuts.clear();
+    return requests;
+}
+
 void note_heard(
     endpoint_book& book, std::string const& id, base::time_point now)
 {
--- a/libs/gateway/include/gateway/entry_context.hpp
+++ b/libs/gateway/include/gateway/entry_context.hpp
@@ -79,6 +79,10 @@
         boost::asio::io_context& event_loop, platform::settings given);
 };
 
+// The endpoint was found gone: what was cut there a moment before may have
+// crashed it. The other entries are told.
+void note_gone(entry_context& context, std::string const& endpoint);
+
 // Lets waiting requests of the service try again, in their order.
 void serve_waiting(entry_context& context, std::string const& service);
 
--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -1,5 +1,7 @@
 #include "call.hpp"
 
+#include "reach.hpp"
+
 #include <base/digest.hpp>
 #include <kernel/events.hpp>
 
@@ -458,32 +460,36 @@
     }
     if (!result.written)
     {
+        note_gone(*this->context, now_running.endpoint);
         this->end_attempt(direct::use_end::not_connected);
         this->after_failure(ran_state::no, "no connection");
         return;
     }
-    this->note_crash();
+    this->note_cut();
     this->end_attempt(direct::use_end::faulty);
     this->after_failure(ran, "answer was cut");
 }
 
-void call::note_crash()
+void call::note_cut()
 {
     if (this->current->events_sent > 0 || this->current->facts.head_seen)
     {
         // What crashes an endpoint does so as it begins to run.
         return;
     }
-    auto const marked = request::note_crash(
-        this->context->suspects, this->print, this->current->endpoint,
+    direct::note_cut(
+        this->context->book, this->current->endpoint, this->print,
         clock::now());
-    this->context->tell_crash(this->print, this->current->endpoint, false);
-    if (marked)
-    {
-        kernel::log_event(
-            kernel::event_id::suspect_marked,
-            {{"request", this->said.attempt}, {"fingerprint", this->print}});
-    }
+    try_reach(
+        this->context->loop, this->current->address,
+        [shared = this->context,
+         endpoint = this->current->endpoint](bool reached)
+        {
+            if (!reached)
+            {
+                note_gone(*shared, endpoint);
+            }
+        });
 }
 
 void call::end_attempt(direct::use_end how)
--- a/libs/gateway/src/call.hpp
+++ b/libs/gateway/src/call.hpp
@@ -67,7 +67,7 @@
     void on_end(std::uint64_t number, net::exchange_result const& result);
     bool is_current(std::uint64_t number) const;
     void end_attempt(direct::use_end how);
-    void note_crash();
+    void note_cut();
     void after_failure(base::ran_state ran, char const* reason);
     void answer();
     void begin_answer();
--- a/libs/gateway/src/entry_context.cpp
+++ b/libs/gateway/src/entry_context.cpp
@@ -1,6 +1,7 @@
 #include "call.hpp"
 
 #include <gateway/entry_context.hpp>
+#include <kernel/events.hpp>
 
 #include <vector>
 
@@ -16,6 +17,23 @@
     this->entry_addresses.insert(this->settings.ip);
 }
 
+void note_gone(entry_context& context, std::string const& endpoint)
+{
+    auto const now = std::chrono::steady_clock::now();
+    for (auto const print : direct::take_cuts(context.book, endpoint, now))
+    {
+        auto const marked =
+            request::note_crash(context.suspects, print, endpoint, now);
+        context.tell_crash(print, endpoint, false);
+        if (marked)
+        {
+            kernel::log_event(
+                kernel::event_id::suspect_marked,
+                {{"fingerprint", print}, {"endpoint", endpoint}});
+        }
+    }
+}
+
 void serve_waiting(entry_context& context, std::string const& service)
 {
     auto const found = context.waiting.find(service);
--- a/libs/gateway/src/entry_views.cpp
+++ b/libs/gateway/src/entry_views.cpp
@@ -171,6 +171,7 @@
     auto record = platform::read_endpoint(object.name, object.content);
     if (object.removed || !record)
     {
+        note_gone(*this->context, object.name);
         direct::remove(this->context->book, object.name, was_lost, now);
         return;
     }
--- a/libs/gateway/src/peer_link.cpp
+++ b/libs/gateway/src/peer_link.cpp
@@ -1,8 +1,7 @@
 #include "peer_link.hpp"
 
-#include <proto/foxtailvale.pb.h>
-
 #include <direct/endpoint_book.hpp>
+#include <proto/foxtailvale.pb.h>
 
 namespace foxtailvale::gateway
 {
@@ -120,9 +119,13 @@
     if (message.has_engine_state())
     {
         auto const& state = message.engine_state();
+        auto const ip = source.address().to_string();
         direct::note_report(
-            this->context->book, source.address().to_string(),
-            read_state(state, now), now);
+            this->context->book, ip, read_state(state, now), now);
+        if (state.unreachable())
+        {
+            this->note_gone_at(ip);
+        }
         for (auto const& entry : state.entries())
         {
             this->context->entry_addresses.insert(entry);
@@ -151,6 +154,22 @@
     }
 }
 
+void peer_link::note_gone_at(std::string const& ip)
+{
+    std::vector<std::string> gone;
+    for (auto const& [id, state] : this->context->book.endpoints)
+    {
+        if (state.listed.address.starts_with(ip + ":"))
+        {
+            gone.push_back(id);
+        }
+    }
+    for (auto const& id : gone)
+    {
+        note_gone(*this->context, id);
+    }
+}
+
 void peer_link::tell_crash(
     request::fingerprint print, std::string const& endpoint, bool answered)
 {
--- a/libs/gateway/src/peer_link.hpp
+++ b/libs/gateway/src/peer_link.hpp
@@ -26,6 +26,8 @@
 private:
     // Agents run beside engines only.
     bool has_agent(std::string const& service) const;
+    // The agent at the address cannot reach its engine.
+    void note_gone_at(std::string const& ip);
     void receive(net::udp_endpoint const& source, std::string_view bytes);
     void tell_crash(
         request::fingerprint print, std::string const& endpoint, bool answered);
--- a/libs/gateway/tests/entry_rig.cpp
+++ b/libs/gateway/tests/entry_rig.cpp
@@ -4,8 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <test_address.hpp>
 
-#include <cstdio>
-#include <fstream>
+#include <algorithm>
 
 namespace foxtailvale::gateway
 {
@@ -216,6 +215,21 @@
     EXPECT_FALSE(this->server->listen(address));
 }
 
+void endpoint_standin::crash_if_owner(net::server_session const& session)
+{
+    auto const own = std::ranges::any_of(
+        this->sessions,
+        [&session](std::shared_ptr<net::server_session> const& entry)
+        {
+            return entry.get() == &session;
+        });
+    if (own)
+    {
+        this->crashed = true;
+        this->server->stop();
+    }
+}
+
 entry_rig::entry_rig() : ip(testing::own_address()), next_port(21000)
 {
     this->store =
--- a/libs/gateway/tests/entry_rig.hpp
+++ b/libs/gateway/tests/entry_rig.hpp
@@ -78,8 +78,13 @@
         net::tcp_endpoint address,
         answer chosen);
 
+    // Ends the process that this stands for, if the session is one of its own:
+    // all connections break and nobody listens any more.
+    void crash_if_owner(net::server_session const& session);
+
     std::vector<net::request> received;
     std::size_t gone = 0;
+    bool crashed = false;
 
 private:
     std::shared_ptr<net::http_server> server;
--- a/libs/gateway/tests/entry_tests.cpp
+++ b/libs/gateway/tests/entry_tests.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 namespace foxtailvale::gateway
 {
 
@@ -286,6 +288,71 @@
     EXPECT_EQ(rig.ask_and_wait("/look/x", "a2", "k2").status, 401U);
 }
 
+// Two answers to a lookup are lost on the way, and the endpoints live. Taken
+// for the request that crashed them, the lookup is refused for minutes to
+// everybody who asks the same.
+TEST(entry, lost_answers_do_not_make_a_request_suspect)
+{
+    entry_rig rig;
+    auto lost = 2;
+    auto const loses_two =
+        [&lost](net::server_session& session, net::request const& asked)
+    {
+        if (lost-- > 0)
+        {
+            session.abort();
+            return;
+        }
+        answer_whole(session, asked);
+    };
+    rig.add_endpoint("i-1", "plain", loses_two);
+    rig.add_endpoint("i-2", "plain", loses_two);
+    rig.start();
+    EXPECT_EQ(rig.ask_and_wait("/look/x", "a1").status, 502U);
+    EXPECT_EQ(rig.ask_and_wait("/look/x", "a2").status, 200U);
+}
+
+// One request takes down every endpoint that begins to run it, and its caller
+// sends it again and again.
+TEST(entry, a_request_that_crashes_endpoints_is_refused)
+{
+    entry_rig rig;
+    std::vector<endpoint_standin*> endpoints;
+    auto const crash =
+        [&endpoints](net::server_session& session, net::request const& asked)
+    {
+        if (asked.target != "/look/deadly")
+        {
+            answer_whole(session, asked);
+            return;
+        }
+        for (auto* endpoint : endpoints)
+        {
+            endpoint->crash_if_owner(session);
+        }
+    };
+    for (auto number = 1; number <= 5; ++number)
+    {
+        endpoints.push_back(
+            &rig.add_endpoint("i-" + std::to_string(number), "plain", crash));
+    }
+    rig.start();
+    for (auto number = 0; number < 12; ++number)
+    {
+        rig.ask_and_wait("/look/deadly", "d" + std::to_string(number));
+        rig.ask_and_wait("/look/x", "x" + std::to_string(number));
+    }
+    auto const crashed = std::ranges::count_if(
+        endpoints,
+        [](endpoint_standin const* endpoint)
+        {
+            return endpoint->crashed;
+        });
+    EXPECT_GE(crashed, 2);
+    EXPECT_LE(crashed, 3);
+    EXPECT_EQ(rig.ask_and_wait("/look/x", "last").status, 200U);
+}
+
 // The store falls silent. For as long as a key may be used the entry serves;
 // then it says "not run" and is not ready.
 TEST(entry, a_lost_store_ends_the_use_of_keys)
