Draws from the origin do not wait for other chunks; agents say what they hold

Each importer's questions to others filled its window, so the chunks that it alone was to draw came last. Ruled out: chunks lost with agents that were replaced (what each missed was written out second by second: 55 and 61 everywhere).

--- a/daemons/agent/main.cpp
+++ b/daemons/agent/main.cpp
@@ -1,9 +1,9 @@
+#include <gateway/agent_process.hpp>
 #include <kernel/events.hpp>
 #include <node/agent_node.hpp>
 #include <release/settings.hpp>
 
 #include <cli/daemon_options.hpp>
-#include <gateway/agent_process.hpp>
 
 int main(int count, char** words)
 {
--- a/daemons/entry/main.cpp
+++ b/daemons/entry/main.cpp
@@ -1,9 +1,9 @@
+#include <gateway/entry_process.hpp>
 #include <kernel/events.hpp>
 #include <node/entry_node.hpp>
 #include <release/settings.hpp>
 
 #include <cli/daemon_options.hpp>
-#include <gateway/entry_process.hpp>
 
 int main(int count, char** words)
 {
--- a/libs/direct/include/direct/repeat.hpp
+++ b/libs/direct/include/direct/repeat.hpp
@@ -2,7 +2,6 @@
 #define FOXTAILVALE_DIRECT_REPEAT_HPP
 
 #include <base/error.hpp>
-
 #include <routing/configuration.hpp>
 
 // May it be sent again, and what may be said to the caller: the two decisions
--- a/libs/direct/include/direct/shares.hpp
+++ b/libs/direct/include/direct/shares.hpp
@@ -40,10 +40,10 @@
 };
 
 // Whether this entry sends to the endpoint at all. Where there are more entries
-// than a cold endpoint bears requests a second, each sending a single one is too
-// much: as many entries as it bears send there, others to other endpoints. Which
-// they are follows from the names alone, the same for all that know the same
-// entries.
+// than a cold endpoint bears requests a second, each sending a single one is
+// too much: as many entries as it bears send there, others to other endpoints.
+// Which they are follows from the names alone, the same for all that know the
+// same entries.
 bool has_part(
     std::set<std::string> const& entries,
     std::string const& own,
--- a/libs/direct/tests/shares_tests.cpp
+++ b/libs/direct/tests/shares_tests.cpp
@@ -19,8 +19,7 @@
 cold_bound const engines{54, 5};
 
 // Most sends in any second when this many entries send whenever they may.
-std::size_t
-most_in_a_second(std::size_t entries, cold_bound const& bound)
+std::size_t most_in_a_second(std::size_t entries, cold_bound const& bound)
 {
     std::set<std::string> names;
     for (std::size_t entry = 0; entry < entries; ++entry)
--- a/libs/gateway/include/gateway/store_watch.hpp
+++ b/libs/gateway/include/gateway/store_watch.hpp
@@ -4,11 +4,11 @@
 #include <base/boot_clock.hpp>
 #include <base/ids.hpp>
 #include <base/random.hpp>
-
-#include <boost/asio/steady_timer.hpp>
 #include <net/client_connection.hpp>
 #include <platform/objects.hpp>
 
+#include <boost/asio/steady_timer.hpp>
+
 #include <chrono>
 #include <functional>
 #include <memory>
--- a/libs/gateway/src/version_fetch.cpp
+++ b/libs/gateway/src/version_fetch.cpp
@@ -205,6 +205,12 @@
                 self->fetch_ready();
                 return;
             }
+            if (response && response->status == weights_not_yet)
+            {
+                weights::note_holdings(
+                    self->context->versions[asked.version].transfer,
+                    asked.wanted.source, std::move(response->body));
+            }
             self->lose(asked, response ? response->status : 0);
         });
 }
--- a/libs/gateway/src/weights_door.cpp
+++ b/libs/gateway/src/weights_door.cpp
@@ -210,6 +210,14 @@
         static_cast<double>(bytes.size()));
 }
 
+std::string weights_door::holdings(std::uint64_t version) const
+{
+    auto const found = this->context->versions.find(version);
+    return found == this->context->versions.end()
+               ? std::string()
+               : weights::holdings_of(found->second.transfer);
+}
+
 void weights_door::serve_waiting()
 {
     auto const now = clock::now();
@@ -230,7 +238,8 @@
         if (asked.until <= now)
         {
             place = this->waiting.erase(place);
-            asked.session->respond(weights_not_yet, {}, {});
+            asked.session->respond(
+                weights_not_yet, {}, this->holdings(asked.version));
             continue;
         }
         ++place;
--- a/libs/gateway/src/weights_door.hpp
+++ b/libs/gateway/src/weights_door.hpp
@@ -80,6 +80,7 @@
         net::request const& asked);
     bool can_answer(asked_part const& asked) const;
     void answer(asked_part const& asked);
+    std::string holdings(std::uint64_t version) const;
     void pace(std::size_t bytes, base::time_point now);
 
     std::shared_ptr<agent_context> context;
--- a/libs/net/include/net/client_connection.hpp
+++ b/libs/net/include/net/client_connection.hpp
@@ -1,9 +1,10 @@
 #ifndef FOXTAILVALE_NET_CLIENT_CONNECTION_HPP
 #define FOXTAILVALE_NET_CLIENT_CONNECTION_HPP
 
+#include <net/message.hpp>
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <net/message.hpp>
 
 #include <array>
 #include <chrono>
--- a/libs/net/src/client_connection.cpp
+++ b/libs/net/src/client_connection.cpp
@@ -1,9 +1,10 @@
 #include "response_reader.hpp"
 
+#include <net/client_connection.hpp>
+
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
-#include <net/client_connection.hpp>
 
 #include <charconv>
 
--- a/libs/net/src/datagram_socket.cpp
+++ b/libs/net/src/datagram_socket.cpp
@@ -1,6 +1,7 @@
-#include <boost/asio/buffer.hpp>
 #include <net/datagram_socket.hpp>
 
+#include <boost/asio/buffer.hpp>
+
 #include <utility>
 
 namespace foxtailvale::net
--- a/libs/net/src/message.cpp
+++ b/libs/net/src/message.cpp
@@ -1,6 +1,7 @@
-#include <boost/beast/http/status.hpp>
 #include <net/message.hpp>
 
+#include <boost/beast/http/status.hpp>
+
 #include <algorithm>
 #include <array>
 #include <cctype>
--- a/libs/net/src/response_reader.hpp
+++ b/libs/net/src/response_reader.hpp
@@ -1,9 +1,10 @@
 #ifndef FOXTAILVALE_NET_RESPONSE_READER_HPP
 #define FOXTAILVALE_NET_RESPONSE_READER_HPP
 
-#include <boost/beast/http/basic_parser.hpp>
 #include <net/message.hpp>
 
+#include <boost/beast/http/basic_parser.hpp>
+
 #include <functional>
 #include <utility>
 
--- a/libs/net/tests/exchange_tests.cpp
+++ b/libs/net/tests/exchange_tests.cpp
@@ -1,8 +1,9 @@
-#include <boost/asio/write.hpp>
-#include <gtest/gtest.h>
 #include <net/client_connection.hpp>
 #include <net/http_server.hpp>
 
+#include <boost/asio/write.hpp>
+#include <gtest/gtest.h>
+
 namespace foxtailvale::net
 {
 
--- a/libs/routing/include/routing/routes.hpp
+++ b/libs/routing/include/routing/routes.hpp
@@ -2,7 +2,6 @@
 #define FOXTAILVALE_ROUTING_ROUTES_HPP
 
 #include <base/error.hpp>
-
 #include <routing/configuration.hpp>
 
 #include <chrono>
--- a/libs/routing/src/routes.cpp
+++ b/libs/routing/src/routes.cpp
@@ -1,5 +1,4 @@
 #include <base/digest.hpp>
-
 #include <routing/routes.hpp>
 
 #include <algorithm>
--- a/libs/routing/tests/routes_tests.cpp
+++ b/libs/routing/tests/routes_tests.cpp
@@ -38,8 +38,7 @@
 milliseconds const fresh{100};
 milliseconds const old{4000};
 
-error_kind
-refusal_of(configuration const* current, admission_ask const& ask)
+error_kind refusal_of(configuration const* current, admission_ask const& ask)
 {
     auto const permitted = permit(current, ask, {});
     return permitted.has_error() ? permitted.error().kind
--- a/libs/weights/include/weights/chunk_transfer.hpp
+++ b/libs/weights/include/weights/chunk_transfer.hpp
@@ -33,6 +33,9 @@
     std::uint32_t held = 0;
     base::time_point begun;
     std::map<std::uint32_t, chunk_pending> pending;
+    // What other agents said they hold: by agent, one character a chunk, '1'
+    // where they hold it.
+    std::map<std::string, std::pair<chunk_source, std::string>> holdings;
     // Agents that said that they do not have a chunk, until when that counts.
     std::map<std::pair<std::uint32_t, std::string>, base::time_point> declined;
 };
@@ -57,6 +60,8 @@
 // send one chunk after the other, so asking early fills no link.
 struct transfer_limits
 {
+    // Questions to other agents. Draws from the origin do not count: a chunk
+    // that nobody has drawn yet holds up all agents, not this one alone.
     std::size_t total = 24;
     std::size_t per_agent = 8;
     // Draws from the origin; its connections are few and its bytes dear.
@@ -84,6 +89,16 @@
 
 bool is_whole(chunk_transfer const& state);
 
+// What this agent holds, in the form of `holdings`.
+std::string holdings_of(chunk_transfer const& state);
+
+// Another agent said what it holds. Failure: agents end in the middle of a
+// burst and the trees change; a chunk that some hold is asked of those before
+// in its tree, who wait for it themselves, and nobody asks the ones that have
+// it.
+void note_holdings(
+    chunk_transfer& state, chunk_source const& agent, std::string holdings);
+
 // Chunks to ask for now, each noted as pending.
 std::vector<chunk_ask> next_asks(
     chunk_transfer& state,
--- a/libs/weights/src/chunk_transfer.cpp
+++ b/libs/weights/src/chunk_transfer.cpp
@@ -14,6 +14,10 @@
 // How long "I do not have it" counts; a chunk travels a hop in a fraction.
 constexpr std::chrono::milliseconds declined_time{600};
 
+// How long an agent that waits itself is passed over: long enough for all that
+// stand before it in a tree to be asked by turns.
+constexpr std::chrono::milliseconds waiting_time{2000};
+
 // How long an agent waits for those before it while they answer but have
 // nothing, before it draws from the origin itself. Failure: the importer is cut
 // off from the origin and alive otherwise, and its whole tree waits for it. A
@@ -75,6 +79,31 @@
            std::ranges::any_of(sources.outside, answers);
 }
 
+// Agents that said that they hold the chunk, in an order of its own for each
+// chunk so that they are asked by turns.
+std::vector<chunk_source> known_holders(
+    chunk_transfer const& state, std::uint32_t index, source_view const& view)
+{
+    std::vector<chunk_source> found;
+    for (auto const& [agent, said] : state.holdings)
+    {
+        auto const& [source, holdings] = said;
+        if (index < holdings.size() && holdings[index] == '1' &&
+            view.is_usable(agent))
+        {
+            found.push_back(source);
+        }
+    }
+    if (!found.empty())
+    {
+        auto const first = index % found.size();
+        std::rotate(
+            found.begin(), found.begin() + static_cast<std::ptrdiff_t>(first),
+            found.end());
+    }
+    return found;
+}
+
 // The usable holder with the fewest chunks asked for, taken in another order
 // for each chunk and agent.
 std::optional<chunk_source> free_holder(
@@ -142,6 +171,22 @@
     }
 }
 
+std::string holdings_of(chunk_transfer const& state)
+{
+    std::string text;
+    for (auto const& chunk : state.chunks)
+    {
+        text.push_back(chunk ? '1' : '0');
+    }
+    return text;
+}
+
+void note_holdings(
+    chunk_transfer& state, chunk_source const& agent, std::string holdings)
+{
+    state.holdings[agent.agent] = {agent, std::move(holdings)};
+}
+
 bool is_whole(chunk_transfer const& state)
 {
     return !state.digests.empty() && state.held == state.digests.size();
@@ -159,10 +204,6 @@
     auto const origin_usable = is_usable(book, {}, now);
     for (std::uint32_t index = 0; index < state.digests.size(); ++index)
     {
-        if (state.pending.size() >= limits.total)
-        {
-            break;
-        }
         if (state.chunks[index] || state.pending.contains(index))
         {
             continue;
@@ -175,7 +216,8 @@
             return is_usable(book, agent, now) &&
                    !has_declined(state, index, agent, now);
         };
-        if (!origin_usable)
+        view.known_holders = known_holders(state, index, view);
+        if (!origin_usable && view.known_holders.empty())
         {
             for (auto const& other : others(plans, place))
             {
@@ -197,7 +239,10 @@
         auto const in_turn =
             now >= state.begun + index * limits.origin_interval;
         auto const usable = !source.agent.empty() || (origin_usable && in_turn);
-        if (!usable || !has_room_at(state, source.agent, limits))
+        auto const is_full =
+            !source.agent.empty() &&
+            state.pending.size() - pending_at(state, {}) >= limits.total;
+        if (!usable || is_full || !has_room_at(state, source.agent, limits))
         {
             continue;
         }
@@ -274,7 +319,7 @@
         // link: the ones before it in the tree may have the chunk already.
         if (now > state.begun + usual_time)
         {
-            state.declined[{index, agent}] = now + declined_time;
+            state.declined[{index, agent}] = now + waiting_time;
         }
         note_heard(book, agent, now);
         break;
--- a/libs/weights/src/source_book.cpp
+++ b/libs/weights/src/source_book.cpp
@@ -125,8 +125,7 @@
     record.unreachable = false;
 }
 
-void hold_off(
-    source_book& book, std::string const& agent, base::time_point now)
+void hold_off(source_book& book, std::string const& agent, base::time_point now)
 {
     auto& record = book.sources[agent];
     if (record.avoid_until > now)
--- a/libs/weights/tests/chunk_transfer_tests.cpp
+++ b/libs/weights/tests/chunk_transfer_tests.cpp
@@ -204,6 +204,36 @@
     EXPECT_GT(asked["a0"], 10);
 }
 
+// The importer of a chunk ends in the middle of a burst, the origin dies, and
+// one agent that stands behind has the chunk. Everybody asks those before.
+TEST(chunk_transfer, a_chunk_is_found_at_whoever_holds_it)
+{
+    chunk_transfer state;
+    begin(state, digests(), start);
+    source_book book;
+    transfer_place const place{"a", "a2", "m@2", {}};
+    note_holdings(state, {"c3", "c3:1"}, std::string(chunk_count, '1'));
+    auto now = start;
+    for (; !is_whole(state) && now < start + seconds(60);
+         now += milliseconds(50))
+    {
+        for (auto const& wanted :
+             next_asks(state, book, fleet(), place, {}, now))
+        {
+            auto const& source = wanted.source.agent;
+            if (source == "c3")
+            {
+                deliver(state, book, wanted.index, bytes_of(wanted.index), now);
+                continue;
+            }
+            lose(
+                state, book, wanted.index,
+                source.empty() ? chunk_loss::failed : chunk_loss::not_yet, now);
+        }
+    }
+    EXPECT_LE(now, start + seconds(4));
+}
+
 // The origin dies in the middle of a burst and is back six seconds later. The
 // fleet leaves it alone for ten more, while every engine's version is past its
 // time and all callers are refused.
@@ -255,6 +285,33 @@
     EXPECT_EQ(state.held, 0U);
 }
 
+// An importer's questions to others fill its window, and the chunks that it
+// alone is to draw come last. The origin dies before, and the whole fleet
+// misses two.
+TEST(chunk_transfer, draws_from_the_origin_do_not_wait_for_other_chunks)
+{
+    chunk_transfer state;
+    begin(state, digests(), start);
+    source_book book;
+    std::uint32_t drawn = 0;
+    for (auto now = start; now < start + milliseconds(1000);
+         now += milliseconds(20))
+    {
+        for (auto const& wanted :
+             next_asks(state, book, fleet(), {"a", "a1", "m@2", {}}, {}, now))
+        {
+            // Others never answer in this time.
+            if (wanted.source.agent.empty())
+            {
+                ++drawn;
+                deliver(state, book, wanted.index, bytes_of(wanted.index), now);
+            }
+        }
+    }
+    // Its part of 64 chunks among fifteen agents.
+    EXPECT_GE(drawn, 4U);
+}
+
 // All agents ask a slow origin for all chunks at once. They all end at the
 // same late time, and nobody has anything to hand on before.
 TEST(chunk_transfer, the_origin_is_asked_at_the_rate_of_its_link)
