--- a/libs/gateway/src/entry.hpp
+++ b/libs/gateway/include/gateway/entry.hpp
@@ -1,11 +1,10 @@
 #ifndef FOXTAILVALE_GATEWAY_ENTRY_HPP
 #define FOXTAILVALE_GATEWAY_ENTRY_HPP
 
-#include "entry_views.hpp"
-#include "peer_link.hpp"
-#include "settings_file.hpp"
-
 #include <gateway/entry_context.hpp>
+#include <gateway/entry_views.hpp>
+#include <gateway/peer_link.hpp>
+#include <gateway/settings_file.hpp>
 #include <net/http_server.hpp>
 
 #include <boost/asio/signal_set.hpp>
--- a/libs/gateway/src/agent_process.cpp
+++ b/libs/gateway/src/agent_process.cpp
@@ -1,13 +1,13 @@
 #include "agent_context.hpp"
 #include "engine_switch.hpp"
 #include "fetch.hpp"
-#include "metrics_door.hpp"
-#include "settings_file.hpp"
+#include "run_process.hpp"
 #include "store_list.hpp"
 #include "version_fetch.hpp"
 #include "weights_door.hpp"
 
 #include <gateway/agent_process.hpp>
+#include <gateway/settings_file.hpp>
 #include <gateway/store_watch.hpp>
 #include <kernel/events.hpp>
 #include <net/datagram_socket.hpp>
@@ -600,32 +600,7 @@
 
 int run_agent(std::string const& settings_path)
 {
-    settings_file file(settings_path);
-    auto const settings = file.read();
-    if (settings.has_error())
-    {
-        kernel::start_logging(
-            "foxtailvale-agent", "info", kernel::log_target::standard_output);
-        kernel::log_error(settings.error(), {{"path", settings_path}});
-        return 2;
-    }
-    kernel::start_logging(
-        settings.value().name, "info", kernel::log_target::standard_output);
-    boost::asio::io_context loop(1);
-    auto const process =
-        std::make_shared<agent_process>(loop, file, settings.value());
-    if (auto const fault = process->start())
-    {
-        kernel::log_error({base::error_kind::bad_settings, *fault});
-        return 1;
-    }
-    auto const shown =
-        open_metrics_door(loop, settings.value().ip, process->counters());
-    kernel::log_event(
-        kernel::event_id::process_started,
-        {{"engine", settings.value().engine_address}});
-    loop.run();
-    return 0;
+    return run_process<agent_process>(settings_path, "foxtailvale-agent");
 }
 
 } // namespace foxtailvale::gateway
--- a/libs/gateway/src/entry.cpp
+++ b/libs/gateway/src/entry.cpp
@@ -1,7 +1,6 @@
-#include "entry.hpp"
-
 #include "call.hpp"
 
+#include <gateway/entry.hpp>
 #include <kernel/events.hpp>
 #include <platform/requests.hpp>
 
--- a/libs/gateway/src/entry_views.cpp
+++ b/libs/gateway/src/entry_views.cpp
@@ -1,5 +1,4 @@
-#include "entry_views.hpp"
-
+#include <gateway/entry_views.hpp>
 #include <kernel/events.hpp>
 
 namespace foxtailvale::gateway
--- a/libs/gateway/src/peer_link.cpp
+++ b/libs/gateway/src/peer_link.cpp
@@ -1,6 +1,5 @@
-#include "peer_link.hpp"
-
 #include <direct/endpoint_book.hpp>
+#include <gateway/peer_link.hpp>
 #include <proto/foxtailvale.pb.h>
 
 namespace foxtailvale::gateway
--- /dev/null
+++ b/libs/gateway/src/run_process.hpp
@@ -0,0 +1,60 @@
+#ifndef FOXTAILVALE_GATEWAY_RUN_PROCESS_HPP
+#define FOXTAILVALE_GATEWAY_RUN_PROCESS_HPP
+
+#include "metrics_door.hpp"
+
+#include <gateway/settings_file.hpp>
+#include <kernel/events.hpp>
+
+#include <boost/asio/io_context.hpp>
+
+#include <memory>
+#include <string>
+#include <utility>
+
+namespace foxtailvale::gateway
+{
+
+// Exit codes, as for all programs.
+inline constexpr int exit_done = 0;
+inline constexpr int exit_failed = 1;
+inline constexpr int exit_bad_settings = 2;
+
+// Runs a process of the given kind on one loop until it is stopped: reads its
+// settings, begins its log, starts it and shows its metrics. Returns the exit
+// code.
+template <class Process>
+int run_process(std::string const& settings_path, char const* program)
+{
+    settings_file file(settings_path);
+    auto const settings = file.read();
+    auto const name =
+        settings.has_value() ? settings.value().name : std::string(program);
+    kernel::start_logging(name, "info", kernel::log_target::standard_output);
+    if (settings.has_error())
+    {
+        kernel::log_error(settings.error(), {{"path", settings_path}});
+        return exit_bad_settings;
+    }
+    boost::asio::io_context loop(1);
+    auto const process =
+        std::make_shared<Process>(loop, file, settings.value());
+    if (auto const fault = process->start())
+    {
+        kernel::log_error({base::error_kind::bad_settings, *fault});
+        return exit_failed;
+    }
+    auto const shown =
+        open_metrics_door(loop, settings.value().ip, process->counters());
+    kernel::log_event(
+        kernel::event_id::process_started,
+        {{"program", program},
+         {"callers", settings.value().caller_address},
+         {"engine", settings.value().engine_address}});
+    loop.run();
+    return exit_done;
+}
+
+} // namespace foxtailvale::gateway
+
+#endif
--- a/libs/gateway/src/settings_file.cpp
+++ b/libs/gateway/src/settings_file.cpp
@@ -1,5 +1,4 @@
-#include "settings_file.hpp"
-
+#include <gateway/settings_file.hpp>
 #include <kernel/events.hpp>
 
 #include <fstream>
