--- a/libs/gateway/include/gateway/entry_views.hpp
+++ b/libs/gateway/include/gateway/entry_views.hpp
@@ -26,7 +26,7 @@
     std::function<void()> on_versions;
 
 private:
-    std::shared_ptr<store_watch> watch(
+    void watch(
         platform::object_kind kind,
         std::chrono::milliseconds wait,
         watch_handlers handlers);
--- a/libs/gateway/src/connection_pool.cpp
+++ b/libs/gateway/src/connection_pool.cpp
@@ -38,7 +38,7 @@
     auto& line = this->kept[address];
     while (!line.empty())
     {
-        auto const connection = line.back();
+        auto connection = line.back();
         line.pop_back();
         auto const limit = std::min(longest, limit_of(*connection));
         if (connection->is_open() && connection->is_idle() &&
--- a/libs/gateway/src/entry_views.cpp
+++ b/libs/gateway/src/entry_views.cpp
@@ -48,7 +48,7 @@
     return this->endpoints_known;
 }
 
-std::shared_ptr<store_watch> entry_views::watch(
+void entry_views::watch(
     platform::object_kind kind, milliseconds wait, watch_handlers handlers)
 {
     auto const store =
@@ -64,7 +64,6 @@
         this->context->loop, chosen, std::move(handlers));
     this->watches.push_back(made);
     made->start();
-    return made;
 }
 
 std::function<void(bool, std::string const&)>
--- a/libs/weights/tests/switch_time_tests.cpp
+++ b/libs/weights/tests/switch_time_tests.cpp
@@ -93,7 +93,7 @@
 // the chunks are there, and for two seconds nobody is served.
 TEST(switch_time, engines_take_turns_within_the_bound)
 {
-    for (std::size_t const count : {1, 3, 14, 52})
+    for (std::size_t const count : {1UL, 3UL, 14UL, 52UL})
     {
         auto const result = run(count, {{2, start}});
         for (auto const& own : result.engines)
@@ -113,7 +113,7 @@
 // goes through both, each is lost twice and the rest cannot carry the traffic.
 TEST(switch_time, half_of_the_engines_skip_a_version_that_another_follows)
 {
-    for (std::size_t const count : {4, 14, 52})
+    for (std::size_t const count : {4UL, 14UL, 52UL})
     {
         auto const result = run(count, {{2, start}, {3, start + seconds(4)}});
         std::size_t switches = 0;
@@ -188,7 +188,7 @@
 TEST(switch_time, streams_are_cut_only_while_others_keep_the_version)
 {
     std::vector<named_target> const named{{2, start}};
-    for (std::size_t const count : {1, 2, 3, 4, 14})
+    for (std::size_t const count : {1UL, 2UL, 3UL, 4UL, 14UL})
     {
         auto last = start;
         for (std::size_t rank = 0; rank < count; ++rank)
