An attempt is a type of its own

Cause: clang cannot construct an optional of a nested type before its enclosing class is complete; the linter stopped there.

--- a/libs/gateway/src/call.hpp
+++ b/libs/gateway/src/call.hpp
@@ -17,6 +17,24 @@
 namespace foxtailvale::gateway
 {
 
+// One attempt of a request at an endpoint.
+struct endpoint_attempt
+{
+    std::string endpoint;
+    std::string address;
+    std::shared_ptr<net::client_connection> connection;
+    direct::attempt_facts facts;
+    net::response_head head;
+    platform::endpoint_head said;
+    std::string body;
+    event_splitter events;
+    bool is_stream = false;
+    // Events of this attempt that were passed on.
+    std::uint32_t events_sent = 0;
+    base::time_point begun;
+    base::time_point last_byte;
+};
+
 // One request of a caller on its way through the entry: admitted, placed or
 // waiting, sent to an endpoint, answered. Alive while it waits, runs or its
 // timer is set.
@@ -34,24 +52,6 @@
     bool try_waiting();
 
 private:
-    // One attempt at an endpoint.
-    struct attempt
-    {
-        std::string endpoint;
-        std::string address;
-        std::shared_ptr<net::client_connection> connection;
-        direct::attempt_facts facts;
-        net::response_head head;
-        platform::endpoint_head said;
-        std::string body;
-        event_splitter events;
-        bool is_stream = false;
-        // Events of this attempt that were passed on.
-        std::uint32_t events_sent = 0;
-        base::time_point begun;
-        base::time_point last_byte;
-    };
-
     bool admit();
     bool has_returned(std::chrono::milliseconds goal);
     bool has_line() const;
@@ -107,7 +107,7 @@
     bool done = false;
     // The endpoint that it was sent to last.
     std::string last_endpoint;
-    std::optional<attempt> current;
+    std::optional<endpoint_attempt> current;
     std::uint64_t attempt_number = 0;
     std::set<std::string> tried;
     std::uint32_t sends = 0;
