--- a/libs/gateway/src/metrics_door.cpp
+++ b/libs/gateway/src/metrics_door.cpp
@@ -29,7 +29,7 @@
     {
         session.abort();
     };
-    auto const server = std::make_shared<net::http_server>(
+    auto server = std::make_shared<net::http_server>(
         loop, net::server_limits{}, std::move(handlers));
     boost::system::error_code error;
     auto const address = boost::asio::ip::make_address(ip, error);
--- a/libs/kernel/src/nonblocking_appender.cpp
+++ b/libs/kernel/src/nonblocking_appender.cpp
@@ -88,7 +88,7 @@
 log4cxx::AppenderPtr
 make_nonblocking_appender(int descriptor, log4cxx::LayoutPtr layout)
 {
-    auto const made = std::make_shared<nonblocking_appender>(descriptor);
+    auto made = std::make_shared<nonblocking_appender>(descriptor);
     made->setLayout(std::move(layout));
     return made;
 }
