Squeezed links do not hold the places of an agent that is filled

Cause: an agent has three chunks on their way at a time. Where one machine in five has a squeezed link, all three places were soon taken by chunks from such machines, for two seconds and more each; and a dozen agents that were told yes by one sender waited for each other and took that for a squeezed link. A slow chunk no longer counts as one of the three while chunks come fast from others, its source is avoided at once, and an agent promises only what it sends within a tenth of a second. Before the list of the other agents has come, nobody asks the origin for the manifest. Ruled out: avoidance that doubles (each good chunk ends it); too few holders (14 and 17 a domain serve).

--- a/libs/gateway/src/version_fetch.cpp
+++ b/libs/gateway/src/version_fetch.cpp
@@ -21,15 +21,6 @@
 constexpr milliseconds chunk_limit{2500};
 constexpr milliseconds question_limit{1500};
 
-// Chunks that are on their way here from other agents at one time. Three fill
-// the link without a pause between them, and a request to the engine waits
-// behind them for 100 ms at most on a link of 7.6 Mbit/s.
-constexpr std::size_t most_fetching = 3;
-
-// A chunk that takes longer than this has met a squeezed link.
-constexpr milliseconds slow_chunk{250};
-// How long a fast chunk from elsewhere shows that the own link is sound.
-constexpr milliseconds fast_memory{2000};
 constexpr milliseconds manifest_limit{800};
 // Another agent keeps the question for half a second while it waits for the
 // manifest itself; one that does not answer then is gone, and the next is
@@ -37,6 +28,9 @@
 constexpr milliseconds peer_manifest_limit{700};
 constexpr milliseconds again_soon{100};
 
+// The list of the other agents comes within a tenth of a second, if at all.
+constexpr milliseconds list_patience{1000};
+
 // Drawers of the own failure domain are asked this often before any other.
 constexpr std::uint32_t peer_tries = 4;
 
@@ -82,6 +76,12 @@
     auto const& own = state.settings.ip;
     auto const schedule = draws_of(state, version);
     auto const begun = held.wanted.value_or(clock::now());
+    // Failure: all machines lose power, and every agent asks the origin before
+    // the list of the others has come.
+    if (state.fleet.empty() && clock::now() < begun + list_patience)
+    {
+        return std::nullopt;
+    }
     auto const may_draw =
         weights::may_ask_for_manifest(schedule, own, begun, clock::now());
     auto const found = state.fleet.find(state.settings.failure_domain);
@@ -121,7 +121,7 @@
     auto const source = this->manifest_source(held, version);
     if (!source)
     {
-        ++held.manifest_tries;
+        held.manifest_tries += state.fleet.empty() ? 0 : 1;
         held.manifest_again = clock::now() + again_soon;
         return;
     }
@@ -224,6 +224,7 @@
 {
     auto& state = *this->context;
     auto& held = state.versions[version];
+    this->fetch_ready();
     this->tell_waiting(version);
     auto const label = state.model + "@" + std::to_string(version);
     weights::transfer_place const place{
@@ -272,8 +273,11 @@
 void version_fetch::fetch_ready()
 {
     auto const now = clock::now();
-    while (!this->ready.empty() && this->fetching < most_fetching &&
-           now >= this->next_fetch)
+    for (auto const& agent : weights::squeezed_sources(this->line, now))
+    {
+        weights::strike(this->context->sources, agent, now);
+    }
+    while (!this->ready.empty() && weights::may_fetch(this->line, now))
     {
         auto const next = this->ready.front();
         this->ready.pop_front();
@@ -281,12 +285,11 @@
         {
             continue;
         }
-        ++this->fetching;
         this->fetch_chunk(next);
     }
-    if (!this->ready.empty() && now < this->next_fetch)
+    if (!this->ready.empty() && now < this->line.not_before)
     {
-        this->timer.expires_at(this->next_fetch);
+        this->timer.expires_at(this->line.not_before);
         this->timer.async_wait(
             [self = this->shared_from_this()](boost::system::error_code error)
             {
@@ -321,7 +324,10 @@
     auto const request =
         from_origin ? platform::chunk_request(state.model, next.version, index)
                     : peer_chunk_request(state.model, next.version, index);
-    auto const begun = clock::now();
+    auto const number =
+        from_origin ? 0
+                    : weights::begin_fetch(
+                          this->line, next.wanted.source.agent, clock::now());
     auto const limit = from_origin
                            ? weights::draw_limit(
                                  draws_of(state, next.version),
@@ -329,15 +335,10 @@
                            : chunk_limit;
     fetch(
         state.loop, state.pool, address, request, limit,
-        [self = this->shared_from_this(), next, from_origin,
-         begun](std::optional<fetched> response)
+        [self = this->shared_from_this(), next,
+         number](std::optional<fetched> response)
         {
-            if (!from_origin)
-            {
-                self->fetching -= 1;
-                auto const now = clock::now();
-                self->judge_speed(next.wanted.source.agent, now - begun, now);
-            }
+            weights::end_fetch(self->line, number, clock::now());
             if (response && response->status == 200)
             {
                 self->take_chunk(
@@ -351,31 +352,6 @@
         });
 }
 
-void version_fetch::judge_speed(
-    std::string const& agent, base::duration took, base::time_point now)
-{
-    if (took <= slow_chunk)
-    {
-        this->last_fast[agent] = now;
-        return;
-    }
-    auto const others_fast = std::ranges::any_of(
-        this->last_fast,
-        [&](auto const& entry)
-        {
-            return entry.first != agent && now - entry.second < fast_memory;
-        });
-    if (others_fast)
-    {
-        // The source's link is squeezed: its chunks come sooner from others.
-        weights::strike(this->context->sources, agent, now);
-        return;
-    }
-    // The own link is squeezed. Requests to the engine take the same way:
-    // leave them half of it.
-    this->next_fetch = now + took;
-}
-
 void version_fetch::lose(ready_chunk const& asked, unsigned status)
 {
     auto& state = *this->context;
--- a/libs/gateway/src/version_fetch.hpp
+++ b/libs/gateway/src/version_fetch.hpp
@@ -3,6 +3,8 @@
 
 #include "agent_context.hpp"
 
+#include <weights/receive_line.hpp>
+
 #include <boost/asio/steady_timer.hpp>
 
 #include <deque>
@@ -52,16 +54,9 @@
 
     // The chunk has come another way; the question for it is forgotten.
     bool is_held(ready_chunk const& next);
-    void judge_speed(
-        std::string const& agent, base::duration took, base::time_point now);
-
     std::shared_ptr<agent_context> context;
     std::deque<ready_chunk> ready;
-    std::size_t fetching = 0;
-    // When a chunk last came at the speed of an unharmed link, by source.
-    std::map<std::string, base::time_point> last_fast;
-    // No chunk is fetched from another agent before then.
-    base::time_point next_fetch;
+    weights::receive_line line;
     boost::asio::steady_timer timer;
 };
 
--- a/libs/gateway/src/weights_door.cpp
+++ b/libs/gateway/src/weights_door.cpp
@@ -1,5 +1,6 @@
 #include "weights_door.hpp"
 
+#include <algorithm>
 #include <charconv>
 #include <cstdio>
 
@@ -159,6 +160,10 @@
         session->respond(weights_missing, {}, {});
         return;
     }
+    if (path->kind == asked_kind::chunk)
+    {
+        weights::note_called_in(this->line, clock::now());
+    }
     this->waiting.push_back(
         {session, path->version, path->kind, path->index,
          clock::now() + longest_wait});
@@ -180,7 +185,7 @@
     }
     if (asked.kind == asked_kind::question)
     {
-        return chunks[asked.index] != nullptr;
+        return chunks[asked.index] != nullptr && this->has_room();
     }
     return chunks[asked.index] != nullptr && clock::now() >= this->next_send;
 }
@@ -200,6 +205,7 @@
     }
     if (asked.kind == asked_kind::question)
     {
+        weights::note_promised(this->line, clock::now());
         asked.session->respond(weights_ready, {}, {});
         return;
     }
@@ -224,31 +230,48 @@
                      weights::failures_of(this->context->sources, {}) > 0);
 }
 
+bool weights_door::has_room() const
+{
+    // What stands before a squeezed link elsewhere still takes room here.
+    auto const stuck = std::ranges::count_if(
+        this->sends,
+        [](running_send const& send)
+        {
+            auto const session = send.session.lock();
+            return session && session->is_sending();
+        });
+    auto seen = this->line;
+    seen.waiting += static_cast<std::size_t>(stuck);
+    return weights::may_promise(seen, clock::now());
+}
+
 void weights_door::serve_waiting()
 {
     auto const now = clock::now();
     for (auto place = this->waiting.begin(); place != this->waiting.end();)
     {
         auto const asked = *place;
-        if (!asked.session->awaits_answer())
+        auto const gone = !asked.session->awaits_answer();
+        auto const answered = !gone && this->can_answer(asked);
+        if (!gone && !answered && asked.until > now)
         {
-            place = this->waiting.erase(place);
+            ++place;
             continue;
         }
-        if (this->can_answer(asked))
+        place = this->waiting.erase(place);
+        if (asked.kind == asked_kind::chunk)
+        {
+            weights::note_left(this->line);
+        }
+        if (answered)
         {
-            place = this->waiting.erase(place);
             this->answer(asked);
-            continue;
         }
-        if (asked.until <= now)
+        else if (!gone)
         {
-            place = this->waiting.erase(place);
             asked.session->respond(
                 weights_not_yet, {}, this->holdings(asked.version));
-            continue;
         }
-        ++place;
     }
 }
 
--- a/libs/gateway/src/weights_door.hpp
+++ b/libs/gateway/src/weights_door.hpp
@@ -4,6 +4,7 @@
 #include "agent_context.hpp"
 
 #include <net/http_server.hpp>
+#include <weights/send_line.hpp>
 
 #include <list>
 
@@ -80,6 +81,8 @@
         net::request const& asked);
     bool can_answer(asked_part const& asked) const;
     void answer(asked_part const& asked);
+    // Whether one more chunk may be promised to whoever asks for it.
+    bool has_room() const;
     std::string holdings(std::uint64_t version) const;
     void pace(std::size_t bytes, base::time_point now);
 
@@ -87,6 +90,7 @@
     std::shared_ptr<net::http_server> server;
     std::list<asked_part> waiting;
     std::list<running_send> sends;
+    weights::send_line line;
     // No chunk is sent before then.
     base::time_point next_send;
     boost::asio::steady_timer timer;
