--- a/libs/gateway/src/agent_context.hpp
+++ b/libs/gateway/src/agent_context.hpp
@@ -30,6 +30,8 @@
     // Being asked for; tries so far and when the next may begin.
     bool manifest_pending = false;
     std::uint32_t manifest_tries = 0;
+    // Who was asked last: "origin" or another agent.
+    std::string manifest_source;
     base::time_point manifest_again;
     // When this agent first wanted the version.
     std::optional<base::time_point> wanted;
--- a/libs/gateway/src/version_fetch.cpp
+++ b/libs/gateway/src/version_fetch.cpp
@@ -126,6 +126,7 @@
         return;
     }
     held.manifest_pending = true;
+    held.manifest_source = source->empty() ? "origin" : *source;
     auto const from_origin = source->empty();
     auto const address = from_origin ? state.origin : *source;
     auto const request = from_origin
@@ -175,7 +176,10 @@
     }
     kernel::log_event(
         kernel::event_id::transfer_started,
-        {{"version", version}, {"chunks", read.value().digests.size()}});
+        {{"version", version},
+         {"chunks", read.value().digests.size()},
+         {"from", held.manifest_source},
+         {"tries", held.manifest_tries}});
     weights::begin(held.transfer, read.value().digests, clock::now());
     held.last_news = clock::now();
     for (auto const& [other, earlier] : state.versions)
