--- a/libs/gateway/src/agent_context.hpp
+++ b/libs/gateway/src/agent_context.hpp
@@ -57,6 +57,8 @@
     weights::origin_limits origin_bounds;
     // Agents beside engines of the same service, by failure domain.
     weights::plan_set fleet;
+    // When they were last listed.
+    base::time_point fleet_listed;
 
     // Agents whose engine serves a version whole, by version and domain.
     std::map<
--- a/libs/gateway/src/fleet_lists.cpp
+++ b/libs/gateway/src/fleet_lists.cpp
@@ -153,6 +153,7 @@
     }
     agents[state.settings.failure_domain].insert(state.settings.ip);
     state.fleet.clear();
+    state.fleet_listed = clock::now();
     auto const port = ":" + std::to_string(state.settings.peer_port);
     for (auto const& [domain, addresses] : agents)
     {
--- a/libs/gateway/src/version_fetch.cpp
+++ b/libs/gateway/src/version_fetch.cpp
@@ -30,7 +30,9 @@
 constexpr std::uint32_t most_manifest_doublings = 2;
 
 // The list of the other agents comes within a tenth of a second, if at all.
-constexpr milliseconds list_patience{1000};
+constexpr milliseconds list_patience{600};
+// A list that is older is asked for anew when a version is wanted.
+constexpr milliseconds list_memory{2500};
 
 // Drawers of the own failure domain are asked this often before any other.
 constexpr std::uint32_t peer_tries = 4;
@@ -70,16 +72,18 @@
     }
 }
 
-std::optional<std::string> version_fetch::manifest_source(
-    held_version const& held, std::uint64_t version) const
+std::optional<std::string>
+version_fetch::manifest_source(held_version& held, std::uint64_t version) const
 {
     auto const& state = *this->context;
     auto const& own = state.settings.ip;
     auto const schedule = draws_of(state, version);
     auto const begun = held.wanted.value_or(clock::now());
-    // Failure: all machines lose power, and every agent asks the origin before
-    // the list of the others has come.
-    if (state.fleet.empty() && clock::now() < begun + list_patience)
+    // Failures: all machines lose power, and every agent asks the origin before
+    // the list of the others has come; agents listed the others at different
+    // times long ago and do not agree on who draws what.
+    auto const is_listed = state.fleet_listed + list_memory > begun;
+    if (!is_listed && clock::now() < begun + list_patience)
     {
         return std::nullopt;
     }
@@ -103,7 +107,13 @@
     auto const among = held.manifest_tries < peer_tries ? near : agents.size();
     auto const first = rank < near ? 0 : rank;
     auto const& chosen = agents[(first + held.manifest_tries) % among];
-    return chosen.agent == own ? std::nullopt : std::optional(chosen.address);
+    if (chosen.agent == own)
+    {
+        // The turn passes to the next.
+        ++held.manifest_tries;
+        return std::nullopt;
+    }
+    return chosen.address;
 }
 
 void version_fetch::fetch_manifest(std::uint64_t version)
@@ -121,8 +131,6 @@
     auto const source = this->manifest_source(held, version);
     if (!source)
     {
-        held.manifest_tries += state.fleet.empty() ? 0 : 1;
-        held.manifest_again = clock::now() + again_soon;
         return;
     }
     held.manifest_pending = true;
--- a/libs/gateway/src/version_fetch.hpp
+++ b/libs/gateway/src/version_fetch.hpp
@@ -31,7 +31,7 @@
     // Whom to ask for the version's manifest now; empty for the origin, nothing
     // while it has to wait.
     std::optional<std::string>
-    manifest_source(held_version const& held, std::uint64_t version) const;
+    manifest_source(held_version& held, std::uint64_t version) const;
     void fetch_manifest(std::uint64_t version);
     void take_manifest(
         std::uint64_t version, std::optional<std::string> const& body);
--- a/libs/weights/src/chunk_transfer.cpp
+++ b/libs/weights/src/chunk_transfer.cpp
@@ -100,18 +100,6 @@
     return std::nullopt;
 }
 
-bool has_said(
-    chunk_transfer const& state,
-    std::string const& agent,
-    std::uint32_t index,
-    char mark)
-{
-    auto const found = state.holdings.find(agent);
-    return found != state.holdings.end() &&
-           index < found->second.marks.size() &&
-           found->second.marks[index] == mark;
-}
-
 // Agents that said that they hold the chunk, in an order of its own for each
 // chunk so that they are asked by turns.
 std::vector<chunk_source> known_holders(
@@ -519,9 +507,7 @@
     case chunk_loss::not_yet:
         // It waits itself. When that lasts, it may stand behind a squeezed
         // link: the ones before it in the tree may have the chunk already.
-        // One that has it and was merely busy is asked again at once.
-        if (!has_said(state, agent, index, chunk_held) &&
-            (stands_in || now > state.begun + usual_time))
+        if (stands_in || now > state.begun + usual_time)
         {
             state.declined[{index, agent}] = now + waiting_time;
         }
