Engines switch one after the other over all the time that is left

Cause: four waves at fixed shares of the bound. Each took a quarter of a failure domain's engines at once, and when chunks came late all turns were over and all engines went together. Engines skipped a version although the next one's chunks came after it had ended, and stood idle. An engine's turn now follows from its place, from when the chunks were whole at it and from the bound; whether it skips a version from how long chunks took last time and from what a switch costs.

--- a/libs/gateway/src/agent.cpp
+++ b/libs/gateway/src/agent.cpp
@@ -273,6 +273,7 @@
     {
         return;
     }
+    note_whole(state, clock::now());
     auto const target = next_version(state, clock::now());
     auto const newest = newest_version(state);
     auto const serving = serving_version(state);
--- a/libs/gateway/src/agent_context.cpp
+++ b/libs/gateway/src/agent_context.cpp
@@ -65,7 +65,7 @@
 {
     // Requests run for less than this.
     constexpr std::chrono::milliseconds notice{2500};
-    auto const ask = switch_ask_of(state);
+    auto const ask = switch_ask_of(state, now);
     auto const target = next_version(state, now);
     if (ask.serving == 0 || ask.serving >= target)
     {
@@ -76,10 +76,7 @@
     {
         return std::nullopt;
     }
-    auto const& transfer = found->second.transfer;
-    auto const missing = transfer.digests.size() - transfer.held;
-    auto const whole = now + weights::chunk_time * static_cast<int>(missing);
-    auto const at = std::max(weights::plan_switch(ask, target).at, whole);
+    auto const at = weights::plan_switch(ask, target).at;
     return at - now <= notice ? std::optional(at) : std::nullopt;
 }
 
@@ -128,7 +125,7 @@
 
 std::uint64_t next_version(agent_context const& state, base::time_point now)
 {
-    auto const ask = switch_ask_of(state);
+    auto const ask = switch_ask_of(state, now);
     auto const to_come = [&state](std::uint64_t version) -> std::size_t
     {
         constexpr std::size_t unknown = 64;
@@ -143,12 +140,73 @@
     return weights::fall_back(ask, weights::choose_target(ask), to_come, now);
 }
 
-weights::switch_ask switch_ask_of(agent_context const& state)
+void note_whole(agent_context& state, base::time_point now)
+{
+    // An agent that was there when the version was named.
+    constexpr std::chrono::milliseconds soon{1500};
+    auto const& targets = targets_of(state);
+    for (auto& [version, held] : state.versions)
+    {
+        if (held.whole || !weights::is_whole(held.transfer))
+        {
+            continue;
+        }
+        held.whole = now;
+        auto const named = std::ranges::find(
+            targets, version, &weights::named_target::version);
+        if (named != targets.end() && held.wanted &&
+            *held.wanted - named->named < soon)
+        {
+            state.arrival =
+                std::chrono::duration_cast<std::chrono::milliseconds>(
+                    now - named->named);
+        }
+    }
+}
+
+namespace
+{
+
+// When the version was whole here or will be, as far as its chunks tell.
+std::optional<base::time_point> whole_at(
+    agent_context const& state, std::uint64_t version, base::time_point now)
+{
+    auto const found = state.versions.find(version);
+    if (found == state.versions.end() || !found->second.manifest)
+    {
+        return std::nullopt;
+    }
+    auto const& held = found->second;
+    if (held.whole)
+    {
+        return held.whole;
+    }
+    auto const missing = held.transfer.digests.size() - held.transfer.held;
+    auto at = now + weights::chunk_time * static_cast<int>(missing);
+    auto const& targets = targets_of(state);
+    auto const named =
+        std::ranges::find(targets, version, &weights::named_target::version);
+    if (named != targets.end() && state.arrival)
+    {
+        at = std::max(at, named->named + *state.arrival);
+    }
+    return at;
+}
+
+} // namespace
+
+weights::switch_ask
+switch_ask_of(agent_context const& state, base::time_point now)
 {
     weights::switch_ask ask;
     ask.serving = serving_version(state);
     ask.targets = targets_of(state);
     ask.bound = state.settings.promised.version;
+    ask.arrival = state.arrival;
+    ask.whole = [&state, now](std::uint64_t version)
+    {
+        return whole_at(state, version, now);
+    };
     auto const found = state.fleet.find(state.settings.failure_domain);
     if (found != state.fleet.end())
     {
@@ -156,10 +214,7 @@
         auto const own = std::ranges::find(
             agents, state.settings.ip, &control::plan_endpoint::agent);
         ask.rank = static_cast<std::size_t>(own - agents.begin());
-    }
-    for (auto const& [domain, plan] : state.fleet)
-    {
-        ask.most_agents = std::max(ask.most_agents, plan.endpoints.size());
+        ask.agents = agents.size();
     }
     return ask;
 }
--- a/libs/gateway/src/agent_context.hpp
+++ b/libs/gateway/src/agent_context.hpp
@@ -35,6 +35,8 @@
     base::time_point manifest_again;
     // When this agent first wanted the version.
     std::optional<base::time_point> wanted;
+    // When all chunks were there.
+    std::optional<base::time_point> whole;
     // When a chunk last came, or its absence was last told.
     base::time_point last_news;
 };
@@ -74,6 +76,8 @@
     // By version.
     std::map<std::uint64_t, held_version> versions;
     weights::source_book sources;
+    // Time from the naming of a version until it was whole here, as last seen.
+    std::optional<std::chrono::milliseconds> arrival;
 
     // Versions before this one are not held any more.
     std::uint64_t oldest_held() const;
@@ -128,8 +132,12 @@
 // The version that the engine goes to next, as things stand here.
 std::uint64_t next_version(agent_context const& state, base::time_point now);
 
+// Notes which versions have become whole.
+void note_whole(agent_context& state, base::time_point now);
+
 // What the decisions on switching go by.
-weights::switch_ask switch_ask_of(agent_context const& state);
+weights::switch_ask
+switch_ask_of(agent_context const& state, base::time_point now);
 
 } // namespace foxtailvale::gateway
 
--- a/libs/gateway/src/engine_switch.cpp
+++ b/libs/gateway/src/engine_switch.cpp
@@ -120,7 +120,8 @@
     {
         return;
     }
-    if (clock::now() >= weights::plan_switch(switch_ask_of(state), version).at)
+    if (clock::now() >=
+        weights::plan_switch(switch_ask_of(state, clock::now()), version).at)
     {
         this->verify();
     }
@@ -222,7 +223,8 @@
     {
         return;
     }
-    auto const plan = weights::plan_switch(switch_ask_of(state), version);
+    auto const plan =
+        weights::plan_switch(switch_ask_of(state, clock::now()), version);
     this->ordering = true;
     state.switching = true;
     this->on_order();
--- a/libs/weights/include/weights/switch_time.hpp
+++ b/libs/weights/include/weights/switch_time.hpp
@@ -7,13 +7,15 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <span>
 
 // Which version an engine goes to, and when. Made for live traffic during a
 // burst: from the order on an engine takes nothing new until its running
-// requests have ended and the weights are loaded. An engine that switches is
-// lost for one to three seconds, so the engines of a failure domain take turns
-// in four waves over the time between the chunks' arrival and the bound.
+// requests have ended and the weights are loaded, and shortly before it is sent
+// only what will have ended by then. That costs nearly a second of its work, so
+// the engines of a failure domain go one after the other over all the time
+// between the chunks' arrival at each and the bound, however late they arrive.
 namespace foxtailvale::weights
 {
 
@@ -34,15 +36,21 @@
     std::chrono::milliseconds bound{0};
     // Place among the agents of the failure domain, in order of name.
     std::size_t rank = 0;
-    // Agents of the failure domain that has most.
-    std::size_t most_agents = 1;
+    // Agents of the failure domain.
+    std::size_t agents = 1;
+    // Time from a version's naming until it was whole here, as last seen.
+    std::optional<std::chrono::milliseconds> arrival;
+    // When a version was whole here, or is expected to be.
+    std::function<std::optional<base::time_point>(std::uint64_t)> whole;
 };
 
 // The version that the engine goes to next. Usually the newest. Where one is
-// named soon after another, every switch that is left out saves capacity: the
-// engines of the later two waves keep what they serve until the newest has
-// come and skip the one between, while those of the first two waves go there
-// and carry the traffic meanwhile. If the newest comes early enough, all skip.
+// named soon after another, a switch that is left out saves nearly a second of
+// the engine's work; while it waits for the newest past the end of what it
+// serves it is idle. So engines of the later half skip a version when the next
+// one is there before that costs more than the switch, and those of the earlier
+// half go there and carry the traffic meanwhile. If the newest comes early
+// enough, all skip.
 std::uint64_t choose_target(switch_ask const& ask);
 
 // The version to go to instead of the chosen one, when its chunks will not come
--- a/libs/weights/src/switch_time.cpp
+++ b/libs/weights/src/switch_time.cpp
@@ -8,37 +8,59 @@
 namespace
 {
 
-constexpr std::size_t waves = 4;
-// Waves that go to a version in between when two are named in a row.
-constexpr std::size_t early_waves = 2;
+using std::chrono::milliseconds;
 
-// The figures below are shares of the bound. Chunks have usually arrived: 2 MiB
-// over links of 7.6 Mbit/s take 3.0 of 8 s.
-constexpr double arrival = 0.39;
+// The figures below are shares of the bound.
 
-// The last wave begins: its requests run for two seconds at most, and they
-// began before it.
-constexpr double last_wave = 0.8;
+// Chunks have usually arrived, as long as no arrival was seen: 2 MiB over links
+// of 7.6 Mbit/s take 3.5 of 8 s.
+constexpr double usual_arrival = 0.45;
 
-// Until then an engine of the early waves may wait for a newer version.
+// The last engine goes: nothing that waits in its line may begin past the
+// bound.
+constexpr double last_turn = 0.85;
+
+// Until then entries send to an engine on the older version: what they send
+// must begin before the bound.
+constexpr double last_use = 0.85;
+
+// Until then an engine of the earlier half may wait for a newer version: it is
+// to carry traffic when the older one ends.
 constexpr double early_patience = 0.67;
 
-// Until then one of the later waves may; shortly before nothing may begin on
-// what it serves.
+// Until then one that skipped a version may serve what it has.
 constexpr double late_patience = 0.95;
 
-// What an engine is lost for by one switch more: what comes sooner is worth
-// waiting for.
-constexpr std::chrono::milliseconds switch_cost{1000};
+// What a switch costs an engine of its work: half of a request's time while it
+// empties, and the loading.
+constexpr std::chrono::milliseconds switch_cost{850};
 
 base::duration part_of(std::chrono::milliseconds bound, double share)
 {
     return std::chrono::duration_cast<base::duration>(bound * share);
 }
 
-std::size_t wave_of(switch_ask const& ask)
+// The engine's place among those of its failure domain, from 0 to 1.
+double place_of(switch_ask const& ask)
+{
+    auto const count =
+        static_cast<double>(std::max<std::size_t>(1, ask.agents));
+    return std::min(1.0, (static_cast<double>(ask.rank) + 0.5) / count);
+}
+
+bool is_early(switch_ask const& ask)
 {
-    return ask.rank % waves;
+    return place_of(ask) < 0.5;
+}
+
+base::time_point
+expected_arrival(switch_ask const& ask, named_target const& target)
+{
+    auto const known = ask.whole ? ask.whole(target.version) : std::nullopt;
+    return known.value_or(
+        target.named +
+        ask.arrival.value_or(std::chrono::duration_cast<milliseconds>(
+            part_of(ask.bound, usual_arrival))));
 }
 
 named_target const* first_unmet(switch_ask const& ask)
@@ -56,21 +78,22 @@
 // those of the later waves did not.
 bool is_second_in_a_row(switch_ask const& ask, named_target const& target)
 {
-    return wave_of(ask) < early_waves &&
-           std::ranges::any_of(
-               ask.targets,
-               [&](named_target const& other)
-               {
-                   return other.version < target.version &&
-                          other.version <= ask.serving &&
-                          other.named + ask.bound >
-                              target.named + part_of(ask.bound, arrival);
-               });
+    return std::ranges::any_of(
+        ask.targets,
+        [&](named_target const& other)
+        {
+            return other.version < target.version &&
+                   other.version <= ask.serving &&
+                   other.named + ask.bound > expected_arrival(ask, target);
+        });
 }
 
-bool has_later_wave(switch_ask const& ask, std::size_t wave)
+// When the newer version must be there for this engine to skip the unmet one.
+base::time_point skips_until(switch_ask const& ask, named_target const& unmet)
 {
-    return wave + 1 < waves && ask.most_agents > wave + 1;
+    return is_early(ask)
+               ? unmet.named + part_of(ask.bound, early_patience)
+               : unmet.named + part_of(ask.bound, last_use) + switch_cost;
 }
 
 } // namespace
@@ -86,14 +109,11 @@
     {
         return ask.targets.back().version;
     }
-    auto const patience =
-        wave_of(ask) < early_waves ? early_patience : late_patience;
     auto chosen = unmet->version;
     for (auto const& target : ask.targets)
     {
         if (target.version > chosen &&
-            target.named + part_of(ask.bound, arrival) <=
-                unmet->named + part_of(ask.bound, patience))
+            expected_arrival(ask, target) <= skips_until(ask, *unmet))
         {
             chosen = target.version;
         }
@@ -138,24 +158,26 @@
     {
         return {};
     }
-    auto wave = wave_of(ask);
+    auto place = place_of(ask);
     if (is_second_in_a_row(ask, *found))
     {
-        // The later waves go first this time.
-        wave += early_waves;
+        // Those that went last time first go last this time.
+        place += place < 0.5 ? 0.5 : -0.5;
     }
-    auto const first = found->named + part_of(ask.bound, arrival);
-    auto last = found->named + part_of(ask.bound, last_wave);
+    auto const first = expected_arrival(ask, *found);
+    auto last = found->named + part_of(ask.bound, last_turn);
     auto const skips = unmet->version != target;
     if (skips)
     {
         last = std::min(last, unmet->named + part_of(ask.bound, late_patience));
     }
     last = std::max(first, last);
-    auto const step = (last - first) / static_cast<int>(waves - 1);
+    auto const agents = std::max<std::size_t>(1, ask.agents);
+    auto const is_last = place + 0.75 / static_cast<double>(agents) >= 1;
     return {
-        first + step * static_cast<int>(wave),
-        !skips && has_later_wave(ask, wave)};
+        first +
+            std::chrono::duration_cast<base::duration>((last - first) * place),
+        !skips && !is_last};
 }
 
 } // namespace foxtailvale::weights
--- a/libs/weights/tests/switch_time_tests.cpp
+++ b/libs/weights/tests/switch_time_tests.cpp
@@ -25,6 +25,26 @@
 // When chunks of a version are whole at an agent.
 milliseconds const arrival{3200};
 
+// What an engine knows at this moment when chunks come after `arrival`.
+switch_ask ask_of(
+    std::uint64_t serving,
+    std::vector<named_target> const& known,
+    std::size_t rank,
+    std::size_t count,
+    base::time_point now)
+{
+    switch_ask ask{serving, known, bound, rank, count, arrival, {}};
+    ask.whole = [known,
+                 now](std::uint64_t version) -> std::optional<base::time_point>
+    {
+        auto const found =
+            std::ranges::find(known, version, &named_target::version);
+        auto const at = found->named + arrival;
+        return now >= at ? std::optional(at) : std::nullopt;
+    };
+    return ask;
+}
+
 // One engine of a simulated failure domain.
 struct engine
 {
@@ -64,7 +84,7 @@
                 ++gone;
                 continue;
             }
-            switch_ask const ask{own.serving, known, bound, rank, count};
+            auto const ask = ask_of(own.serving, known, rank, count, now);
             auto const target = choose_target(ask);
             if (target <= own.serving)
             {
@@ -131,6 +151,49 @@
     }
 }
 
+// The origin was away, and chunks come six seconds after the naming instead of
+// three. Every turn is over by then; if all engines go at once, nobody is
+// served for more than a second.
+TEST(switch_time, engines_take_turns_also_when_chunks_come_late)
+{
+    constexpr std::size_t count = 14;
+    std::vector<named_target> const named{{2, start}};
+    auto const late = start + milliseconds(5500);
+    std::vector<base::time_point> turns;
+    for (std::size_t rank = 0; rank < count; ++rank)
+    {
+        auto ask = ask_of(1, named, rank, count, start);
+        ask.whole = [late](std::uint64_t) -> std::optional<base::time_point>
+        {
+            return late;
+        };
+        turns.push_back(plan_switch(ask, 2).at);
+    }
+    std::ranges::sort(turns);
+    EXPECT_GE(turns.front(), late);
+    EXPECT_LE(turns.back(), start + bound);
+    for (std::size_t rank = 1; rank < count; ++rank)
+    {
+        EXPECT_GE(turns[rank] - turns[rank - 1], milliseconds(80));
+    }
+}
+
+// The chunks of a second version come only after the first has ended. An engine
+// that skips the first is idle for two seconds, which costs more than a switch.
+TEST(switch_time, a_version_is_not_skipped_when_the_next_one_comes_too_late)
+{
+    std::vector<named_target> const named{{2, start}, {3, start + seconds(4)}};
+    auto const now = start + milliseconds(4100);
+    for (std::size_t rank = 0; rank < 14; ++rank)
+    {
+        auto ask = ask_of(1, named, rank, 14, now);
+        ask.arrival = milliseconds(4500);
+        EXPECT_EQ(choose_target(ask), 2U) << rank;
+        ask.arrival = milliseconds(3500);
+        EXPECT_EQ(choose_target(ask), rank < 7 ? 2U : 3U) << rank;
+    }
+}
+
 TEST(switch_time, all_skip_when_the_newest_comes_early)
 {
     auto const result = run(14, {{2, start}, {3, start + milliseconds(1500)}});
@@ -145,14 +208,14 @@
 TEST(switch_time, an_engine_without_weights_waits_for_nobody)
 {
     std::vector<named_target> const named{{2, start}};
-    switch_ask const ask{0, named, bound, 3, 14};
+    switch_ask const ask{0, named, bound, 3, 14, {}, {}};
     EXPECT_EQ(choose_target(ask), 2U);
     EXPECT_LE(plan_switch(ask, 2).at, start);
 }
 
 TEST(switch_time, without_a_named_version_the_first_is_meant)
 {
-    EXPECT_EQ(choose_target({0, {}, bound, 0, 1}), 1U);
+    EXPECT_EQ(choose_target({0, {}, bound, 0, 1, {}, {}}), 1U);
 }
 
 // A second version is named two seconds after the first, and the origin dies
@@ -161,7 +224,7 @@
 TEST(switch_time, a_whole_version_between_is_used_when_the_newest_does_not_come)
 {
     std::vector<named_target> const named{{2, start}, {3, start + seconds(2)}};
-    switch_ask const ask{1, named, bound, 0, 14};
+    switch_ask const ask{1, named, bound, 0, 14, arrival, {}};
     ASSERT_EQ(choose_target(ask), 3U);
     auto const only_second = [](std::uint64_t version) -> std::size_t
     {
@@ -194,11 +257,13 @@
         for (std::size_t rank = 0; rank < count; ++rank)
         {
             last = std::max(
-                last, plan_switch({1, named, bound, rank, count}, 2).at);
+                last,
+                plan_switch({1, named, bound, rank, count, arrival, {}}, 2).at);
         }
         for (std::size_t rank = 0; rank < count; ++rank)
         {
-            auto const plan = plan_switch({1, named, bound, rank, count}, 2);
+            auto const plan =
+                plan_switch({1, named, bound, rank, count, arrival, {}}, 2);
             if (plan.at == last)
             {
                 EXPECT_FALSE(plan.cuts) << rank << " of " << count;
