Entries tell agents who else wants the weights; the store is not listed

Cause: when a version was named, each agent listed all engines from the store, and again every two seconds while its engine was not there yet. At 88 agents the lists (45 KB each) filled the links between regions for half a second, the manifest came that late (19.17 s to 19.65 s after a naming at 19.11 s), and each list is a call that is paid for. Entries know the list and tell it in one datagram a failure domain; the store is listed only when three entries in a row did not answer.

--- a/libs/gateway/include/gateway/peer_link.hpp
+++ b/libs/gateway/include/gateway/peer_link.hpp
@@ -10,6 +10,7 @@
 {
 class CrashNotice;
 class EngineState;
+class FleetAsk;
 class Subscribe;
 class ViewNotice;
 } // namespace foxtailvale::wire
@@ -58,6 +59,9 @@
     send_to(std::set<std::string> const& entries, std::string const& bytes);
     void receive(net::udp_endpoint const& source, std::string_view bytes);
     void take_state(std::string const& agent, wire::EngineState const& state);
+    // Tells an agent who else stands beside engines of its service.
+    void
+    tell_fleet(net::udp_endpoint const& agent, wire::FleetAsk const& asked);
     void take_crash(wire::CrashNotice const& notice);
     void tell_crash(
         request::fingerprint print, std::string const& endpoint, bool answered);
--- a/libs/gateway/src/agent.cpp
+++ b/libs/gateway/src/agent.cpp
@@ -64,6 +64,14 @@
     {
         this->drive();
     };
+    this->lists->ask_entry = [this](std::uint64_t token, std::uint32_t tries)
+    {
+        return this->reports->ask_fleet(token, tries);
+    };
+    this->reports->on_fleet = [this](wire::FleetNotice const& notice)
+    {
+        this->lists->take_notice(notice);
+    };
     this->reports->on_version = [this](
                                     std::string const& model,
                                     std::uint64_t version, base::time_point at)
--- a/libs/gateway/src/fleet_lists.cpp
+++ b/libs/gateway/src/fleet_lists.cpp
@@ -3,6 +3,9 @@
 #include "store_list.hpp"
 
 #include <kernel/events.hpp>
+#include <proto/foxtailvale.pb.h>
+
+#include <boost/asio/ip/address_v4.hpp>
 
 #include <optional>
 #include <set>
@@ -23,6 +26,11 @@
 // After a failure, sooner.
 constexpr milliseconds again_after_failure{400};
 
+// An entry answers within a few milliseconds, and within a tenth of a second
+// across regions whose links are full; after three the store is read.
+constexpr milliseconds answer_limit{150};
+constexpr std::uint32_t most_tries = 3;
+
 // Entries tell the origin and the model with each subscription. An agent that
 // none has told for this long reads the configuration itself. Failure: all
 // processes are killed, and 58 agents list a configuration of a megabyte; the
@@ -39,18 +47,72 @@
 
 void fleet_lists::read()
 {
-    if (this->reading || clock::now() - this->last_read < again)
+    auto const now = clock::now();
+    if (this->token != 0 && now >= this->answer_by)
+    {
+        this->ask_again();
+        return;
+    }
+    if (this->reading || now - this->last_read < again)
     {
         return;
     }
     this->reading = true;
     auto& state = *this->context;
-    if (!state.model.empty() || clock::now() - this->began < told_patience)
+    if (state.model.empty() && now - this->began >= told_patience)
+    {
+        this->read_configuration();
+        return;
+    }
+    this->token = base::next_random(state.random) | 1U;
+    this->tries = 0;
+    this->ask_again();
+}
+
+void fleet_lists::ask_again()
+{
+    auto const asked =
+        this->tries < most_tries && this->ask_entry(this->token, this->tries);
+    if (!asked)
     {
+        this->token = 0;
         this->read_endpoints();
         return;
     }
-    this->read_configuration();
+    ++this->tries;
+    this->answered.clear();
+    this->answer_by = clock::now() + answer_limit;
+}
+
+void fleet_lists::take_notice(wire::FleetNotice const& notice)
+{
+    if (this->token == 0 || notice.token() != this->token ||
+        notice.agents_size() != notice.versions_size())
+    {
+        return;
+    }
+    auto& members = this->answered[notice.failure_domain()];
+    members.clear();
+    for (int index = 0; index < notice.agents_size(); ++index)
+    {
+        auto const ip = boost::asio::ip::address_v4(notice.agents(index));
+        members.push_back(
+            {ip.to_string(), notice.failure_domain(), notice.versions(index)});
+    }
+    if (this->answered.size() < notice.domains())
+    {
+        return;
+    }
+    std::vector<fleet_member> all;
+    for (auto const& [domain, found] : this->answered)
+    {
+        all.insert(all.end(), found.begin(), found.end());
+    }
+    this->token = 0;
+    this->reading = false;
+    this->last_read = clock::now();
+    this->take_members(all);
+    this->on_read();
 }
 
 void fleet_lists::read_configuration()
@@ -121,40 +183,44 @@
     note_served(state, served);
 }
 
-void fleet_lists::note_holder(
-    direct::endpoint_record const& engine, std::string const& ip)
+void fleet_lists::take_endpoints(
+    std::vector<platform::store_object> const& objects)
 {
-    auto& state = *this->context;
-    auto const serves =
-        engine.weights.whole && engine.weights.model == state.model;
-    if (serves && ip != state.settings.ip)
+    auto const& state = *this->context;
+    std::vector<fleet_member> members;
+    for (auto const& object : objects)
     {
-        auto const port = ":" + std::to_string(state.settings.peer_port);
-        state.holders[engine.weights.version][engine.failure_domain].push_back(
-            {ip, ip + port});
+        auto const read = platform::read_endpoint(object.name, object.content);
+        if (read && read->service == state.settings.engine_service)
+        {
+            auto const serves =
+                read->weights.whole && read->weights.model == state.model;
+            members.push_back(
+                {read->address.substr(0, read->address.rfind(':')),
+                 read->failure_domain, serves ? read->weights.version : 0});
+        }
     }
+    this->take_members(members);
 }
 
-void fleet_lists::take_endpoints(
-    std::vector<platform::store_object> const& objects)
+void fleet_lists::take_members(std::vector<fleet_member> const& members)
 {
     auto& state = *this->context;
+    auto const port = ":" + std::to_string(state.settings.peer_port);
     std::map<std::string, std::set<std::string>> agents;
     state.holders.clear();
-    for (auto const& object : objects)
+    for (auto const& member : members)
     {
-        auto const read = platform::read_endpoint(object.name, object.content);
-        if (read && read->service == state.settings.engine_service)
+        agents[member.failure_domain].insert(member.ip);
+        if (member.version != 0 && member.ip != state.settings.ip)
         {
-            auto const ip = read->address.substr(0, read->address.rfind(':'));
-            agents[read->failure_domain].insert(ip);
-            this->note_holder(*read, ip);
+            state.holders[member.version][member.failure_domain].push_back(
+                {member.ip, member.ip + port});
         }
     }
     agents[state.settings.failure_domain].insert(state.settings.ip);
     state.fleet.clear();
     state.fleet_listed = clock::now();
-    auto const port = ":" + std::to_string(state.settings.peer_port);
     for (auto const& [domain, addresses] : agents)
     {
         auto& plan = state.fleet[domain];
--- a/libs/gateway/src/peer_link.cpp
+++ b/libs/gateway/src/peer_link.cpp
@@ -169,6 +169,10 @@
     case wire::Datagram::kViewNotice:
         this->on_view_notice(from, message.view_notice());
         break;
+    case wire::Datagram::kFleetAsk:
+        this->tell_fleet(source, message.fleet_ask());
+        break;
+    case wire::Datagram::kFleetNotice:
     case wire::Datagram::kSubscribe:
     case wire::Datagram::BODY_NOT_SET:
         // For agents, or from a later version of the program.
@@ -198,6 +202,37 @@
     serve_all_waiting(shared);
 }
 
+void peer_link::tell_fleet(
+    net::udp_endpoint const& agent, wire::FleetAsk const& asked)
+{
+    auto const now = clock::now();
+    std::map<std::string, wire::FleetNotice> by_domain;
+    for (auto const& [id, state] : this->context->book.endpoints)
+    {
+        auto const address = net::parse_endpoint(state.listed.address);
+        if (state.listed.service != asked.service() || !address ||
+            !address->address().is_v4())
+        {
+            continue;
+        }
+        auto const& weights = direct::weights_of(state, now);
+        auto& notice = by_domain[state.listed.failure_domain];
+        notice.add_agents(address->address().to_v4().to_uint());
+        notice.add_versions(weights.whole ? weights.version : 0);
+    }
+    for (auto& [domain, notice] : by_domain)
+    {
+        notice.set_service(asked.service());
+        notice.set_token(asked.token());
+        notice.set_domains(static_cast<std::uint32_t>(by_domain.size()));
+        notice.set_failure_domain(domain);
+        wire::Datagram message;
+        message.set_from(this->context->settings.name);
+        *message.mutable_fleet_notice() = std::move(notice);
+        this->socket->send(agent, message.SerializeAsString());
+    }
+}
+
 void peer_link::take_crash(wire::CrashNotice const& notice)
 {
     auto& suspects = this->context->suspects;
--- a/libs/gateway/src/report_link.cpp
+++ b/libs/gateway/src/report_link.cpp
@@ -3,6 +3,7 @@
 #include <proto/foxtailvale.pb.h>
 
 #include <algorithm>
+#include <vector>
 
 namespace foxtailvale::gateway
 {
@@ -40,11 +41,18 @@
             auto const held = self.lock();
             wire::Datagram message;
             auto const size = static_cast<int>(bytes.size());
-            if (held && message.ParseFromArray(bytes.data(), size) &&
-                message.has_subscribe())
+            if (!held || !message.ParseFromArray(bytes.data(), size))
+            {
+                return;
+            }
+            if (message.has_subscribe())
             {
                 held->take(source, message.subscribe());
             }
+            if (message.has_fleet_notice())
+            {
+                held->on_fleet(message.fleet_notice());
+            }
         });
     auto const& settings = this->context->settings;
     boost::system::error_code error;
@@ -86,6 +94,36 @@
     }
 }
 
+bool report_link::ask_fleet(std::uint64_t token, std::uint32_t tries)
+{
+    std::vector<net::udp_endpoint> known;
+    for (auto const near : {true, false})
+    {
+        for (auto const& [address, entry] : this->subscribers)
+        {
+            if (entry.near == near)
+            {
+                known.push_back(address);
+            }
+        }
+        if (!known.empty())
+        {
+            break;
+        }
+    }
+    if (known.empty())
+    {
+        return false;
+    }
+    wire::Datagram message;
+    auto& asked = *message.mutable_fleet_ask();
+    asked.set_service(this->context->settings.engine_service);
+    asked.set_token(token);
+    this->socket->send(
+        known[(token + tries) % known.size()], message.SerializeAsString());
+    return true;
+}
+
 void report_link::forget_silent()
 {
     std::erase_if(
--- a/libs/gateway/src/report_link.hpp
+++ b/libs/gateway/src/report_link.hpp
@@ -14,8 +14,9 @@
 
 namespace foxtailvale::wire
 {
+class FleetNotice;
 class Subscribe;
-}
+} // namespace foxtailvale::wire
 
 namespace foxtailvale::gateway
 {
@@ -43,6 +44,13 @@
         std::string const& model, std::uint64_t version, base::time_point at)>
         on_version;
 
+    // Asks one of the entries, those of the own failure domain first, another
+    // one for another try; false when none asked for reports lately.
+    bool ask_fleet(std::uint64_t token, std::uint32_t tries);
+
+    // What an entry said of a failure domain. Set before open().
+    std::function<void(wire::FleetNotice const&)> on_fleet;
+
 private:
     // An entry that asked for reports.
     struct subscriber
