An entry that has just started waits for agents' reports

Cause: after a loss of power engines are back empty at the same addresses while the list still shows what they held. Test failed before. Ruled out: a shorter time to begin at many entries before a version ends.

--- a/libs/direct/src/placement.cpp
+++ b/libs/direct/src/placement.cpp
@@ -86,6 +86,15 @@
     {
         return true;
     }
+    // Failure: all machines lose power, engines come back empty at the same
+    // addresses, and entries that have just started go by the list, which still
+    // shows what they held. Each request was turned away, and the repeats of
+    // the next ten seconds were spent on that. An agent that lives reports
+    // within half a second.
+    if (ask.newcomer && !state.report)
+    {
+        return false;
+    }
     auto const& weights = weights_of(state, now);
     if (!weights.whole || weights.model != ask.model)
     {
--- a/libs/direct/tests/placement_tests.cpp
+++ b/libs/direct/tests/placement_tests.cpp
@@ -187,6 +187,22 @@
     EXPECT_EQ(chosen_id(book, ask_from("d0")), "");
 }
 
+// All machines lose power. The list still shows engines that held weights; they
+// are back at the same addresses with nothing. An entry that has just started
+// sends to them by the list, each turns its requests away, and the repeats that
+// all entries share are spent.
+TEST(placement, an_entry_that_just_started_waits_for_reports)
+{
+    auto book = engines(2);
+    auto ask = ask_from("d0");
+    ask.newcomer = true;
+    EXPECT_EQ(chosen_id(book, ask), "");
+    report(book, "10.0.0.1", 3);
+    EXPECT_EQ(chosen_id(book, ask), "e1");
+    ask.newcomer = false;
+    EXPECT_EQ(chosen_id(book, ask), "e0");
+}
+
 // The time of an older version is nearly over. A request sent to a full engine
 // waits in its queue and begins after that time: its caller is answered from
 // weights that were withdrawn.
