Entries of an engine's own failure domain come first in sharing its cold bound

Cause: where 40 entries share an engine that bears 26 requests a second when cold, 20 of them may send to it, one a second each, drawn from all alike. An entry could use half of the engines of its own domain, 15 requests a second at the most, and what is beyond crosses the links between regions. Now the entries of the engine's domain have the parts first, then those whose domain has no engines, then others. The sum stays.

--- a/libs/direct/include/direct/endpoint_book.hpp
+++ b/libs/direct/include/direct/endpoint_book.hpp
@@ -110,6 +110,8 @@
     std::map<std::string, std::vector<named_version>> versions;
     // Region of each failure domain.
     std::map<std::string, std::string> regions;
+    // Entries of each failure domain, as the agents there name them.
+    std::map<std::string, std::set<std::string>> domain_entries;
 };
 
 // How long an endpoint that left the list is still used when the list itself
--- a/libs/direct/include/direct/shares.hpp
+++ b/libs/direct/include/direct/shares.hpp
@@ -49,13 +49,27 @@
     double tolerance = 0;
 };
 
+// Entries that come before others at one endpoint.
+struct entry_ranks
+{
+    // Of the endpoint's own failure domain; null while not known.
+    std::set<std::string> const* near = nullptr;
+    // Of domains that have no endpoints of the service; null for none.
+    std::set<std::string> const* without_endpoints = nullptr;
+};
+
 // Whether this entry sends to the endpoint at all. Where there are more entries
 // than a cold endpoint bears requests a second, each sending a single one is
 // too much: as many entries as it bears send there, others to other endpoints.
 // Which they are follows from the names alone, the same for all that know the
-// same entries.
+// same entries. Those of the endpoint's own failure domain come first, then
+// those whose domain has no endpoints at all, then the others: with the parts
+// drawn from all alike, 40 entries could use half of the engines of their own
+// domain for one request a second each, which is less than they get, and what
+// they sent elsewhere crossed the links between regions.
 bool has_part(
     std::set<std::string> const& entries,
+    entry_ranks const& ranks,
     std::string const& own,
     std::string const& endpoint,
     cold_bound const& bound);
--- a/libs/direct/include/direct/watch_duty.hpp
+++ b/libs/direct/include/direct/watch_duty.hpp
@@ -71,9 +71,9 @@
 inline constexpr std::chrono::milliseconds shortest_duty{3000};
 
 // A process that starts watches for itself for this long. Others that watch are
-// heard twice a second, and a listing takes a quarter of a second when the store
-// is slow. Failure: 40 entries that start together watched for three seconds
-// while all endpoints register, and made half of a calm day's calls.
+// heard twice a second, and a listing takes a quarter of a second when the
+// store is slow. Failure: 40 entries that start together watched for three
+// seconds while all endpoints register, and made half of a calm day's calls.
 inline constexpr std::chrono::milliseconds first_duty{1200};
 
 // How long an entry that the store turns away leaves it alone.
--- a/libs/direct/src/placement.cpp
+++ b/libs/direct/src/placement.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <string_view>
 
 namespace foxtailvale::direct
 {
@@ -143,8 +144,34 @@
     return static_cast<double>(lot % steps) / steps < share;
 }
 
+// Entries of failure domains in which nothing can serve the request.
+std::set<std::string>
+entries_without_endpoints(endpoint_book const& book, placement_ask const& ask)
+{
+    std::set<std::string_view> served;
+    for (auto const& [id, state] : book.endpoints)
+    {
+        if (is_listed_for(book, state, ask))
+        {
+            served.insert(state.listed.failure_domain);
+        }
+    }
+    std::set<std::string> found;
+    for (auto const& [domain, entries] : book.domain_entries)
+    {
+        if (!served.contains(domain))
+        {
+            found.insert(entries.begin(), entries.end());
+        }
+    }
+    return found;
+}
+
 bool takes_work(
-    endpoint_state const& state, placement_ask const& ask, base::time_point now)
+    endpoint_state const& state,
+    placement_ask const& ask,
+    entry_ranks const& ranks,
+    base::time_point now)
 {
     if (state.avoid_until > now || !draws_lot(state, ask, now))
     {
@@ -164,17 +191,19 @@
     {
         return false;
     }
-    if (ask.all_entries != nullptr &&
-        !has_part(*ask.all_entries, ask.own_entry, state.listed.id, ask.cold))
+    if (!may_send_within_part(state.recent, ask.cold, ask.entries, now))
     {
         return false;
     }
-    if (!may_send_within_part(state.recent, ask.cold, ask.entries, now))
+    if (static_cast<std::int64_t>(work_at(state, ask.entries, now)) >=
+        static_cast<std::int64_t>(state.listed.slots) + ask.depth)
     {
         return false;
     }
-    return static_cast<std::int64_t>(work_at(state, ask.entries, now)) <
-           static_cast<std::int64_t>(state.listed.slots) + ask.depth;
+    return ask.all_entries == nullptr ||
+           has_part(
+               *ask.all_entries, ranks, ask.own_entry, state.listed.id,
+               ask.cold);
 }
 
 bool is_distrusted(endpoint_state const& state, base::time_point now)
@@ -256,6 +285,8 @@
 {
     choice found;
     auto best = std::numeric_limits<double>::max();
+    auto const unserved = entries_without_endpoints(book, ask);
+    entry_ranks ranks{nullptr, &unserved};
     for (auto const& [id, state] : book.endpoints)
     {
         // One that was tried cannot be waited for.
@@ -272,7 +303,10 @@
             }
             continue;
         }
-        if (!takes_work(state, ask, now))
+        auto const near = book.domain_entries.find(state.listed.failure_domain);
+        ranks.near =
+            near != book.domain_entries.end() ? &near->second : nullptr;
+        if (!takes_work(state, ask, ranks, now))
         {
             if (found.why != no_choice::no_weights)
             {
--- a/libs/direct/src/shares.cpp
+++ b/libs/direct/src/shares.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace foxtailvale::direct
 {
@@ -21,6 +22,11 @@
     return static_cast<std::size_t>(std::max(1.0, parts));
 }
 
+bool is_in(std::set<std::string> const* names, std::string const& name)
+{
+    return names != nullptr && names->contains(name);
+}
+
 std::int64_t second_of(base::time_point now)
 {
     return std::chrono::duration_cast<std::chrono::seconds>(
@@ -66,6 +72,7 @@
 
 bool has_part(
     std::set<std::string> const& entries,
+    entry_ranks const& ranks,
     std::string const& own,
     std::string const& endpoint,
     cold_bound const& bound)
@@ -75,12 +82,19 @@
     {
         return true;
     }
-    auto const own_hash = base::stable_hash(own + "/" + endpoint);
+    auto const place = [&](std::string const& entry)
+    {
+        auto const rank = is_in(ranks.near, entry)                ? 0
+                          : is_in(ranks.without_endpoints, entry) ? 1
+                                                                  : 2;
+        return std::pair(rank, base::stable_hash(entry + "/" + endpoint));
+    };
+    auto const own_place = place(own);
     auto const before = std::ranges::count_if(
         entries,
         [&](std::string const& other)
         {
-            return base::stable_hash(other + "/" + endpoint) < own_hash;
+            return place(other) < own_place;
         });
     return static_cast<std::size_t>(before) < parts;
 }
--- a/libs/direct/tests/shares_tests.cpp
+++ b/libs/direct/tests/shares_tests.cpp
@@ -31,7 +31,7 @@
     std::map<std::string, std::deque<base::time_point>> recent;
     for (auto const& name : names)
     {
-        if (has_part(names, name, "endpoint", bound))
+        if (has_part(names, {}, name, "endpoint", bound))
         {
             recent[name] = {};
         }
@@ -119,7 +119,7 @@
             for (auto const& name : names)
             {
                 if (base::random_below(random, 3) == 0 &&
-                    has_part(names, name, "endpoint", bound) &&
+                    has_part(names, {}, name, "endpoint", bound) &&
                     may_send_within_part(recent[name], bound, entries, now))
                 {
                     recent[name].push_back(now);
@@ -138,6 +138,74 @@
     }
 }
 
+// Forty entries in three domains, 88 engines that bear 26 requests a second
+// when cold. Each entry gets fourteen a second and may send one a second to an
+// engine. With the parts drawn from all alike half of its own domain's engines
+// are closed to it, and a third of its answers cross the links between regions.
+TEST(cold_share, entries_use_all_engines_of_their_own_domain)
+{
+    cold_bound const bound{21, 5};
+    std::set<std::string> names;
+    std::map<std::size_t, std::set<std::string>> domains;
+    for (std::size_t entry = 0; entry < 40; ++entry)
+    {
+        auto const name = "entry-" + std::to_string(entry);
+        names.insert(name);
+        domains[entry % 3].insert(name);
+    }
+    std::map<std::string, std::size_t> near;
+    std::map<std::string, std::size_t> far;
+    for (std::size_t engine = 0; engine < 88; ++engine)
+    {
+        auto const& own = domains[engine % 3];
+        std::size_t parts = 0;
+        for (auto const& name : names)
+        {
+            auto const has = has_part(
+                names, {&own, nullptr}, name, std::to_string(engine), bound);
+            parts += has;
+            near[name] += has && own.contains(name);
+            far[name] += has && !own.contains(name);
+        }
+        EXPECT_LE(parts, 20U);
+    }
+    for (auto const& name : names)
+    {
+        EXPECT_GE(near[name], 29U);
+        EXPECT_GE(far[name], 6U);
+    }
+}
+
+// One domain's engines are all gone. Its entries still get fourteen requests a
+// second each, and all of these have to go elsewhere.
+TEST(cold_share, entries_without_engines_come_before_those_with_their_own)
+{
+    cold_bound const bound{21, 5};
+    std::set<std::string> names;
+    std::map<std::size_t, std::set<std::string>> domains;
+    for (std::size_t entry = 0; entry < 40; ++entry)
+    {
+        auto const name = "entry-" + std::to_string(entry);
+        names.insert(name);
+        domains[entry % 3].insert(name);
+    }
+    std::map<std::string, std::size_t> open;
+    for (std::size_t engine = 0; engine < 58; ++engine)
+    {
+        auto const& own = domains[1 + engine % 2];
+        for (auto const& name : names)
+        {
+            open[name] += has_part(
+                names, {&own, &domains[0]}, name, std::to_string(engine),
+                bound);
+        }
+    }
+    for (auto const& name : domains[0])
+    {
+        EXPECT_GE(open[name], 14U);
+    }
+}
+
 TEST(cold_share, without_a_bound_everything_passes)
 {
     std::deque<base::time_point> const recent(1000, start);
--- a/libs/gateway/src/peer_link.cpp
+++ b/libs/gateway/src/peer_link.cpp
@@ -252,14 +252,19 @@
     for (auto const& [id, endpoint] : this->context->book.endpoints)
     {
         auto const& listed = endpoint.listed;
-        if (listed.failure_domain == own.failure_domain &&
-            listed.address.starts_with(agent + ":"))
+        if (!listed.address.starts_with(agent + ":"))
+        {
+            continue;
+        }
+        this->context->book.domain_entries[listed.failure_domain].insert(
+            state.neighbours().begin(), state.neighbours().end());
+        if (listed.failure_domain == own.failure_domain)
         {
             this->context->neighbours = {
                 state.neighbours().begin(), state.neighbours().end()};
             this->context->neighbours.erase(own.ip);
-            return;
         }
+        return;
     }
 }
 
