--- a/libs/direct/include/direct/endpoint_book.hpp
+++ b/libs/direct/include/direct/endpoint_book.hpp
@@ -62,31 +62,13 @@
     std::optional<base::time_point> switches_at;
     // The agent could not reach the engine.
     bool unreachable = false;
-    // The agent's own clock when it said so.
-    std::optional<std::chrono::milliseconds> sent;
 };
 
-// How late an agent's reports come over the time that they take on a calm link.
-// Failure: a link is squeezed to an eighth, an engine's answers stand in line
-// before it for half a second, and nothing that the engine reports shows it.
-struct report_delay
-{
-    // Shortest time between an agent's clock and the own one; of no meaning by
-    // itself, since the clocks began at different moments.
-    std::optional<std::chrono::milliseconds> shortest;
-    // Smoothed time over the shortest.
-    std::chrono::milliseconds late{0};
-};
-
-void note_sent(
-    report_delay& state, std::chrono::milliseconds sent, base::time_point now);
-
 struct endpoint_state
 {
     endpoint_record listed;
     std::optional<load_report> report;
     base::time_point reported;
-    report_delay delay;
     // Own requests that run there.
     std::uint32_t own_running = 0;
     // Own requests begun less those ended since the report.
--- a/libs/direct/src/endpoint_book.cpp
+++ b/libs/direct/src/endpoint_book.cpp
@@ -57,22 +57,6 @@
 
 } // namespace
 
-void note_sent(
-    report_delay& state, std::chrono::milliseconds sent, base::time_point now)
-{
-    // An agent that started anew has another clock, a suspended one another
-    // distance; what looks later than any queue is such a change.
-    constexpr std::chrono::milliseconds longest{5000};
-    auto const passed = std::chrono::duration_cast<std::chrono::milliseconds>(
-        now.time_since_epoch() - sent);
-    if (!state.shortest || passed < *state.shortest ||
-        passed - *state.shortest > longest)
-    {
-        state.shortest = passed;
-    }
-    state.late = (state.late + (passed - *state.shortest)) / 2;
-}
-
 bool put(endpoint_book& book, endpoint_record record)
 {
     auto& state = book.endpoints[record.id];
@@ -84,7 +68,6 @@
     if (state.listed.address != record.address)
     {
         state.report.reset();
-        state.delay = {};
     }
     if (state.listed.weights != record.weights)
     {
@@ -168,10 +151,6 @@
             }
             state.report = report;
             state.reported = now;
-            if (report.sent)
-            {
-                note_sent(state.delay, *report.sent, now);
-            }
             state.own_change = 0;
         }
     }
--- a/libs/direct/src/placement.cpp
+++ b/libs/direct/src/placement.cpp
@@ -23,13 +23,6 @@
 // one request in seven by themselves; what harms callers fails four in ten.
 constexpr double most_faults = 0.3;
 
-// Added for an endpoint whose agent's reports come this much late: its answers
-// wait before the same squeezed link. A tenth of a second is what a burst of
-// events or a few chunks take; four times that makes most answers late.
-constexpr std::chrono::milliseconds usual_delay{100};
-constexpr std::chrono::milliseconds long_delay{400};
-constexpr double delay_cost = 2;
-
 constexpr double random_share = 0.05;
 
 // Entries that may send to an endpoint for each free slot, and how long a draw
@@ -213,14 +206,6 @@
                ask.cold);
 }
 
-// How much the endpoint's link holds up what it sends, from 0 to 1.
-double delay_share(endpoint_state const& state)
-{
-    std::chrono::duration<double> const over = state.delay.late - usual_delay;
-    std::chrono::duration<double> const most = long_delay - usual_delay;
-    return std::clamp(over / most, 0.0, 1.0);
-}
-
 bool is_distrusted(endpoint_state const& state, base::time_point now)
 {
     auto const silent = state.report && !is_fresh(state, now);
@@ -334,7 +319,6 @@
                     std::max<std::uint32_t>(1, state.listed.slots);
         cost += state.listed.failure_domain == ask.own_domain ? 0 : remote_cost;
         cost += is_distrusted(state, now) ? distrust_cost : 0;
-        cost += delay_share(state) * delay_cost;
         cost += random_share * draw(random);
         if (cost < best)
         {
--- a/libs/direct/tests/placement_tests.cpp
+++ b/libs/direct/tests/placement_tests.cpp
@@ -249,48 +249,6 @@
     EXPECT_EQ(chosen_id(book, ask), "e0");
 }
 
-// The link of one engine's machine is squeezed. The engine reports free slots,
-// its answers wait in line before the link, and callers have them late.
-TEST(placement, an_engine_behind_a_squeezed_link_comes_after_the_others)
-{
-    auto book = engines(3);
-    auto const say =
-        [&book](std::string const& address, std::uint32_t running, int late)
-    {
-        load_report said;
-        said.running = running;
-        said.weights = {"m", 1, true};
-        for (int number = 0; number < 8; ++number)
-        {
-            auto const sent = start + milliseconds(100 * (number - 8));
-            said.sent = std::chrono::duration_cast<milliseconds>(
-                sent.time_since_epoch());
-            auto const came = number < 2 ? 1 : late;
-            note_report(book, address, said, sent + milliseconds(came));
-        }
-    };
-    say("10.0.0.0", 2, 500);
-    say("10.0.0.1", 16, 3);
-    say("10.0.0.2", 12, 3);
-    EXPECT_EQ(chosen_id(book, ask_from("d0")), "e2");
-    say("10.0.0.2", 16, 3);
-    // Late is better than not at all.
-    EXPECT_EQ(chosen_id(book, ask_from("d0")), "e0");
-}
-
-// An agent starts anew, and its clock with it.
-TEST(report_delay, another_clock_is_not_a_delay)
-{
-    report_delay state;
-    note_sent(state, seconds(1000), start);
-    note_sent(state, seconds(1000), start + milliseconds(300));
-    EXPECT_GE(state.late, milliseconds(100));
-    note_sent(state, seconds(10), start + milliseconds(400));
-    note_sent(
-        state, seconds(10) + milliseconds(100), start + milliseconds(500));
-    EXPECT_LE(state.late, milliseconds(100));
-}
-
 TEST(placement, a_silent_agents_engine_is_the_last_choice)
 {
     auto book = engines(2);
--- a/libs/gateway/src/peer_link.cpp
+++ b/libs/gateway/src/peer_link.cpp
@@ -22,10 +22,6 @@
     report.weights = {state.model(), state.version(), state.whole()};
     report.switching = state.switching();
     report.unreachable = state.unreachable();
-    if (state.sent_ms() > 0)
-    {
-        report.sent = std::chrono::milliseconds(state.sent_ms());
-    }
     if (state.switches())
     {
         report.switches_at =
--- a/libs/gateway/src/report_link.cpp
+++ b/libs/gateway/src/report_link.cpp
@@ -157,9 +157,6 @@
         told.set_whole(load.weights.whole);
     }
     auto const now = clock::now();
-    told.set_sent_ms(static_cast<std::uint64_t>(
-        std::chrono::duration_cast<milliseconds>(now.time_since_epoch())
-            .count()));
     if (auto const at = expected_switch(state, now))
     {
         auto const left =
