--- a/libs/weights/tests/burst_world.cpp
+++ b/libs/weights/tests/burst_world.cpp
@@ -425,9 +425,9 @@
     {
         ask_all(state);
         run_origin(state);
-        for (std::size_t number = 0; number < state.agents.size(); ++number)
+        for (auto& own : state.agents)
         {
-            state.agents[number].taken = 0;
+            own.taken = 0;
         }
         for (std::size_t number = 0; number < state.agents.size(); ++number)
         {
