--- a/cmake/foxtailvale.cmake
+++ b/cmake/foxtailvale.cmake
@@ -59,6 +59,15 @@
     set_tests_properties(${name} PROPERTIES TIMEOUT 300)
 endfunction()
 
+# A test of faults that KNOWN-RED.txt lists: built and linted with the others, run
+# by `make test-known-red`, which does not fail on it.
+function(foxtailvale_known_red_test name)
+    foxtailvale_test(${name} ${ARGN})
+    if(FOXTAILVALE_TESTS)
+        set_tests_properties(${name} PROPERTIES LABELS known_red)
+    endif()
+endfunction()
+
 # foxtailvale_program(NAME SOURCES ... DEPENDS ...): a program in build/bin.
 function(foxtailvale_program name)
     cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS" ${ARGN})
--- a/libs/direct/include/direct/endpoint_book.hpp
+++ b/libs/direct/include/direct/endpoint_book.hpp
@@ -30,6 +30,15 @@
     bool operator==(served_weights const&) const = default;
 };
 
+struct endpoint_record;
+
+// Whether the agent beside the endpoint takes part when weights of the service
+// are handed on. Failure: endpoints that were being taken away stood first in
+// the list, their agents were to draw a sixth of a version's chunks and were
+// stopped half a second later; the origin died, and the fleet missed two chunks
+// for six seconds. Planned work says that an endpoint leaves seconds ahead.
+bool takes_part(endpoint_record const& endpoint, std::string const& service);
+
 // An endpoint as the platform lists it.
 struct endpoint_record
 {
--- a/libs/direct/src/endpoint_book.cpp
+++ b/libs/direct/src/endpoint_book.cpp
@@ -57,6 +57,11 @@
 
 } // namespace
 
+bool takes_part(endpoint_record const& endpoint, std::string const& service)
+{
+    return endpoint.service == service && !endpoint.draining;
+}
+
 bool put(endpoint_book& book, endpoint_record record)
 {
     auto& state = book.endpoints[record.id];
--- a/libs/direct/tests/endpoint_book_tests.cpp
+++ b/libs/direct/tests/endpoint_book_tests.cpp
@@ -148,4 +148,16 @@
     EXPECT_FALSE(is_stalled(state, start + seconds(60)));
 }
 
+// An engine is emptied and taken away while a version is named. Its agent would
+// be told to draw chunks for all the others, and it is stopped a moment later.
+TEST(endpoint_book, agents_of_endpoints_that_leave_take_no_part)
+{
+    endpoint_record engine;
+    engine.service = "s";
+    EXPECT_TRUE(takes_part(engine, "s"));
+    EXPECT_FALSE(takes_part(engine, "other"));
+    engine.draining = true;
+    EXPECT_FALSE(takes_part(engine, "s"));
+}
+
 } // namespace foxtailvale::direct
--- a/libs/gateway/src/fleet_lists.cpp
+++ b/libs/gateway/src/fleet_lists.cpp
@@ -191,7 +191,7 @@
     for (auto const& object : objects)
     {
         auto const read = platform::read_endpoint(object.name, object.content);
-        if (read && read->service == state.settings.engine_service)
+        if (read && direct::takes_part(*read, state.settings.engine_service))
         {
             auto const serves =
                 read->weights.whole && read->weights.model == state.model;
--- a/libs/weights/tests/burst_world.hpp
+++ b/libs/weights/tests/burst_world.hpp
@@ -31,6 +31,8 @@
     std::optional<span> origin_away;
     // These agents neither send nor receive, whatever happens.
     std::set<std::size_t> dead;
+    // These end so long after the naming.
+    std::map<std::size_t, std::chrono::milliseconds> dies;
     // These begin so much later.
     std::map<std::size_t, std::chrono::milliseconds> late;
     // These cannot reach the origin.
