A request's deadline at the endpoint counts from its writing

What callers saw: nothing yet; found while tracing work that began after its bound. The bytes of a request, its remaining time among them, were made when the entry decided to send it. Where a connection had to be opened first, up to 0.4 s passed before they were written, and the endpoint, which counts from its reading, could work that much past the deadline.

Now the connection asks for the bytes once it is open, and the entry gives them with the time that is left then, or none when it is over: the request is then placed again or ended as not run, and the connection is kept.

Not taken: taking connect_limit off each deadline, which costs callers on open connections as well. Tests of the connection: bytes are asked for when it is open, and one that withholds them stays usable. The ten exchange tests, two of them new, and the tests of entry, agent and platform pass.

--- a/libs/gateway/src/call.hpp
+++ b/libs/gateway/src/call.hpp
@@ -62,6 +62,9 @@
     void wait();
     void leave_line();
     void send(direct::choice const& chosen);
+    // The bytes for the attempt's endpoint, with the time that is left now;
+    // nothing when it is over.
+    std::optional<std::string> dispatch(std::uint64_t number) const;
     net::head_verdict
     on_head(std::uint64_t number, net::response_head const& head);
     void on_data(std::uint64_t number, std::string_view data);
--- a/libs/gateway/src/call_attempt.cpp
+++ b/libs/gateway/src/call_attempt.cpp
@@ -61,18 +61,13 @@
     this->current->begun = now;
     this->current->last_byte = now;
     direct::begin_use(this->context->book, target.id, now);
-    platform::dispatch added;
-    added.instance = target.id;
-    added.workspace =
-        this->allowed.owner != nullptr ? this->allowed.owner->name : "";
-    added.time_left = this->time_left();
-    added.version = chosen.version;
-    added.priority = this->allowed.priority;
-    added.last_event = this->last_event;
     auto const number = this->attempt_number;
     auto const self = this->shared_from_this();
     connection->start(
-        platform::write_dispatch(this->request, added),
+        [self, number]
+        {
+            return self->dispatch(number);
+        },
         {[self, number](net::response_head const& head)
          {
              return self->on_head(number, head);
@@ -88,6 +83,24 @@
     this->set_timer();
 }
 
+std::optional<std::string> call::dispatch(std::uint64_t number) const
+{
+    auto const left = this->time_left();
+    if (!this->is_current(number) || left <= milliseconds(0))
+    {
+        return std::nullopt;
+    }
+    platform::dispatch added;
+    added.instance = this->current->endpoint;
+    added.workspace =
+        this->allowed.owner != nullptr ? this->allowed.owner->name : "";
+    added.time_left = left;
+    added.version = this->version;
+    added.priority = this->allowed.priority;
+    added.last_event = this->last_event;
+    return platform::write_dispatch(this->request, added);
+}
+
 bool call::is_current(std::uint64_t number) const
 {
     return !this->done && this->current && this->attempt_number == number;
@@ -223,6 +236,12 @@
                                       : "answer is not the endpoint's");
         return;
     }
+    if (result.end == net::exchange_end::withheld)
+    {
+        this->end_attempt(direct::use_end::cancelled);
+        this->after_failure(ran_state::no, "time was up before it was written");
+        return;
+    }
     if (!result.written)
     {
         note_gone(*this->context, now_running.endpoint);
--- a/libs/net/include/net/client_connection.hpp
+++ b/libs/net/include/net/client_connection.hpp
@@ -35,6 +35,8 @@
     cut,
     // Bytes came that are no response.
     not_http,
+    // The owner gave no bytes when the connection was ready for them.
+    withheld,
 };
 
 // Facts of an exchange. What they mean for the request is decided elsewhere.
@@ -56,6 +58,12 @@
     skip,
 };
 
+// The bytes of a request, asked for at the moment at which they are written;
+// nothing when the request is not to be sent any more. Failure: a connection
+// takes up to seconds to open, and a time limit in the bytes that counts from
+// the decision to send ends that much too late at the server.
+using request_source = std::function<std::optional<std::string>()>;
+
 // Called from the loop, never from inside start(). All three must be set.
 struct exchange_handlers
 {
@@ -82,6 +90,10 @@
     // runs or after close().
     void start(std::string bytes, exchange_handlers handlers);
 
+    // The same for bytes that depend on when they are written. Without any the
+    // exchange ends as withheld and the connection is left as it was.
+    void start(request_source source, exchange_handlers handlers);
+
     // Ends the connection; no handler is called any more.
     void close();
 
@@ -99,7 +111,10 @@
     bool is_open() const;
 
 private:
+    void begin(exchange_handlers next);
     void connect();
+    // Asks for the bytes of the request and writes them.
+    void write_request();
     // Hands on what the system takes now, and the rest when it has room.
     void write();
     void await_room();
@@ -114,6 +129,8 @@
     tcp_endpoint address;
     std::array<char, 8192> block{};
     std::string inbox;
+    // Asked once, when the connection is open.
+    request_source source;
     std::string outbox;
     std::size_t sent = 0;
     std::unique_ptr<response_reader> reader;
--- a/libs/net/src/client_connection.cpp
+++ b/libs/net/src/client_connection.cpp
@@ -3,6 +3,7 @@
 #include <net/client_connection.hpp>
 
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 
@@ -69,7 +70,22 @@
 
 void client_connection::start(std::string bytes, exchange_handlers next)
 {
-    this->outbox = std::move(bytes);
+    this->source = [held = std::move(bytes)]() mutable
+    {
+        return std::optional(std::move(held));
+    };
+    this->begin(std::move(next));
+}
+
+void client_connection::start(request_source bytes, exchange_handlers next)
+{
+    this->source = std::move(bytes);
+    this->begin(std::move(next));
+}
+
+void client_connection::begin(exchange_handlers next)
+{
+    this->outbox.clear();
     this->sent = 0;
     this->handlers = std::make_shared<exchange_handlers const>(std::move(next));
     this->running = true;
@@ -80,7 +96,7 @@
     this->reader.reset();
     if (this->open)
     {
-        this->write();
+        this->write_request();
         return;
     }
     this->connect();
@@ -136,7 +152,28 @@
             self->socket.non_blocking(true, ignored);
             self->open = true;
             self->read();
-            self->write();
+            self->write_request();
+        });
+}
+
+void client_connection::write_request()
+{
+    auto bytes = std::exchange(this->source, {})();
+    if (bytes)
+    {
+        this->outbox = std::move(*bytes);
+        this->write();
+        return;
+    }
+    // Not from inside start().
+    boost::asio::post(
+        this->socket.get_executor(),
+        [self = this->shared_from_this()]
+        {
+            if (!self->dead && self->running)
+            {
+                self->finish(exchange_end::withheld);
+            }
         });
 }
 
@@ -331,8 +368,10 @@
     this->last_use = clock::now();
     // Bytes beyond the response, or a request that was answered before all of
     // it was sent, make the connection unfit for the next exchange.
-    auto const clean = end == exchange_end::whole && this->keeps_alive &&
-                       this->inbox.empty() && this->sent == this->outbox.size();
+    auto const orderly =
+        end == exchange_end::whole || end == exchange_end::withheld;
+    auto const clean = orderly && this->keeps_alive && this->inbox.empty() &&
+                       this->sent == this->outbox.size();
     auto const held = std::move(this->handlers);
     auto const facts = this->result;
     if (!clean)
--- a/libs/net/tests/exchange_tests.cpp
+++ b/libs/net/tests/exchange_tests.cpp
@@ -259,4 +259,70 @@
     EXPECT_TRUE(second.result->written);
 }
 
+// A connection takes its time to open. Time limits in the request that were
+// worked out before then end that much too late at the server, which begins
+// what its caller no longer wants.
+TEST(exchange, a_request_is_made_when_the_connection_is_open)
+{
+    boost::asio::io_context loop;
+    raw_server server(
+        loop, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", false);
+    auto const connection =
+        std::make_shared<client_connection>(loop, server.address());
+    seen found;
+    auto asked = 0;
+    connection->start(
+        [&]() -> std::optional<std::string>
+        {
+            ++asked;
+            EXPECT_TRUE(connection->is_open());
+            return plain_request;
+        },
+        note_in(found));
+    EXPECT_EQ(asked, 0);
+    while (!found.result && loop.run_one() > 0)
+    {
+    }
+    EXPECT_EQ(asked, 1);
+    EXPECT_EQ(found.body, "hi");
+    connection->close();
+}
+
+// The time of a request is over when its connection has opened: nothing of it
+// is written, and the connection serves the next one.
+TEST(exchange, a_request_that_is_withheld_leaves_the_connection_as_it_was)
+{
+    boost::asio::io_context loop;
+    raw_server server(
+        loop, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", false);
+    auto const connection =
+        std::make_shared<client_connection>(loop, server.address());
+    auto const nothing = []() -> std::optional<std::string>
+    {
+        return std::nullopt;
+    };
+    // The first one while the connection opens, the second while it is open.
+    for (auto times = 0; times < 2; ++times)
+    {
+        seen withheld;
+        connection->start(nothing, note_in(withheld));
+        EXPECT_FALSE(withheld.result);
+        while (!withheld.result && loop.run_one() > 0)
+        {
+        }
+        ASSERT_TRUE(withheld.result);
+        EXPECT_EQ(withheld.result->end, exchange_end::withheld);
+        EXPECT_FALSE(withheld.result->written);
+        ASSERT_TRUE(connection->is_idle());
+        ASSERT_TRUE(connection->is_open());
+    }
+    seen found;
+    connection->start(plain_request, note_in(found));
+    while (!found.result && loop.run_one() > 0)
+    {
+    }
+    EXPECT_EQ(found.body, "hi");
+    connection->close();
+}
+
 } // namespace foxtailvale::net
