A choice of an endpoint tells what it went by

Cause: why a request was sent to an engine on an older version could not be read from anything afterwards: not the work that was counted there, nor the report's age, nor the end of the version that the entry believed in.

`choice` holds an `expectation` now: slots, work as work_at counts it, line and age of the report, the latest moment at which the request was thought to begin, and the end of the version. `use_ends` tells that end from the book.

--- a/libs/direct/include/direct/endpoint_book.hpp
+++ b/libs/direct/include/direct/endpoint_book.hpp
@@ -169,6 +169,11 @@
 std::uint64_t oldest_allowed(
     endpoint_book const& book, std::string const& model, base::time_point now);
 
+// When this version of the model stops to begin requests, as far as newer ones
+// are known; nothing for the newest.
+std::optional<base::time_point> use_ends(
+    endpoint_book const& book, std::string const& model, std::uint64_t version);
+
 // How an own request at an endpoint ended, as far as the endpoint is judged.
 enum class use_end
 {
--- a/libs/direct/include/direct/placement.hpp
+++ b/libs/direct/include/direct/placement.hpp
@@ -53,12 +53,31 @@
     no_weights,
 };
 
+// What a choice went by, for whoever asks afterwards why a request was sent to
+// an endpoint.
+struct expectation
+{
+    std::uint32_t slots = 0;
+    // Requests there, as work_at counts them.
+    std::uint32_t work = 0;
+    // Requests that the agent's report shows in the endpoint's line.
+    std::uint32_t line = 0;
+    // Nothing without a report. With one older than report_silence, too, the
+    // choice went by the list and by own requests.
+    std::optional<std::chrono::milliseconds> report_age;
+    // The latest moment at which the request was thought to begin.
+    base::time_point begins;
+    // When the version chosen stops to begin requests; nothing for the newest.
+    std::optional<base::time_point> ends;
+};
+
 struct choice
 {
     endpoint_state const* chosen = nullptr;
     no_choice why = no_choice::none_listed;
     // The version that the request must begin on; zero for a plain service.
     std::uint64_t version = 0;
+    expectation expected;
 };
 
 // Chooses the endpoint with the least work for its slots, as last reported and
--- a/libs/direct/src/endpoint_book.cpp
+++ b/libs/direct/src/endpoint_book.cpp
@@ -204,6 +204,26 @@
     return oldest;
 }
 
+std::optional<base::time_point> use_ends(
+    endpoint_book const& book, std::string const& model, std::uint64_t version)
+{
+    std::optional<base::time_point> ends;
+    auto const found = book.versions.find(model);
+    if (found == book.versions.end())
+    {
+        return ends;
+    }
+    for (auto const& named : found->second)
+    {
+        if (named.version > version)
+        {
+            ends =
+                std::min(ends.value_or(named.older_until), named.older_until);
+        }
+    }
+    return ends;
+}
+
 void begin_use(endpoint_book& book, std::string const& id, base::time_point now)
 {
     auto const found = book.endpoints.find(id);
--- a/libs/direct/src/placement.cpp
+++ b/libs/direct/src/placement.cpp
@@ -206,6 +206,30 @@
                ask.cold);
 }
 
+expectation expect(
+    endpoint_book const& book,
+    endpoint_state const& state,
+    placement_ask const& ask,
+    base::time_point now)
+{
+    expectation found;
+    found.slots = state.listed.slots;
+    found.work = work_at(state, ask.entries, now);
+    found.begins = now + time_to_begin(state, ask.entries, now);
+    if (state.report)
+    {
+        found.line = state.report->waiting;
+        found.report_age =
+            std::chrono::duration_cast<std::chrono::milliseconds>(
+                now - state.reported);
+    }
+    if (!ask.model.empty())
+    {
+        found.ends = use_ends(book, ask.model, weights_of(state, now).version);
+    }
+    return found;
+}
+
 bool is_distrusted(endpoint_state const& state, base::time_point now)
 {
     auto const silent = state.report && !is_fresh(state, now);
@@ -326,7 +350,12 @@
             found.chosen = &state;
         }
     }
-    if (found.chosen != nullptr && !ask.model.empty())
+    if (found.chosen == nullptr)
+    {
+        return found;
+    }
+    found.expected = expect(book, *found.chosen, ask, now);
+    if (!ask.model.empty())
     {
         found.version = weights_of(*found.chosen, now).version;
     }
--- a/libs/direct/tests/endpoint_book_tests.cpp
+++ b/libs/direct/tests/endpoint_book_tests.cpp
@@ -104,6 +104,29 @@
     EXPECT_EQ(oldest_allowed(book, "other", start + seconds(11)), 0U);
 }
 
+TEST(versions, the_use_of_one_ends_with_the_first_newer_one)
+{
+    endpoint_book book;
+    EXPECT_FALSE(use_ends(book, "m", 1));
+    name_version(book, "m", {2, start, start + seconds(7)});
+    name_version(book, "m", {3, start, start + seconds(11)});
+    EXPECT_EQ(use_ends(book, "m", 1), start + seconds(7));
+    EXPECT_EQ(use_ends(book, "m", 2), start + seconds(11));
+    EXPECT_FALSE(use_ends(book, "m", 3));
+    EXPECT_FALSE(use_ends(book, "other", 1));
+}
+
+// An entry that hears of versions in a row from others that knew them longer
+// may count the later one's time shorter than the first one's.
+TEST(versions, the_use_of_one_ends_when_it_is_no_longer_allowed)
+{
+    endpoint_book book;
+    name_version(book, "m", {2, start, start + seconds(9)});
+    name_version(book, "m", {3, start, start + seconds(8)});
+    EXPECT_EQ(use_ends(book, "m", 1), start + seconds(8));
+    EXPECT_EQ(oldest_allowed(book, "m", start + seconds(8)), 3U);
+}
+
 TEST(use, an_endpoint_that_cannot_be_reached_is_left_alone_longer_each_time)
 {
     endpoint_book book;
--- a/libs/direct/tests/placement_tests.cpp
+++ b/libs/direct/tests/placement_tests.cpp
@@ -222,6 +222,57 @@
 
 // A stream is cut in the middle of a version change and goes on elsewhere.
 // Its rest must come from the weights that it began with.
+// A request began on an older version after its time. What the entry had
+// counted on was nowhere to be read, so nobody could say whether the engine was
+// fuller than reported, the report old, or the end learned late.
+TEST(placement, a_choice_tells_what_it_went_by)
+{
+    auto book = engines(1);
+    load_report said;
+    said.running = 9;
+    said.waiting = 3;
+    said.weights = {"m", 1, true};
+    note_report(book, "10.0.0.0", said, start);
+    name_version(book, "m", {2, start, start + seconds(7)});
+    begin_use(book, "e0", start + milliseconds(100));
+    auto ask = ask_from("d0");
+    ask.entries = 2;
+    base::random_state random{3};
+    auto const now = start + milliseconds(200);
+    auto const found = choose(book, ask, now, random);
+    ASSERT_NE(found.chosen, nullptr);
+    auto const& expected = found.expected;
+    EXPECT_EQ(expected.slots, 16U);
+    EXPECT_EQ(expected.work, 14U);
+    EXPECT_EQ(expected.line, 3U);
+    EXPECT_EQ(expected.report_age, milliseconds(200));
+    EXPECT_GT(expected.begins, now);
+    EXPECT_EQ(expected.ends, start + seconds(7));
+    // What it expects is what decides: it is sent as long as it begins before
+    // the end.
+    auto const slack = *expected.ends - expected.begins;
+    auto const last = now + slack - milliseconds(1);
+    note_report(book, "10.0.0.0", said, last);
+    EXPECT_NE(choose(book, ask, last, random).chosen, nullptr);
+    note_report(book, "10.0.0.0", said, now + slack);
+    EXPECT_EQ(choose(book, ask, now + slack, random).chosen, nullptr);
+}
+
+TEST(placement, a_choice_by_the_list_tells_that_it_had_no_report)
+{
+    auto book = engines(1);
+    auto const ask = ask_from("d0");
+    base::random_state random{3};
+    auto const unreported = choose(book, ask, start, random).expected;
+    EXPECT_FALSE(unreported.report_age);
+    EXPECT_FALSE(unreported.ends);
+    report(book, "10.0.0.0", 12);
+    auto const later = start + seconds(2);
+    auto const stale = choose(book, ask, later, random).expected;
+    EXPECT_EQ(stale.report_age, seconds(2));
+    EXPECT_EQ(stale.work, 0U);
+}
+
 TEST(placement, a_stream_goes_on_with_its_version_only)
 {
     auto book = engines(2);
