--- a/libs/direct/include/direct/endpoint_book.hpp
+++ b/libs/direct/include/direct/endpoint_book.hpp
@@ -174,6 +174,10 @@
 std::optional<base::time_point> use_ends(
     endpoint_book const& book, std::string const& model, std::uint64_t version);
 
+// When the first version newer than this one was named; nothing for the newest.
+std::optional<base::time_point> succeeded_at(
+    endpoint_book const& book, std::string const& model, std::uint64_t version);
+
 // How an own request at an endpoint ended, as far as the endpoint is judged.
 enum class use_end
 {
--- a/libs/direct/src/endpoint_book.cpp
+++ b/libs/direct/src/endpoint_book.cpp
@@ -55,6 +55,28 @@
         fault_weight * ((fault ? 1.0 : 0.0) - state.fault_share);
 }
 
+std::optional<base::time_point> earliest_of_newer(
+    endpoint_book const& book,
+    std::string const& model,
+    std::uint64_t version,
+    base::time_point named_version::*which)
+{
+    std::optional<base::time_point> earliest;
+    auto const found = book.versions.find(model);
+    if (found == book.versions.end())
+    {
+        return earliest;
+    }
+    for (auto const& named : found->second)
+    {
+        if (named.version > version)
+        {
+            earliest = std::min(earliest.value_or(named.*which), named.*which);
+        }
+    }
+    return earliest;
+}
+
 } // namespace
 
 bool takes_part(endpoint_record const& endpoint, std::string const& service)
@@ -207,21 +229,13 @@
 std::optional<base::time_point> use_ends(
     endpoint_book const& book, std::string const& model, std::uint64_t version)
 {
-    std::optional<base::time_point> ends;
-    auto const found = book.versions.find(model);
-    if (found == book.versions.end())
-    {
-        return ends;
-    }
-    for (auto const& named : found->second)
-    {
-        if (named.version > version)
-        {
-            ends =
-                std::min(ends.value_or(named.older_until), named.older_until);
-        }
-    }
-    return ends;
+    return earliest_of_newer(book, model, version, &named_version::older_until);
+}
+
+std::optional<base::time_point> succeeded_at(
+    endpoint_book const& book, std::string const& model, std::uint64_t version)
+{
+    return earliest_of_newer(book, model, version, &named_version::learned);
 }
 
 void begin_use(endpoint_book& book, std::string const& id, base::time_point now)
--- a/libs/gateway/include/gateway/entry_context.hpp
+++ b/libs/gateway/include/gateway/entry_context.hpp
@@ -78,6 +78,10 @@
     std::set<std::string> neighbours;
     // From a request's sending to its first event, by service.
     std::map<std::string, request::measured_time> first_answer;
+    // How near beginnings on a version came to its bound, the least time that
+    // was left, by model and version.
+    std::map<std::pair<std::string, std::uint64_t>, std::chrono::milliseconds>
+        nearest_beginnings;
     request::suspect_list suspects;
     // Tells the other entries of a crash or that it was none of this request.
     std::function<void(
--- a/libs/gateway/src/call.hpp
+++ b/libs/gateway/src/call.hpp
@@ -36,6 +36,18 @@
     base::time_point last_event;
 };
 
+// What was expected of the last attempt, and what came of it. Outlives the
+// attempt, as its end is told afterwards.
+struct attempt_sight
+{
+    direct::expectation expected;
+    base::time_point sent;
+    // When the first event came, and how long before the end of the version,
+    // as known then.
+    std::optional<base::time_point> begun;
+    std::optional<base::duration> before_end;
+};
+
 // One request of a caller on its way through the entry: admitted, placed or
 // waiting, sent to an endpoint, answered. Alive while it waits, runs or its
 // timer is set.
@@ -66,6 +78,12 @@
     on_head(std::uint64_t number, net::response_head const& head);
     void on_data(std::uint64_t number, std::string_view data);
     void on_events(std::string_view data);
+    // Tells what is expected of a request that goes to an older version.
+    void note_placed(direct::choice const& chosen);
+    // Measures the beginning of an attempt by its first event.
+    void note_begun();
+    // Adds what came of an attempt that note_placed() told of.
+    void add_beginning(nlohmann::json& fields) const;
     // Counts an event that is passed on.
     void note_event();
     void on_end(std::uint64_t number, net::exchange_result const& result);
@@ -115,6 +133,7 @@
     // The endpoint that it was sent to last.
     std::string last_endpoint;
     std::optional<endpoint_attempt> current;
+    std::optional<attempt_sight> sight;
     std::uint64_t attempt_number = 0;
     std::set<std::string> tried;
     std::uint32_t sends = 0;
--- a/libs/gateway/src/call_attempt.cpp
+++ b/libs/gateway/src/call_attempt.cpp
@@ -61,6 +61,7 @@
     this->current->begun = now;
     this->current->last_byte = now;
     direct::begin_use(this->context->book, target.id, now);
+    this->note_placed(chosen);
     platform::dispatch added;
     added.instance = target.id;
     added.workspace =
@@ -150,6 +151,7 @@
     std::string passed;
     for (auto const& event : split(this->current->events, data))
     {
+        this->note_begun();
         if (event.id)
         {
             if (this->last_event && *event.id <= *this->last_event)
--- a/libs/gateway/src/call_end.cpp
+++ b/libs/gateway/src/call_end.cpp
@@ -179,21 +179,23 @@
         this->context->confirmed
             ? (base::boot_now() - *this->context->confirmed).count()
             : -1;
-    kernel::log_event(
-        event, {{"request", this->said.attempt},
-                {"kind", base::row_of(kind).name},
-                {"reason", reason},
-                {"service", this->service_name},
-                {"endpoint", this->last_endpoint},
-                {"version", this->version},
-                {"sends", this->sends},
-                {"runs", this->runs},
-                {"ran", base::to_string(this->ran_so_far)},
-                {"last_event", this->last_event.value_or(0)},
-                {"configuration",
-                 this->configuration ? this->configuration->version : 0},
-                {"view_age_ms", age},
-                {"after_ms", since(this->arrived)}});
+    nlohmann::json fields{
+        {"request", this->said.attempt},
+        {"kind", base::row_of(kind).name},
+        {"reason", reason},
+        {"service", this->service_name},
+        {"endpoint", this->last_endpoint},
+        {"version", this->version},
+        {"sends", this->sends},
+        {"runs", this->runs},
+        {"ran", base::to_string(this->ran_so_far)},
+        {"last_event", this->last_event.value_or(0)},
+        {"configuration",
+         this->configuration ? this->configuration->version : 0},
+        {"view_age_ms", age},
+        {"after_ms", since(this->arrived)}};
+    this->add_beginning(fields);
+    kernel::log_event(event, std::move(fields));
 }
 
 void call::log_answer(unsigned status) const
@@ -205,19 +207,19 @@
     };
     auto const total = since_arrival(now);
     this->context->counters.observe("foxtailvale_answer_ms", total);
-    kernel::log_event(
-        kernel::event_id::request_answered,
-        {{"request", this->said.attempt},
-         {"status", status},
-         {"service", this->service_name},
-         {"endpoint", this->last_endpoint},
-         {"version", this->version},
-         {"sends", this->sends},
-         {"returned", this->returned},
-         {"sent_ms", since_arrival(this->first_sent.value_or(now)).count()},
-         {"first_ms",
-          since_arrival(this->first_answered.value_or(now)).count()},
-         {"after_ms", total.count()}});
+    nlohmann::json fields{
+        {"request", this->said.attempt},
+        {"status", status},
+        {"service", this->service_name},
+        {"endpoint", this->last_endpoint},
+        {"version", this->version},
+        {"sends", this->sends},
+        {"returned", this->returned},
+        {"sent_ms", since_arrival(this->first_sent.value_or(now)).count()},
+        {"first_ms", since_arrival(this->first_answered.value_or(now)).count()},
+        {"after_ms", total.count()}};
+    this->add_beginning(fields);
+    kernel::log_event(kernel::event_id::request_answered, std::move(fields));
 }
 
 } // namespace foxtailvale::gateway
--- /dev/null
+++ b/libs/gateway/src/call_sight.cpp
@@ -0,0 +1,117 @@
+#include "call.hpp"
+
+#include <kernel/events.hpp>
+
+#include <algorithm>
+
+namespace foxtailvale::gateway
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+using clock = std::chrono::steady_clock;
+
+milliseconds in_ms(base::duration value)
+{
+    return std::chrono::duration_cast<milliseconds>(value);
+}
+
+// Keeps the least time that was left of a version's bound.
+void note_left(
+    entry_context& context,
+    std::string const& model,
+    std::uint64_t version,
+    milliseconds left)
+{
+    auto const added =
+        context.nearest_beginnings.try_emplace({model, version}, left);
+    auto& least = added.first->second;
+    if (!added.second && left >= least)
+    {
+        return;
+    }
+    least = left;
+    context.counters.gauge(
+        "foxtailvale_version_begin_left_ms",
+        {{"model", model}, {"version", std::to_string(version)}},
+        static_cast<double>(left.count()));
+}
+
+} // namespace
+
+void call::note_placed(direct::choice const& chosen)
+{
+    this->sight.emplace();
+    this->sight->expected = chosen.expected;
+    this->sight->sent = this->current->begun;
+    if (!chosen.expected.ends)
+    {
+        return;
+    }
+    auto const& expected = chosen.expected;
+    auto const until = [this](base::time_point then)
+    {
+        return in_ms(then - this->sight->sent).count();
+    };
+    kernel::log_event(
+        kernel::event_id::request_placed,
+        {{"request", this->said.attempt},
+         {"endpoint", this->current->endpoint},
+         {"address", this->current->address},
+         {"version", chosen.version},
+         {"sends", this->sends},
+         {"slots", expected.slots},
+         {"work", expected.work},
+         {"line", expected.line},
+         {"report_age_ms",
+          expected.report_age.value_or(milliseconds(-1)).count()},
+         {"expected_ms", until(expected.begins)},
+         {"ends_in_ms", until(*expected.ends)}});
+}
+
+void call::note_begun()
+{
+    auto& seen = *this->sight;
+    if (seen.begun || this->version == 0)
+    {
+        return;
+    }
+    auto const now = clock::now();
+    seen.begun = now;
+    this->context->counters.observe(
+        "foxtailvale_begun_late_ms",
+        std::max(milliseconds(0), in_ms(now - seen.expected.begins)));
+    auto const& book = this->context->book;
+    if (auto const ends =
+            direct::use_ends(book, this->said.model, this->version))
+    {
+        seen.before_end = *ends - now;
+    }
+    if (auto const succeeded =
+            direct::succeeded_at(book, this->said.model, this->version))
+    {
+        auto const bound = this->context->settings.promised.version;
+        note_left(
+            *this->context, this->said.model, this->version,
+            in_ms(*succeeded + bound - now));
+    }
+}
+
+void call::add_beginning(nlohmann::json& fields) const
+{
+    if (!this->sight || !this->sight->expected.ends)
+    {
+        return;
+    }
+    auto const& seen = *this->sight;
+    fields["begun_ms"] =
+        seen.begun ? in_ms(*seen.begun - seen.sent).count() : -1;
+    if (seen.before_end)
+    {
+        fields["before_end_ms"] = in_ms(*seen.before_end).count();
+    }
+}
+
+} // namespace foxtailvale::gateway
--- a/libs/gateway/src/entry_views.cpp
+++ b/libs/gateway/src/entry_views.cpp
@@ -295,7 +295,9 @@
     this->on_versions();
     kernel::log_event(
         kernel::event_id::version_named,
-        {{"model", read->model}, {"version", read->version}});
+        {{"model", read->model},
+         {"version", read->version},
+         {"age_ms", (base::boot_now() - accepted).count()}});
 }
 
 } // namespace foxtailvale::gateway
--- a/libs/kernel/include/kernel/events.hpp
+++ b/libs/kernel/include/kernel/events.hpp
@@ -58,6 +58,7 @@
     request_answered = 1407,
     request_cut = 1408,
     request_left = 1409,
+    request_placed = 1410,
     domain_out = 1501,
     domain_in = 1502,
 };
--- a/libs/kernel/src/events.cpp
+++ b/libs/kernel/src/events.cpp
@@ -59,6 +59,7 @@
     event_row{event_id::request_answered, "request_answered"},
     event_row{event_id::request_cut, "request_cut"},
     event_row{event_id::request_left, "request_left"},
+    event_row{event_id::request_placed, "request_placed"},
     event_row{event_id::domain_out, "domain_out"},
     event_row{event_id::domain_in, "domain_in"},
 };
