What waits or is repeated is looked at again before it is sent

A caller's key was taken away while its request waited for room, or ran at an endpoint that then declined it, and the request was sent on: whether it is allowed was decided once, at its arrival. The same held for a route that was dropped and for regions that changed.

Each placement now looks at the configuration again where another is in force. What is not allowed any more is refused as not run (503) and not denied for good, since it was allowed when the caller sent it; what may have run ends as unknown. The view's age still counts at the arrival only, so that streams go on while the store is away.

--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -42,6 +42,11 @@
 constexpr int gap_goals = 3;
 constexpr milliseconds least_gap{700};
 
+std::string owner_name(routing::permission const& allowed)
+{
+    return allowed.owner != nullptr ? allowed.owner->name : "";
+}
+
 } // namespace
 
 call::call(
@@ -51,7 +56,8 @@
     : context(std::move(shared)), session(std::move(caller)),
       request(std::move(received)),
       said(platform::read_caller_request(this->request)),
-      configuration(this->context->configuration), timer(this->context->loop),
+      configuration(this->context->configuration),
+      looked_at(this->configuration), timer(this->context->loop),
       arrived(clock::now())
 {
 }
@@ -91,6 +97,27 @@
     return refused && this->arrived - *refused > goal;
 }
 
+bool call::is_still_allowed()
+{
+    auto const newest = this->context->configuration;
+    if (newest == this->looked_at)
+    {
+        return true;
+    }
+    // The view's age counts for a key at the request's arrival only.
+    auto const permitted = routing::permit(
+        newest.get(), {this->said.host, this->request.target, this->said.key},
+        {});
+    if (permitted.has_error() ||
+        owner_name(permitted.value()) != owner_name(this->allowed))
+    {
+        return false;
+    }
+    this->allowed.regions = permitted.value().regions;
+    this->looked_at = newest;
+    return true;
+}
+
 bool call::admit()
 {
     this->print = base::stable_hash(
@@ -178,6 +205,16 @@
 
 bool call::place(bool may_wait)
 {
+    if (!this->is_still_allowed())
+    {
+        // Not denied for good: it was allowed when the caller sent it.
+        this->fail(
+            this->ran_so_far == ran_state::no
+                ? error_kind::stale_configuration
+                : direct::final_error(this->ran_so_far, false),
+            "no longer allowed");
+        return true;
+    }
     auto const ask = this->placement();
     auto const now = clock::now();
     auto const chosen =
--- a/libs/gateway/src/call.hpp
+++ b/libs/gateway/src/call.hpp
@@ -54,6 +54,10 @@
 
 private:
     bool admit();
+    // Looks again, where another configuration is in force than when it was
+    // looked at last. Failure: a key was taken away while a request waited, and
+    // the permission from its arrival let it be run seconds later.
+    bool is_still_allowed();
     // It was refused before, so long ago that its goal is past.
     bool has_returned(std::chrono::milliseconds goal) const;
     bool has_line() const;
@@ -97,6 +101,7 @@
     net::request request;
     platform::caller_request said;
     std::shared_ptr<routing::configuration const> configuration;
+    std::shared_ptr<routing::configuration const> looked_at;
     routing::permission allowed;
     std::string service_name;
     routing::service const* service = nullptr;
