A waiting request whose time is up is refused, not sent, after a pause

After a process had stood still, room that others left was seen before the timers of the requests that waited for it. A request of 300 ms that waited over a pause of 600 ms was sent with a negative deadline, and the endpoint worked for nobody.

Whoever takes a request from the line looks at the clock first and refuses it as not run.

--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -261,11 +261,22 @@
 bool call::try_waiting()
 {
     auto const keep = this->shared_from_this();
-    if (!this->place(true))
+    // After a pause of the process the room that others left is seen before
+    // this request's timer.
+    if (clock::now() >= this->wait_until)
     {
-        return false;
+        this->end_waiting();
+        return true;
     }
-    return true;
+    return this->place(true);
+}
+
+void call::end_waiting()
+{
+    this->leave_line();
+    this->fail(
+        direct::final_error(this->ran_so_far, clock::now() >= this->deadline),
+        "waited for room");
 }
 
 milliseconds call::time_left() const
@@ -307,10 +318,7 @@
     auto const now = clock::now();
     if (this->in_line && now >= this->wait_until)
     {
-        this->leave_line();
-        this->fail(
-            direct::final_error(this->ran_so_far, now >= this->deadline),
-            "waited for room");
+        this->end_waiting();
         return;
     }
     if (!this->current)
--- a/libs/gateway/src/call.hpp
+++ b/libs/gateway/src/call.hpp
@@ -65,6 +65,8 @@
     direct::placement_ask placement() const;
     void wait();
     void leave_line();
+    // It has waited for as long as it may.
+    void end_waiting();
     void send(direct::choice const& chosen);
     net::head_verdict
     on_head(std::uint64_t number, net::response_head const& head);
