A request whose caller has already left is not handed on

An entry that stood still for a moment read the requests of callers who had given up meanwhile, sent them on over connections that stood open, and read the callers' ends in the next turn of its loop. Requests reached endpoints more than half a second after their callers had left, and were cancelled there at once. A kind of this was seen once at an entry that may have had too little processor time; that it was this is suspected, not shown.

A session looks for the client's end behind the request before it hands the request on: one call more for each request.

--- a/libs/net/include/net/http_server.hpp
+++ b/libs/net/include/net/http_server.hpp
@@ -119,6 +119,10 @@
     void read();
     void on_read(boost::system::error_code error, std::size_t count);
     void feed();
+    // Whether the client's end lies behind what was read of it. Failure: a
+    // process that stood still read the requests of callers who had given up
+    // meanwhile, and handed them on before it read that they had left.
+    bool client_has_left();
     void dispatch();
     void fail(read_fault fault);
     void write(std::string_view bytes);
--- a/libs/net/src/server_session.cpp
+++ b/libs/net/src/server_session.cpp
@@ -6,7 +6,9 @@
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <sys/socket.h>
 
+#include <cerrno>
 #include <cstdio>
 #include <utility>
 
@@ -185,6 +187,11 @@
         }
         if (message.is_done())
         {
+            if (this->client_has_left())
+            {
+                this->leave();
+                return;
+            }
             this->dispatch();
             continue;
         }
@@ -203,6 +210,15 @@
     }
 }
 
+bool server_session::client_has_left()
+{
+    char next = 0;
+    auto const got =
+        ::recv(this->socket.native_handle(), &next, 1, MSG_PEEK | MSG_DONTWAIT);
+    return got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK &&
+                        errno != EINTR);
+}
+
 void server_session::dispatch()
 {
     auto message = this->parser->parser.release();
