Repeats are counted over any span of the window, not by whole seconds

The repeats of a second left the count when the tenth second after it began, up to a second early: at two failures 9.05 to 9.95 s apart an entry spent all its repeats both times, 160 in ten seconds where 100 are allowed (0.8 of each are handed out). All entries of one machine's clock would do so together.

Each repeat's moment is kept and counts for the whole window; requests are counted by second as before, which errs to the low side.

--- a/libs/direct/include/direct/shares.hpp
+++ b/libs/direct/include/direct/shares.hpp
@@ -108,13 +108,15 @@
     double slack = 0;
 };
 
-// Requests and repeats of this entry by second.
+// Requests of this entry by second, and the moments of its repeats, oldest
+// first. Failure: repeats counted by second too dropped out of the count up to
+// a second early, and any ten seconds could hold twice what they may.
 struct retry_window
 {
     static constexpr std::size_t most_seconds = 32;
     std::array<std::uint32_t, most_seconds> requests{};
-    std::array<std::uint32_t, most_seconds> repeats{};
     std::int64_t second = 0;
+    std::deque<base::time_point> repeats;
 };
 
 void note_request(retry_window& state, base::time_point now);
--- a/libs/direct/src/shares.cpp
+++ b/libs/direct/src/shares.cpp
@@ -48,7 +48,6 @@
     for (auto passed = first; passed <= second; ++passed)
     {
         state.requests[slot_of(passed)] = 0;
-        state.repeats[slot_of(passed)] = 0;
     }
     state.second = std::max(state.second, second);
 }
@@ -146,20 +145,23 @@
 {
     advance(state, now);
     double requests = 0;
-    double repeats = 0;
     for (std::int64_t back = 0; back < bound.window.count(); ++back)
     {
         requests += state.requests[slot_of(state.second - back)];
-        repeats += state.repeats[slot_of(state.second - back)];
+    }
+    while (!state.repeats.empty() &&
+           now - state.repeats.front() >= bound.window)
+    {
+        state.repeats.pop_front();
     }
     auto const allowed =
         used_part *
         (bound.ratio * requests + bound.slack / static_cast<double>(entries));
-    if (repeats + 1 > allowed)
+    if (static_cast<double>(state.repeats.size()) + 1 > allowed)
     {
         return false;
     }
-    ++state.repeats[slot_of(state.second)];
+    state.repeats.push_back(now);
     return true;
 }
 
