An entry is new until it has known the list of endpoints for two seconds

For two seconds after its start an entry uses a cold endpoint by lot, as if there were 64 of them, since agents may not have named the others yet. Where the list came later than that, after a slow or absent store, it never did: it sent as one of 16 to every cold endpoint, and 45 entries that start together would send 45 requests a second where the endpoint bears 38.

The two seconds count from the first list, which is also when agents are asked first. The test failed before; entry and relay tests 29 of 29 after. What it costs while machines come back late was not played.

--- a/libs/gateway/src/entry_views.cpp
+++ b/libs/gateway/src/entry_views.cpp
@@ -1,6 +1,8 @@
 #include <gateway/entry_views.hpp>
 #include <kernel/events.hpp>
 
+#include <utility>
+
 namespace foxtailvale::gateway
 {
 
@@ -172,7 +174,11 @@
              direct::replace_all(
                  self->context->book, std::move(records), was_lost,
                  clock::now());
-             self->endpoints_known = true;
+             if (!std::exchange(self->endpoints_known, true))
+             {
+                 // Only from now on can agents name the other entries.
+                 self->context->started = clock::now();
+             }
              self->on_endpoints();
              serve_all_waiting(*self->context);
          },
