What was decided before a pause is not written after it

What callers saw: nothing yet; found by the search for bounds that stand on a local timer. A process stood still while a connection opened. When it went on, the opening was seen before the timer of the connection limit and before any news, and the request was written to an endpoint whose failure domain had been taken out meanwhile.

A connection that took longer to open than the limit is not written to: the bytes are asked for when it is open, and the entry looks at the clock then.

--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -24,10 +24,6 @@
 // Callers that name no time and routes without one.
 constexpr milliseconds longest_time{60000};
 
-// A connection on one machine or across a region opens within milliseconds;
-// a lost opening packet is sent again after a second.
-constexpr milliseconds connect_limit{400};
-
 // Time to the first byte after which a silent endpoint is given up, for
 // requests that may run twice: one that sends to nobody is gone, one that sends
 // to others has the request in its queue. Failure: under full load requests
--- a/libs/gateway/src/call.hpp
+++ b/libs/gateway/src/call.hpp
@@ -17,6 +17,12 @@
 namespace foxtailvale::gateway
 {
 
+// A connection on one machine or across a region opens within milliseconds; a
+// lost opening packet is sent again after a second. One that took longer to
+// open is not written to: after a pause of the process its opening is seen
+// before any news, and what was decided before the pause may no longer hold.
+inline constexpr std::chrono::milliseconds connect_limit{400};
+
 // One attempt of a request at an endpoint.
 struct endpoint_attempt
 {
@@ -81,7 +87,7 @@
     void end_waiting();
     void send(direct::choice const& chosen);
     // The bytes for the attempt's endpoint, with the time that is left now;
-    // nothing when it is over.
+    // nothing when it is over or the connection took too long to open.
     std::optional<std::string> dispatch(std::uint64_t number) const;
     net::head_verdict
     on_head(std::uint64_t number, net::response_head const& head);
--- a/libs/gateway/src/call_attempt.cpp
+++ b/libs/gateway/src/call_attempt.cpp
@@ -87,7 +87,8 @@
 std::optional<std::string> call::dispatch(std::uint64_t number) const
 {
     auto const left = this->time_left();
-    if (!this->is_current(number) || left <= milliseconds(0))
+    if (!this->is_current(number) || left <= milliseconds(0) ||
+        clock::now() >= this->current->begun + connect_limit)
     {
         return std::nullopt;
     }
