Agents tell when a switch was planned, ordered, accepted and done, and why it was late

Cause: an engine was still on the older version at its bound, and the agent's lines named the order's version only. Whether the plan was late, chunks, staging, the order or its answer could not be told.

switch_planned (1313) and engine_order_accepted (1314) are new; engine_order_sent has the planned turn, how late it went out and by which step, engine_order_failed and weights_activated the time since the order and what is left of the bound. Times count from the naming of the first version newer than the one in use. The metrics are foxtailvale_version_switch_left_ms{model,version} and foxtailvale_switch_ms. switch_sight holds what is told apart from what is done; when engines switch is unchanged.

--- a/libs/gateway/src/agent.cpp
+++ b/libs/gateway/src/agent.cpp
@@ -300,7 +300,10 @@
     }
     kernel::log_event(
         kernel::event_id::version_named,
-        {{"model", model}, {"version", version}});
+        {{"model", model},
+         {"version", version},
+         {"age_ms", std::chrono::duration_cast<milliseconds>(clock::now() - at)
+                        .count()}});
     this->drive();
 }
 
--- a/libs/gateway/src/engine_switch.cpp
+++ b/libs/gateway/src/engine_switch.cpp
@@ -30,6 +30,7 @@
 void engine_switch::forget_staged()
 {
     this->staged.clear();
+    this->staged_whole.reset();
     this->recovered = 0;
     this->verifying = false;
 }
@@ -114,12 +115,18 @@
         this->forget_staged();
         this->staged_version = version;
     }
+    this->note_plan(version);
     this->stage_next();
     auto const& held = state.versions[version];
     if (!held.manifest || this->staged.size() < held.manifest->digests.size())
     {
+        this->staged_whole.reset();
         return;
     }
+    if (!this->staged_whole)
+    {
+        this->staged_whole = clock::now();
+    }
     if (clock::now() >=
         weights::switch_turn(switch_ask_of(state, clock::now()), version))
     {
@@ -170,6 +177,7 @@
         return;
     }
     this->verifying = true;
+    this->look_began = clock::now();
     this->verified = 0;
     this->verify_next();
 }
@@ -226,35 +234,110 @@
     this->ordering = true;
     state.switching = true;
     this->on_order();
-    kernel::log_event(
-        kernel::event_id::engine_order_sent,
-        {{"version", version}, {"orders", state.engine->orders}});
+    this->ordered = this->plan;
+    this->ordered_at = clock::now();
+    auto sent = this->order_fields();
+    sent["orders"] = state.engine->orders;
+    if (this->ordered)
+    {
+        add_steps(
+            sent, *this->ordered,
+            {state.versions[version].whole, this->staged_whole,
+             this->look_began},
+            this->ordered_at);
+    }
+    kernel::log_event(kernel::event_id::engine_order_sent, std::move(sent));
     fetch(
         state.loop, state.pool, state.settings.engine_address,
         platform::start_request(
             state.model, version, state.engine->orders,
             platform::running_requests::finish),
         local_limit,
-        [self = this->shared_from_this(),
-         version](std::optional<fetched> response)
+        [self = this->shared_from_this()](std::optional<fetched> response)
         {
             self->ordering = false;
             self->order_again = clock::now() + order_pause;
             auto const answer =
                 response ? platform::read_order_answer(response->status)
                          : platform::order_answer::conflict;
-            if (answer != platform::order_answer::begun &&
-                answer != platform::order_answer::in_effect)
+            auto const accepted = answer == platform::order_answer::begun ||
+                                  answer == platform::order_answer::in_effect;
+            auto fields = self->order_fields();
+            fields["status"] = response ? response->status : 0;
+            if (!accepted)
             {
-                kernel::log_event(
-                    kernel::event_id::engine_order_failed,
-                    {{"version", version},
-                     {"status", response ? response->status : 0},
-                     {"answer", response ? response->body : ""}});
+                fields["answer"] = response ? response->body : "";
             }
+            kernel::log_event(
+                accepted ? kernel::event_id::engine_order_accepted
+                         : kernel::event_id::engine_order_failed,
+                std::move(fields));
         });
 }
 
+void engine_switch::note_plan(std::uint64_t version)
+{
+    auto const& state = *this->context;
+    auto const now = clock::now();
+    auto const found = state.versions.find(version);
+    auto const known = found != state.versions.end() && found->second.manifest;
+    this->plan = plan_of(
+        switch_ask_of(state, now), version,
+        known ? std::optional(
+                    found->second.transfer.digests.size() -
+                    found->second.transfer.held)
+              : std::nullopt);
+    if (!this->plan || !is_news(this->told, *this->plan, now))
+    {
+        return;
+    }
+    this->told = {this->plan, now};
+    auto fields = fields_of(*this->plan);
+    add_times(fields, *this->plan, now);
+    fields["ip"] = state.settings.ip;
+    kernel::log_event(kernel::event_id::switch_planned, std::move(fields));
+}
+
+nlohmann::json engine_switch::order_fields() const
+{
+    auto const now = clock::now();
+    nlohmann::json fields{
+        {"version", this->staged_version},
+        {"from_version", this->ordered ? this->ordered->serving : 0},
+        {"ip", this->context->settings.ip},
+        {"since_order_ms",
+         std::chrono::duration_cast<milliseconds>(now - this->ordered_at)
+             .count()}};
+    if (this->ordered)
+    {
+        fields["first_newer"] = this->ordered->first;
+        add_times(fields, *this->ordered, now);
+    }
+    return fields;
+}
+
+void engine_switch::note_activated()
+{
+    auto& state = *this->context;
+    auto fields = this->order_fields();
+    fields["version"] = serving_version(state);
+    kernel::log_event(kernel::event_id::weights_activated, std::move(fields));
+    auto const now = clock::now();
+    state.counters.observe(
+        "foxtailvale_switch_ms",
+        std::chrono::duration_cast<milliseconds>(now - this->ordered_at));
+    if (this->ordered)
+    {
+        auto const left = this->ordered->named + this->ordered->bound - now;
+        state.counters.gauge(
+            "foxtailvale_version_switch_left_ms",
+            {{"model", state.model},
+             {"version", std::to_string(this->ordered->serving)}},
+            static_cast<double>(
+                std::chrono::duration_cast<milliseconds>(left).count()));
+    }
+}
+
 void engine_switch::settle()
 {
     auto& state = *this->context;
@@ -267,9 +350,7 @@
     if (serving_version(state) >= this->staged_version)
     {
         state.switching = false;
-        kernel::log_event(
-            kernel::event_id::weights_activated,
-            {{"version", serving_version(state)}});
+        this->note_activated();
         return;
     }
     if (!state.engine->busy && clock::now() >= this->order_again)
--- a/libs/gateway/src/engine_switch.hpp
+++ b/libs/gateway/src/engine_switch.hpp
@@ -2,6 +2,7 @@
 #define FOXTAILVALE_GATEWAY_ENGINE_SWITCH_HPP
 
 #include "agent_context.hpp"
+#include "switch_sight.hpp"
 
 #include <functional>
 #include <set>
@@ -40,6 +41,11 @@
     void verify_next();
     void order();
     void settle();
+    // Tells the plan of the switch when it is news.
+    void note_plan(std::uint64_t version);
+    // Fields of a line on the order under way.
+    nlohmann::json order_fields() const;
+    void note_activated();
 
     std::shared_ptr<agent_context> context;
     // The version that lies staged, or is being put there, and its chunks.
@@ -55,6 +61,14 @@
     std::uint32_t verified = 0;
     bool ordering = false;
     base::time_point order_again;
+    std::optional<switch_plan> plan;
+    told_plan told;
+    // When all chunks lay staged, and when the look at them began.
+    std::optional<base::time_point> staged_whole;
+    base::time_point look_began;
+    // The plan as it was when the order was sent.
+    std::optional<switch_plan> ordered;
+    base::time_point ordered_at;
 };
 
 } // namespace foxtailvale::gateway
--- a/libs/kernel/include/kernel/events.hpp
+++ b/libs/kernel/include/kernel/events.hpp
@@ -49,6 +49,8 @@
     manifest_not_had = 1310,
     draw_failed = 1311,
     transfer_waits = 1312,
+    switch_planned = 1313,
+    engine_order_accepted = 1314,
     request_refused = 1401,
     request_retried = 1402,
     request_failed = 1403,
