A watch that was cut is no outage of the time that it had waited

Watches are cut now and then while the store serves on. The time of a lost view was counted from the beginning of the call that failed, for a watch its whole wait; over a second of it made the list one that is not to be relied on, and for two seconds what left it was used for 1.5 s more, by followers too. With the pause between two watches, a lost notice and the tick that is 1.97 s of the 2.0 s allowed, and 0.4 s more where the connection opens late.

A refusal or a cut counts from its moment, silence from the call's beginning as before.

--- a/libs/gateway/include/gateway/store_watch.hpp
+++ b/libs/gateway/include/gateway/store_watch.hpp
@@ -81,7 +81,8 @@
     void take_list(platform::store_reply reply);
     void take_changes(platform::store_reply const& reply);
     void succeed();
-    void fail(std::string const& why);
+    // The call did not succeed; the store may have been away since then.
+    void fail(std::string const& why, base::boot_time since);
     void next(std::chrono::milliseconds delay);
 
     boost::asio::io_context& loop;
--- a/libs/gateway/src/store_watch.cpp
+++ b/libs/gateway/src/store_watch.cpp
@@ -140,7 +140,7 @@
                 return;
             }
             self->connection->close();
-            self->fail("no answer in time");
+            self->fail("no answer in time", self->began);
         });
 }
 
@@ -155,13 +155,16 @@
     }
     if (this->status != 200)
     {
-        this->fail("status " + std::to_string(this->status));
+        // Said at once, or the connection was cut: what a watch had waited
+        // before was no outage. Failure: watches are cut now and then, and an
+        // endpoint that left after it was used for a second and a half more.
+        this->fail("status " + std::to_string(this->status), base::boot_now());
         return;
     }
     auto reply = platform::read_store_reply(this->body);
     if (reply.has_error())
     {
-        this->fail(reply.error().detail);
+        this->fail(reply.error().detail, this->began);
         return;
     }
     this->succeed();
@@ -195,7 +198,7 @@
         // An answer from before what was already seen would take back what
         // has been adopted.
         this->listed.clear();
-        this->fail("an answer from before");
+        this->fail("an answer from before", this->began);
         return;
     }
     this->revision = this->listed_revision;
@@ -238,12 +241,12 @@
     }
 }
 
-void store_watch::fail(std::string const& why)
+void store_watch::fail(std::string const& why, base::boot_time since)
 {
     this->handlers.on_call(false, this->began);
     if (!this->lost_since)
     {
-        this->lost_since = this->began;
+        this->lost_since = since;
         this->handlers.on_lost(true, why);
     }
     auto const pause = std::min(
