An order that was not answered is given again before other chunks are staged

An agent gave an order up after a second and, with a newer version named, put that version's chunks over those that the order was for. An engine that had stood still read the order then and loaded some of both: its condition, the number of orders before it, still held.

Until an answer comes, the engine starts anew or shows the version, the agent keeps to the version of that order and gives the same order again; of two equal orders the condition lets one begin. Open beside it: a chunk whose putting was given up may still land late, on chunks of a newer version that were already looked at.

--- a/libs/gateway/src/engine_switch.cpp
+++ b/libs/gateway/src/engine_switch.cpp
@@ -32,6 +32,17 @@
     this->staged.clear();
     this->recovered = 0;
     this->verifying = false;
+    this->unanswered = false;
+}
+
+bool engine_switch::has_unanswered_order() const
+{
+    auto const& state = *this->context;
+    auto const held = state.versions.find(this->staged_version);
+    return this->unanswered && state.engine &&
+           state.engine->born == this->born &&
+           serving_version(state) < this->staged_version &&
+           held != state.versions.end() && held->second.manifest;
 }
 
 bool engine_switch::has_recovered(std::uint64_t version) const
@@ -47,6 +58,11 @@
     {
         return;
     }
+    if (this->has_unanswered_order())
+    {
+        this->drive(this->staged_version);
+        return;
+    }
     if (state.engine->born != this->born)
     {
         // A restarted engine may have lost what was staged.
@@ -99,10 +115,12 @@
         });
 }
 
-void engine_switch::drive(std::uint64_t version)
+void engine_switch::drive(std::uint64_t wanted)
 {
     auto& state = *this->context;
     this->settle();
+    auto const version =
+        this->has_unanswered_order() ? this->staged_version : wanted;
     if (!state.engine || state.switching || state.engine->busy ||
         this->recovering || serving_version(state) >= version)
     {
@@ -224,6 +242,7 @@
         return;
     }
     this->ordering = true;
+    this->unanswered = true;
     state.switching = true;
     this->on_order();
     kernel::log_event(
@@ -240,6 +259,7 @@
         {
             self->ordering = false;
             self->order_again = clock::now() + order_pause;
+            self->unanswered = !response;
             auto const answer =
                 response ? platform::read_order_answer(response->status)
                          : platform::order_answer::conflict;
--- a/libs/gateway/src/engine_switch.hpp
+++ b/libs/gateway/src/engine_switch.hpp
@@ -19,7 +19,7 @@
     explicit engine_switch(std::shared_ptr<agent_context> shared);
 
     // Begins the next step towards the version.
-    void drive(std::uint64_t version);
+    void drive(std::uint64_t wanted);
 
     // Reads what lies staged beside the engine into the version's chunks.
     void recover(std::uint64_t version);
@@ -40,6 +40,11 @@
     void verify_next();
     void order();
     void settle();
+    // An order was given whose answer has not come. Failure: it lay unread at
+    // an engine that stood still, the next version was put over the chunks that
+    // it was for, and it loaded some of both. The same order is given again
+    // until it is answered: its condition then holds for one of them only.
+    bool has_unanswered_order() const;
 
     std::shared_ptr<agent_context> context;
     // The version that lies staged, or is being put there, and its chunks.
@@ -55,6 +60,7 @@
     std::uint32_t verified = 0;
     bool ordering = false;
     base::time_point order_again;
+    bool unanswered = false;
 };
 
 } // namespace foxtailvale::gateway
