explain tells what was expected of an engine on an older version, and its switch

Cause: the lines on a request and on the switch of its engine stand in logs of two processes, and an agent's lines know no request.

explain joins them by the engine's IP address and the version that it left: both stand in request_placed and in the agent's lines.

--- a/libs/gateway/src/call_sight.cpp
+++ b/libs/gateway/src/call_sight.cpp
@@ -108,6 +108,7 @@
     auto const& seen = *this->sight;
     fields["begun_ms"] =
         seen.begun ? in_ms(*seen.begun - seen.sent).count() : -1;
+    fields["expected_ms"] = in_ms(seen.expected.begins - seen.sent).count();
     if (seen.before_end)
     {
         fields["before_end_ms"] = in_ms(*seen.before_end).count();
--- a/tools/ctl/src/explain.hpp
+++ b/tools/ctl/src/explain.hpp
@@ -1,6 +1,8 @@
 #ifndef FOXTAILVALE_CTL_EXPLAIN_HPP
 #define FOXTAILVALE_CTL_EXPLAIN_HPP
 
+#include "log_line.hpp"
+
 #include <istream>
 #include <string>
 #include <vector>
@@ -10,19 +12,23 @@
 namespace foxtailvale::ctl
 {
 
-// One log line that names the request, as a sentence.
-struct told_line
+// What was read of the logs for one request.
+struct read_log
 {
-    // As the process wrote it; lines are put in this order.
-    std::string time;
-    std::string process;
-    std::string text;
+    // Lines that name the request.
+    std::vector<log_line> of_request;
+    // Agents' lines on switches of their engines, which know no request.
+    std::vector<log_line> of_switches;
 };
 
-// Reads log lines, one JSON object a line with anything in front of it, and
-// tells those that name the request, in the order of their times. Lines that
-// are no log lines are passed over.
-std::vector<told_line> explain(std::istream& lines, std::string const& request);
+// Reads log lines, one JSON object a line with anything in front of it. Lines
+// that are no log lines are passed over.
+void read_lines(read_log& log, std::istream& lines, std::string const& request);
+
+// Tells the lines that name the request, in the order of their times. Where it
+// was sent to an engine on an older version, the lines of the agent with that
+// engine's IP address on its way from that version are told, too.
+std::vector<told_line> explain(read_log const& log);
 
 // Prints what explain() tells; an exit code.
 int explain_request(
