--- a/libs/gateway/src/switch_sight.cpp
+++ b/libs/gateway/src/switch_sight.cpp
@@ -10,8 +10,9 @@
 
 using std::chrono::milliseconds;
 
-// Less than this is the usual course of polls and steps.
-constexpr milliseconds usual_delay{100};
+constexpr milliseconds least_move{100};
+// The engine is polled every tenth of a second, and the look takes its time.
+constexpr milliseconds usual_delay{150};
 constexpr milliseconds between_lines{250};
 
 std::int64_t ms_of(base::duration value)
@@ -62,7 +63,7 @@
                            ? plan.turn - told.plan->turn
                            : told.plan->turn - plan.turn;
     return told.plan->serving != plan.serving ||
-           told.plan->target != plan.target || moved > usual_delay;
+           told.plan->target != plan.target || moved > least_move;
 }
 
 char const* late_by(
--- a/tools/ctl/src/switch_words.cpp
+++ b/tools/ctl/src/switch_words.cpp
@@ -42,7 +42,7 @@
                 : "") +
            "; " +
            (missing < 0 ? "its manifest was not there"
-                        : std::to_string(missing) + " chunks were missing") +
+                        : "chunks missing: " + std::to_string(missing)) +
            ".";
 }
 
