A request's time counts from its arrival, also where it lay unread

An entry that stood still for a second gave each request that had come meanwhile its whole time anew: an endpoint was handed 2,999 ms where 2,000 were left, and worked for a caller who had gone.

The system says how long a connection's last byte has been there; that much is taken off, and what has no time left is refused as not run. One call more for each request; where the system does not say, nothing changes.

--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -58,7 +58,7 @@
       said(platform::read_caller_request(this->request)),
       configuration(this->context->configuration),
       looked_at(this->configuration), timer(this->context->loop),
-      arrived(clock::now())
+      arrived(clock::now() - this->session->time_since_last_byte())
 {
 }
 
@@ -164,6 +164,11 @@
         time = std::min(time, chosen.timeout);
     }
     this->deadline = this->arrived + time;
+    if (clock::now() >= this->deadline)
+    {
+        this->refuse(error_kind::deadline_unreachable, "lay unread");
+        return false;
+    }
     auto const goal = chosen.goal.count() > 0 ? chosen.goal : time;
     this->returned = this->has_returned(goal);
     auto const& first_answer = this->context->first_answer[this->service_name];
--- a/libs/net/include/net/http_server.hpp
+++ b/libs/net/include/net/http_server.hpp
@@ -96,6 +96,11 @@
     // cannot take what it has for whole.
     void abort();
 
+    // How long the last byte that came has been there. Failure: a process that
+    // stood still read what had come meanwhile, and gave each request its whole
+    // time anew.
+    std::chrono::milliseconds time_since_last_byte();
+
     // Called once when the client leaves before the answer is whole.
     void on_gone(std::function<void()> callback);
 
--- a/libs/net/src/server_session.cpp
+++ b/libs/net/src/server_session.cpp
@@ -6,6 +6,8 @@
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <cerrno>
@@ -210,6 +212,19 @@
     }
 }
 
+std::chrono::milliseconds server_session::time_since_last_byte()
+{
+    tcp_info known{};
+    socklen_t size = sizeof(known);
+    if (::getsockopt(
+            this->socket.native_handle(), IPPROTO_TCP, TCP_INFO, &known,
+            &size) != 0)
+    {
+        return std::chrono::milliseconds(0);
+    }
+    return std::chrono::milliseconds(known.tcpi_last_data_recv);
+}
+
 bool server_session::client_has_left()
 {
     char next = 0;
