--- a/libs/direct/tests/engine_world.cpp
+++ b/libs/direct/tests/engine_world.cpp
@@ -121,6 +121,8 @@
     std::uint64_t staged = 0;
     base::time_point order_again;
     std::uint64_t rounds = 0;
+    // When what was told so far is through the link.
+    base::time_point link_clear;
 };
 
 // An attempt at an engine, for the check.
@@ -302,38 +304,51 @@
     end_request(state, asked.number, final_word::cut);
 }
 
-void plan_next_caller(world& state)
+void ask(world& state)
+{
+    constexpr double hint_spread = 0.5;
+    constexpr double prompt_spread = 1;
+    constexpr double answer_spread = 0.85;
+    constexpr double most = 3;
+    caller_request asked;
+    asked.number = ++state.numbers;
+    asked.entry = base::random_below(state.random, state.entries.size());
+    asked.asked = state.now;
+    asked.deadline = state.now + caller_time;
+    asked.prompt = 1 + state.costs.usual_prompt *
+                           lognormal(state.random, prompt_spread, most);
+    asked.answer = 1 + state.costs.usual_answer *
+                           lognormal(state.random, answer_spread, most);
+    asked.hint = asked.answer * lognormal(state.random, hint_spread, 2 * most);
+    ++state.outcome.asked;
+    state.callers[asked.number] = asked;
+    admit(state, asked.number);
+}
+
+void plan_callers(world& state, base::time_point from)
 {
+    if (from >= start + state.course.length)
+    {
+        return;
+    }
+    auto const together = state.course.together;
     auto const rate = state.course.load * full_rate(state.costs) *
-                      static_cast<double>(state.course.engines);
+                      static_cast<double>(state.course.engines) /
+                      static_cast<double>(together);
     auto const wait =
         std::chrono::duration<double>(-std::log(uniform(state.random)) / rate);
-    auto const at =
-        state.now + std::chrono::duration_cast<base::duration>(wait);
+    auto const at = from + std::chrono::duration_cast<base::duration>(wait);
     state.events.emplace(
         at,
-        [&state]
+        [&state, together, at]
         {
-            constexpr double hint_spread = 0.5;
-            constexpr double prompt_spread = 1;
-            constexpr double answer_spread = 0.85;
-            constexpr double most = 3;
-            caller_request asked;
-            asked.number = ++state.numbers;
-            asked.entry =
-                base::random_below(state.random, state.entries.size());
-            asked.asked = state.now;
-            asked.deadline = state.now + caller_time;
-            asked.prompt = 1 + state.costs.usual_prompt *
-                                   lognormal(state.random, prompt_spread, most);
-            asked.answer = 1 + state.costs.usual_answer *
-                                   lognormal(state.random, answer_spread, most);
-            asked.hint =
-                asked.answer * lognormal(state.random, hint_spread, 2 * most);
-            ++state.outcome.asked;
-            state.callers[asked.number] = asked;
-            admit(state, asked.number);
-            plan_next_caller(state);
+            auto const count =
+                1 + base::random_below(state.random, 2 * together - 1);
+            for (std::uint64_t number = 0; number < count; ++number)
+            {
+                ask(state);
+            }
+            plan_callers(state, at);
         });
 }
 
@@ -661,6 +676,13 @@
     std::uint64_t attempt,
     std::uint64_t version)
 {
+    auto const& sent = state.sent.at(attempt);
+    if (sent.report_age >= milliseconds(0) && sent.work < state.costs.slots)
+    {
+        auto const waited = rounded(state.now - sent.arrived);
+        state.outcome.longest_with_slot =
+            std::max(state.outcome.longest_with_slot, waited);
+    }
     auto const& named = state.course.named;
     auto const next = version - 1;
     if (next >= named.size() || state.now < start + named[next])
@@ -675,7 +697,6 @@
     {
         return;
     }
-    auto const& sent = state.sent.at(attempt);
     outcome.late.push_back(
         {sent.entry, engine, version, sent.work, sent.report_age,
          rounded(sent.decided - end), rounded(sent.arrived - end),
@@ -888,6 +909,11 @@
     {
         report.switches_at = std::max(*report.switches_at, state.now);
     }
+    auto const late = is_hit(state.course.late_reports, number, state.now);
+    own.link_clear = std::max(
+        own.link_clear,
+        state.now + (late ? state.course.report_delay : milliseconds(0)));
+    auto const on_link = rounded(own.link_clear - state.now);
     auto const to_all = at_once || own.rounds++ % remote_interval == 0;
     for (auto& entry : state.entries)
     {
@@ -896,7 +922,7 @@
             continue;
         }
         later(
-            state, random_time(state.random, 1, longest_way),
+            state, on_link + random_time(state.random, 1, longest_way),
             [&state, &entry, number, report]
             {
                 note_report(
@@ -919,6 +945,16 @@
 
 void order(world& state, std::size_t number)
 {
+    if (is_hit(state.course.agent_pauses, number, state.now))
+    {
+        later(
+            state, report_interval,
+            [&state, number]
+            {
+                order(state, number);
+            });
+        return;
+    }
     auto& own = state.agents[number];
     own.verifying = false;
     own.ordering = true;
@@ -1175,7 +1211,7 @@
             });
         plan_news(state, number);
     }
-    plan_next_caller(state);
+    plan_callers(state, start);
 }
 
 void run_step(world& state)
@@ -1212,7 +1248,8 @@
     add_entries(state);
     add_engines(state);
     plan_rounds(state);
-    for (; state.now < start + course.length; state.now += step)
+    for (; state.now < start + course.length || !state.callers.empty();
+         state.now += step)
     {
         run_step(state);
     }
@@ -1228,7 +1265,9 @@
          << ", in time " << outcome.in_time << ", cut " << outcome.cut
          << ", refused " << outcome.refused << ", begun on older "
          << outcome.begun_on_older << ", least left "
-         << outcome.least_left.count() << " ms, late " << outcome.late.size();
+         << outcome.least_left.count() << " ms, longest with a slot "
+         << outcome.longest_with_slot.count() << " ms, late "
+         << outcome.late.size();
     for (auto const& late : outcome.late)
     {
         text << "\n  version " << late.version << " at engine " << late.engine
--- a/libs/direct/tests/engine_world.hpp
+++ b/libs/direct/tests/engine_world.hpp
@@ -35,15 +35,21 @@
     std::uint32_t slots = 16;
     // Requests that arrive, as a share of what the engines can do.
     double load = 1;
+    // Requests that arrive at the same moment, at any entries; the mean of it.
+    std::uint64_t together = 1;
     // When version 2 was named, and those after it.
     std::vector<std::chrono::milliseconds> named{
-        std::chrono::milliseconds(6000), std::chrono::milliseconds(9000)};
-    std::chrono::milliseconds length{18000};
+        std::chrono::milliseconds(2000), std::chrono::milliseconds(5000)};
+    std::chrono::milliseconds length{14000};
     // Engines that work so many times slower than published.
     std::vector<engine_trouble> slow;
     double slowness = 4;
     // Agents that stand still.
     std::vector<engine_trouble> agent_pauses;
+    // Reports of these agents come that much later, in order, as over a link
+    // that chunks fill.
+    std::vector<engine_trouble> late_reports;
+    std::chrono::milliseconds report_delay{300};
     // Orders given in this time do not reach the engine.
     std::vector<engine_trouble> orders_lost;
     // Chunks of these engines come that much later.
@@ -87,6 +93,9 @@
     std::size_t begun_on_older = 0;
     // Time that the last of these had left.
     std::chrono::milliseconds least_left{8000};
+    // Longest time from its arrival at the engine until a request began that
+    // was sent as the engine's agent had reported a free slot.
+    std::chrono::milliseconds longest_with_slot{0};
     std::vector<late_beginning> late;
     // Engines that serve the newest version at the end.
     std::size_t on_newest = 0;
