--- a/libs/direct/tests/engine_world.cpp
+++ b/libs/direct/tests/engine_world.cpp
@@ -184,9 +184,9 @@
 
 milliseconds random_time(base::random_state& random, int from, int to)
 {
+    auto const span = static_cast<std::uint64_t>(to - from);
     return milliseconds(
-        from + static_cast<int>(base::random_below(
-                   random, static_cast<std::uint64_t>(to - from + 1))));
+        from + static_cast<int>(base::random_below(random, span + 1)));
 }
 
 double uniform(base::random_state& random)
--- a/libs/direct/tests/engine_world_tests.cpp
+++ b/libs/direct/tests/engine_world_tests.cpp
@@ -44,4 +44,27 @@
     }
 }
 
+// Full load, engines that still serve the old version at its end since their
+// chunks are late or no order reaches them, reports that come in time.
+TEST(engine_world, punctual_reports_keep_the_bound)
+{
+    for (std::uint64_t seed = 1; seed <= 4; ++seed)
+    {
+        fleet_course late;
+        late.seed = seed;
+        late.load = 1.2;
+        late.late_chunks = {0, 4, 8, 12};
+        late.chunk_delay = milliseconds(9000);
+        auto outcome = run_fleet(late);
+        EXPECT_TRUE(outcome.late.empty()) << to_text(outcome);
+        fleet_course lost;
+        lost.seed = seed;
+        lost.load = 1.2;
+        lost.orders_lost = {
+            {{0, 4, 8, 12}, {milliseconds(0), milliseconds(20000)}}};
+        outcome = run_fleet(lost);
+        EXPECT_TRUE(outcome.late.empty()) << to_text(outcome);
+    }
+}
+
 } // namespace foxtailvale::direct
