--- a/libs/direct/src/endpoint_book.cpp
+++ b/libs/direct/src/endpoint_book.cpp
@@ -9,8 +9,8 @@
 namespace
 {
 
-// Weight of the latest answer in the share of faults: about ten answers tell
-// an endpoint that fails four in ten from one that fails one in ten.
+// Weight of the latest answer in the share of faults: about ten answers judge
+// an endpoint.
 constexpr double fault_weight = 0.1;
 
 // A fault counts half after this time, so that an endpoint that recovered is
--- a/libs/direct/src/placement.cpp
+++ b/libs/direct/src/placement.cpp
@@ -19,8 +19,8 @@
 // relative load, so that such an endpoint comes after all others.
 constexpr double distrust_cost = 10;
 
-// Share of faults beyond which an endpoint is distrusted. Plain services fail
-// one request in seven by themselves; what harms callers fails four in ten.
+// Share of faults beyond which an endpoint is distrusted: more than plain
+// services fail by themselves.
 constexpr double most_faults = 0.3;
 
 constexpr double random_share = 0.05;
@@ -302,8 +302,7 @@
     std::uint64_t prompt_tokens,
     std::uint64_t answer_tokens)
 {
-    // Prompts of others are read between the steps and take about as long
-    // again at the load that such engines are run at.
+    // Prompts of others are read between the steps.
     constexpr double reading = 1.6;
     auto const prompt = prompt_tokens > 0 ? static_cast<double>(prompt_tokens)
                                           : costs.usual_prompt;
--- a/libs/gateway/src/agent.cpp
+++ b/libs/gateway/src/agent.cpp
@@ -21,15 +21,15 @@
 using std::chrono::milliseconds;
 using clock = std::chrono::steady_clock;
 
-// The engine is asked, and entries are told, this often. Entries place by
-// these figures; an engine ends a request every 80 ms under full load.
+// The engine is asked, and entries are told, this often: entries place by these
+// figures, and a full engine ends a request about as often.
 constexpr milliseconds report_interval{100};
 constexpr milliseconds report_limit{500};
 constexpr milliseconds chore_interval{1000};
 
 // Entries say with each subscription, once a second, which versions are named.
-// An agent that no entry reaches for this long watches them itself. Failure: 88
-// agents that all watched made a third of a calm day's calls to the store.
+// An agent that no entry reaches for this long watches them itself. Failure:
+// every agent watched, and their calls were a third of all calls to the store.
 constexpr milliseconds alone_patience{1900};
 constexpr milliseconds versions_wait{20000};
 
--- a/libs/weights/include/weights/switch_time.hpp
+++ b/libs/weights/include/weights/switch_time.hpp
@@ -64,14 +64,13 @@
     std::function<std::size_t(std::uint64_t)> const& chunks_to_come,
     base::time_point now);
 
-// How long a missing chunk takes to come during a burst, as measured: 64 chunks
-// over links of 7.6 Mbit/s in 2.9 s.
+// How long a missing chunk takes to come during a burst.
 inline constexpr std::chrono::milliseconds chunk_time{45};
 
 // When the engine switches to the target, if the chunks are there. An engine
-// that serves nothing does so at once. What runs there ends first: cutting it
-// to go on elsewhere was measured worse (worth 0.004 to 0.03 a day at 24
-// engines), since every prompt is read again where there is no room to spare.
+// that serves nothing does so at once. What runs there ends first: whatever is
+// cut to go on elsewhere has its prompt read again, where there is no room to
+// spare.
 base::time_point switch_turn(switch_ask const& ask, std::uint64_t target);
 
 } // namespace foxtailvale::weights
--- a/libs/weights/src/switch_time.cpp
+++ b/libs/weights/src/switch_time.cpp
@@ -12,8 +12,7 @@
 
 // The figures below are shares of the bound.
 
-// Chunks have usually arrived, as long as no arrival was seen: 2 MiB over links
-// of 7.6 Mbit/s take 3.5 of 8 s.
+// When chunks are taken to be whole, as long as no arrival was seen.
 constexpr double usual_arrival = 0.45;
 
 // The last engine goes: nothing that waits in its line may begin past the
@@ -32,9 +31,7 @@
 constexpr double late_patience = 0.95;
 
 // What a switch costs an engine of its work: while it empties, as entries send
-// nothing that may run longer than it has, and while it loads. With 850 ms, by
-// the published costs alone, engines skipped less and the calm day was served
-// worse (worth 0.875 to 0.849 at 24 engines, 0.782 to 0.747 at 88).
+// nothing that may run longer than it has, and while it loads.
 constexpr std::chrono::milliseconds switch_cost{1500};
 
 base::duration part_of(std::chrono::milliseconds bound, double share)
