--- a/libs/direct/tests/old_weights_tests.cpp
+++ b/libs/direct/tests/old_weights_tests.cpp
@@ -23,6 +23,15 @@
     return course;
 }
 
+// These engines also turn slow just before the time of their version ends.
+fleet_course late_and_slow_fleet()
+{
+    auto course = late_fleet(1.1);
+    course.slow = {
+        {course.late_chunks, {milliseconds(9000), milliseconds(12000)}}};
+    return course;
+}
+
 // The promise: nothing begins on a version 8 s after the next one was named.
 void expect_kept(fleet_course course, std::vector<std::uint64_t> const& seeds)
 {
@@ -59,19 +68,14 @@
 // version ends; what stands in its line begins up to 0.6 s after that.
 TEST(old_weights, an_engine_turns_slow)
 {
-    auto course = late_fleet(1.1);
-    course.slow = {
-        {course.late_chunks, {milliseconds(9000), milliseconds(12000)}}};
-    expect_kept(course, {4, 14, 22, 40});
+    expect_kept(late_and_slow_fleet(), {4, 14, 22, 40});
 }
 
 // The same where engines go on with requests whose callers closed the
 // connection: what an entry has given up still begins.
 TEST(old_weights, an_engine_ignores_that_its_caller_left)
 {
-    auto course = late_fleet(1.1);
-    course.slow = {
-        {course.late_chunks, {milliseconds(9000), milliseconds(12000)}}};
+    auto course = late_and_slow_fleet();
     course.ignores_close = true;
     expect_kept(course, {6, 11, 24, 25});
 }
