--- a/libs/direct/tests/engine_world.cpp
+++ b/libs/direct/tests/engine_world.cpp
@@ -27,7 +27,7 @@
 {
     constexpr int least = 2;
     constexpr int most = 120;
-    if (state.course.deaf_entry == number)
+    if (state.course.entry_without_news == number)
     {
         return;
     }
--- a/libs/direct/tests/engine_world.hpp
+++ b/libs/direct/tests/engine_world.hpp
@@ -62,7 +62,7 @@
     // The engines go on with requests whose callers closed the connection.
     bool ignores_close = false;
     // This entry never learns of versions.
-    std::optional<std::size_t> deaf_entry;
+    std::optional<std::size_t> entry_without_news;
 };
 
 // A request that began on a version after its time.
--- a/libs/direct/tests/engine_world_tests.cpp
+++ b/libs/direct/tests/engine_world_tests.cpp
@@ -32,7 +32,7 @@
 {
     fleet_course course;
     course.load = 0.8;
-    course.deaf_entry = 0;
+    course.entry_without_news = 0;
     course.late_chunks = {3, 4};
     course.chunk_delay = milliseconds(9000);
     auto const outcome = run_fleet(course);
