--- a/libs/direct/tests/engine_world.cpp
+++ b/libs/direct/tests/engine_world.cpp
@@ -220,6 +220,22 @@
         });
 }
 
+// Something that the engine reads when it does not stand still.
+void reach(world& state, std::size_t engine, std::function<void()> event)
+{
+    later(
+        state, wire_time,
+        [&state, engine, event = std::move(event)]
+        {
+            if (is_hit(state.course.engine_pauses, engine, state.now))
+            {
+                reach(state, engine, event);
+                return;
+            }
+            event();
+        });
+}
+
 // ---- The deadline's way from the entry to the engine.
 
 // What the engine is told that it has left, counted from the arrival of the
@@ -404,8 +420,8 @@
     auto const closes = how == use_end::faulty || how == use_end::cancelled;
     if (closes && !state.course.ignores_close)
     {
-        later(
-            state, wire_time,
+        reach(
+            state, engine,
             [&state, engine, attempt]
             {
                 drop(state.engines[engine], attempt);
@@ -479,12 +495,13 @@
     request.version = chosen.version;
     request.to_read = asked.prompt;
     request.to_write = asked.answer;
-    later(
-        state, wire_time,
-        [&state, engine, request, left]() mutable
+    reach(
+        state, engine,
+        [&state, engine, request, left]
         {
-            request.deadline = state.now + left;
-            reach_engine(state, engine, request);
+            auto read = request;
+            read.deadline = state.now + left;
+            reach_engine(state, engine, read);
         });
 }
 
@@ -795,6 +812,10 @@
 void work_engine(world& state, std::size_t number)
 {
     auto& engine = state.engines[number];
+    if (is_hit(state.course.engine_pauses, number, state.now))
+    {
+        return;
+    }
     auto const before = engine.version;
     engine.slowness = is_hit(state.course.slow, number, state.now)
                           ? state.course.slowness
@@ -975,8 +996,8 @@
     auto const lost = is_hit(state.course.orders_lost, number, state.now);
     if (!lost)
     {
-        later(
-            state, wire_time,
+        reach(
+            state, number,
             [&state, number, version = own.staged]
             {
                 accept_order(state.engines[number], version);
--- a/libs/direct/tests/engine_world.hpp
+++ b/libs/direct/tests/engine_world.hpp
@@ -44,6 +44,9 @@
     // Engines that work so many times slower than published.
     std::vector<engine_trouble> slow;
     double slowness = 4;
+    // Engines that stand still. They read what came meanwhile when they go on,
+    // in order, and count deadlines from then.
+    std::vector<engine_trouble> engine_pauses;
     // Agents that stand still.
     std::vector<engine_trouble> agent_pauses;
     // Reports of these agents come that much later, in order, as over a link
--- a/libs/direct/tests/old_weights_tests.cpp
+++ b/libs/direct/tests/old_weights_tests.cpp
@@ -76,6 +76,18 @@
     expect_kept(course, {6, 11, 24, 25});
 }
 
+// Engines stand still across the end of their version's time. They read at
+// their return what was sent to them before, and count its deadline from then;
+// what the entry has closed meanwhile they do not begin. Without the closing,
+// these courses began requests 0.6 s after the end.
+TEST(old_weights, an_engine_stands_still)
+{
+    auto course = late_fleet(1.1);
+    course.engine_pauses = {
+        {course.late_chunks, {milliseconds(8500), milliseconds(10500)}}};
+    expect_kept(course, {2, 7, 22, 34});
+}
+
 // Each entry takes the others for fewer than they are, as after a cut; they
 // send more on one report than the entry allows for.
 TEST(old_weights, more_entries_send_than_are_counted)
