--- a/libs/direct/tests/played_agents.cpp
+++ b/libs/direct/tests/played_agents.cpp
@@ -174,8 +174,8 @@
     auto const lost = is_hit(state.course.orders_lost, number, state.now);
     if (!lost)
     {
-        later(
-            state, wire_time,
+        reach(
+            state, number,
             [&state, number, version = own.staged]
             {
                 accept_order(state.engines[number], version);
--- a/libs/direct/tests/played_answers.cpp
+++ b/libs/direct/tests/played_answers.cpp
@@ -130,6 +130,10 @@
 void work_engine(world& state, std::size_t number)
 {
     auto& engine = state.engines[number];
+    if (is_hit(state.course.engine_pauses, number, state.now))
+    {
+        return;
+    }
     auto const before = engine.version;
     engine.slowness = is_hit(state.course.slow, number, state.now)
                           ? state.course.slowness
--- a/libs/direct/tests/played_entries.cpp
+++ b/libs/direct/tests/played_entries.cpp
@@ -109,12 +109,13 @@
     request.version = chosen.version;
     request.to_read = asked.prompt;
     request.to_write = asked.answer;
-    later(
-        state, wire_time,
-        [&state, engine, request, left]() mutable
+    reach(
+        state, engine,
+        [&state, engine, request, left]
         {
-            request.deadline = state.now + left;
-            reach_engine(state, engine, request);
+            auto read = request;
+            read.deadline = state.now + left;
+            reach_engine(state, engine, read);
         });
 }
 
@@ -266,8 +267,8 @@
     auto const closes = how == use_end::faulty || how == use_end::cancelled;
     if (closes && !state.course.ignores_close)
     {
-        later(
-            state, wire_time,
+        reach(
+            state, engine,
             [&state, engine, attempt]
             {
                 drop(state.engines[engine], attempt);
--- a/libs/direct/tests/played_fleet.cpp
+++ b/libs/direct/tests/played_fleet.cpp
@@ -72,4 +72,19 @@
         });
 }
 
+void reach(world& state, std::size_t engine, std::function<void()> event)
+{
+    later(
+        state, wire_time,
+        [&state, engine, event = std::move(event)]
+        {
+            if (is_hit(state.course.engine_pauses, engine, state.now))
+            {
+                reach(state, engine, event);
+                return;
+            }
+            event();
+        });
+}
+
 } // namespace foxtailvale::direct
--- a/libs/direct/tests/played_fleet.hpp
+++ b/libs/direct/tests/played_fleet.hpp
@@ -170,6 +170,9 @@
     std::size_t engine,
     base::time_point now);
 
+// Something that the engine reads when it does not stand still.
+void reach(world& state, std::size_t engine, std::function<void()> event);
+
 } // namespace foxtailvale::direct
 
 #endif
