A withheld request does not make its connection younger

A request that was withheld when its connection was taken refreshed the time of last use, though no byte moved. The pool then held the connection for fresh; its server counts from the last byte and was about to close it, and the next request would be cut.

Only an exchange of which something moved or failed counts as use now.

--- a/libs/net/include/net/client_connection.hpp
+++ b/libs/net/include/net/client_connection.hpp
@@ -100,7 +100,7 @@
     // Whether another exchange may be started on it.
     bool is_idle() const;
 
-    // How long nothing has happened on it.
+    // How long nothing has happened on it. Means something between exchanges.
     std::chrono::steady_clock::duration idle_time() const;
 
     // Idle time after which the server may close it, as it said last; zero
--- a/libs/net/src/client_connection.cpp
+++ b/libs/net/src/client_connection.cpp
@@ -92,7 +92,6 @@
     this->result = {};
     this->result.reused = this->exchanges > 0;
     ++this->exchanges;
-    this->last_use = clock::now();
     this->reader.reset();
     if (this->open)
     {
@@ -365,7 +364,10 @@
 {
     this->result.end = end;
     this->running = false;
-    this->last_use = clock::now();
+    if (end != exchange_end::withheld)
+    {
+        this->last_use = clock::now();
+    }
     // Bytes beyond the response, or a request that was answered before all of
     // it was sent, make the connection unfit for the next exchange.
     auto const orderly =
--- a/libs/net/tests/exchange_tests.cpp
+++ b/libs/net/tests/exchange_tests.cpp
@@ -325,4 +325,38 @@
     connection->close();
 }
 
+// A server closes a connection on which nothing came for a while. A withheld
+// request counted as use though no byte went out; the next request was sent on
+// a connection that the server was about to close, and was cut.
+TEST(exchange, a_request_that_is_withheld_does_not_make_its_connection_younger)
+{
+    constexpr std::chrono::milliseconds quiet{100};
+    boost::asio::io_context loop;
+    raw_server server(
+        loop, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", false);
+    auto const connection =
+        std::make_shared<client_connection>(loop, server.address());
+    seen first;
+    connection->start(plain_request, note_in(first));
+    while (!first.result && loop.run_one() > 0)
+    {
+    }
+    ASSERT_TRUE(connection->is_idle());
+    EXPECT_LT(connection->idle_time(), quiet);
+    loop.run_for(quiet);
+    seen withheld;
+    connection->start(
+        []() -> std::optional<std::string>
+        {
+            return std::nullopt;
+        },
+        note_in(withheld));
+    while (!withheld.result && loop.run_one() > 0)
+    {
+    }
+    ASSERT_TRUE(connection->is_idle());
+    EXPECT_GE(connection->idle_time(), quiet);
+    connection->close();
+}
+
 } // namespace foxtailvale::net
