The way of a page counts into the age of what it brings

An entry that takes its views from another one reckoned the age of a page's objects as the sender had said it, from the page's arrival. What the page had spent on its way was lost: an older version was used for that much longer, and whoever took a page from this entry got the younger age too.

Ages count from the moment of asking. After a pause of the process the time is taken off twice, which ends the older version sooner.

--- a/libs/gateway/include/gateway/view_feed.hpp
+++ b/libs/gateway/include/gateway/view_feed.hpp
@@ -56,7 +56,7 @@
 
 private:
     watch_handlers own_handlers();
-    void hand_on(wire::ViewPage const& page, base::boot_time now);
+    void hand_on(wire::ViewPage const& page, base::boot_time asked);
 
     boost::asio::io_context& loop;
     watch_settings settings;
--- a/libs/gateway/src/view_feed.cpp
+++ b/libs/gateway/src/view_feed.cpp
@@ -19,14 +19,16 @@
         std::max<std::int64_t>(0, (now - then).count()));
 }
 
-platform::store_object read_object(wire::ViewObject const& sent)
+// What was as old as the page says when the page was asked for.
+platform::store_object
+read_object(wire::ViewObject const& sent, milliseconds on_its_way)
 {
     platform::store_object object;
     object.name = sent.name();
     object.revision = sent.revision();
     object.content = sent.content();
     object.removed = sent.removed();
-    object.age = milliseconds(sent.age_ms());
+    object.age = milliseconds(sent.age_ms()) + on_its_way;
     return object;
 }
 
@@ -154,18 +156,19 @@
     // been adopted.
     if (page.revision() > this->view.revision)
     {
-        this->hand_on(page, base::boot_now());
+        this->hand_on(page, asked);
     }
     this->confirm_by_peer(page.revision(), asked - milliseconds(page.age_ms()));
     return true;
 }
 
-void view_feed::hand_on(wire::ViewPage const& page, base::boot_time now)
+void view_feed::hand_on(wire::ViewPage const& page, base::boot_time asked)
 {
+    auto const now = base::boot_now();
     std::vector<platform::store_object> objects;
     for (auto const& sent : page.objects())
     {
-        objects.push_back(read_object(sent));
+        objects.push_back(read_object(sent, now - asked));
     }
     auto const lost = page.was_lost();
     if (page.whole())
