A first list of versions that comes late does not put off an older one's end

A process that has just started takes a version that it finds for one named up to 5 s before. It counted that from the listing's arrival; with a listing that took 1.4 s the older version got requests for 1.4 s longer than that allows.

It counts from the moment it began to ask. The test failed before (200 instead of 503, sent to the older version); entry tests 41 of 41 after.

--- a/libs/gateway/src/entry_views.cpp
+++ b/libs/gateway/src/entry_views.cpp
@@ -245,16 +245,17 @@
 
 void entry_views::watch_versions()
 {
+    auto const began = base::boot_now();
     auto const self = this->shared_from_this();
     this->add_feed(
         platform::object_kind::versions, versions_wait,
-        {[self](std::vector<platform::store_object> const& objects, bool)
+        {[self, began](std::vector<platform::store_object> const& objects, bool)
          {
              // What a listing brings may have been accepted at any moment
-             // since the last confirmation.
-             auto const since = self->versions_known
-                                    ? self->versions_confirmed
-                                    : base::boot_now() - unknown_past;
+             // since the last confirmation. Failure: the first one came late,
+             // and an older version was used for longer by its time on the way.
+             auto const since = self->versions_known ? self->versions_confirmed
+                                                     : began - unknown_past;
              for (auto const& object : objects)
              {
                  self->take_version(
