The version of an unanswered order is kept through several namings

An agent holds three versions and let go of the oldest. With three namings in a row after an order that was not answered, that was the one the order was for: the agent knew no reason any more to leave the staged chunks alone, put others over them, and the order loaded chunks of both.

The oldest stays beside the three while such an order may still load it.

--- a/libs/gateway/src/agent.cpp
+++ b/libs/gateway/src/agent.cpp
@@ -10,7 +10,9 @@
 #include <gateway/store_watch.hpp>
 #include <kernel/events.hpp>
 
+#include <algorithm>
 #include <csignal>
+#include <iterator>
 
 namespace foxtailvale::gateway
 {
@@ -374,9 +376,14 @@
     // The one before the newest may still be on its way to slower agents.
     constexpr std::size_t most_held = 3;
     auto& held = this->context->versions;
-    while (held.size() > most_held)
+    // One that an order may still load stays beside them. Failure: it went
+    // after several namings in a row, and other chunks were put over those that
+    // the order was for.
+    auto extra = held.size() - std::min(held.size(), most_held);
+    for (auto oldest = held.begin(); extra > 0; --extra)
     {
-        held.erase(held.begin());
+        oldest = this->switcher->needs(oldest->first) ? std::next(oldest)
+                                                      : held.erase(oldest);
     }
 }
 
--- a/libs/gateway/src/engine_switch.cpp
+++ b/libs/gateway/src/engine_switch.cpp
@@ -46,6 +46,11 @@
            held != state.versions.end() && held->second.manifest;
 }
 
+bool engine_switch::needs(std::uint64_t version) const
+{
+    return this->staged_version == version && this->has_unanswered_order();
+}
+
 bool engine_switch::has_recovered(std::uint64_t version) const
 {
     return this->recovered == version && this->context->engine &&
--- a/libs/gateway/src/engine_switch.hpp
+++ b/libs/gateway/src/engine_switch.hpp
@@ -28,6 +28,10 @@
     // Whether recover() has been done for the version and this engine.
     bool has_recovered(std::uint64_t version) const;
 
+    // Whether the version's chunks may still be loaded by an order whose answer
+    // has not come.
+    bool needs(std::uint64_t version) const;
+
     // Called before an order is given.
     std::function<void()> on_order;
     // Called after each step.
