One function says when a version's use ends

oldest_allowed was left without a caller by the mend; use_ends answers the same. Its checks ask use_ends now, for the same moments and answers. A comment says more exactly what the closing holds: what an engine had read before it stood still is not meant. direct_tests pass.

--- a/libs/direct/include/direct/endpoint_book.hpp
+++ b/libs/direct/include/direct/endpoint_book.hpp
@@ -165,10 +165,6 @@
 // here than everywhere else.
 void note_suspended(endpoint_book& book, std::chrono::milliseconds time);
 
-// The oldest version of the model that may still begin a request.
-std::uint64_t oldest_allowed(
-    endpoint_book const& book, std::string const& model, base::time_point now);
-
 // When this version of the model stops to begin requests, as far as newer ones
 // are known; nothing for the newest.
 std::optional<base::time_point> use_ends(
--- a/libs/direct/include/direct/placement.hpp
+++ b/libs/direct/include/direct/placement.hpp
@@ -96,7 +96,7 @@
 // have begun; nothing while the version does not end. The sender then closes
 // it. Failure: an engine stood still, read at its return what had been sent to
 // it, and began it on weights whose time had ended, as it counts the deadline
-// from its reading. What was closed meanwhile it does not begin.
+// from its reading. What is closed before it is read does not begin.
 std::optional<base::time_point> must_begin_by(
     endpoint_book const& book,
     std::string const& model,
--- a/libs/direct/src/endpoint_book.cpp
+++ b/libs/direct/src/endpoint_book.cpp
@@ -207,25 +207,6 @@
     }
 }
 
-std::uint64_t oldest_allowed(
-    endpoint_book const& book, std::string const& model, base::time_point now)
-{
-    auto const found = book.versions.find(model);
-    std::uint64_t oldest = 0;
-    if (found == book.versions.end())
-    {
-        return oldest;
-    }
-    for (auto const& named : found->second)
-    {
-        if (named.older_until <= now)
-        {
-            oldest = named.version;
-        }
-    }
-    return oldest;
-}
-
 std::optional<base::time_point> use_ends(
     endpoint_book const& book, std::string const& model, std::uint64_t version)
 {
--- a/libs/direct/tests/endpoint_book_tests.cpp
+++ b/libs/direct/tests/endpoint_book_tests.cpp
@@ -98,10 +98,20 @@
     name_version(book, "m", {2, start, start + seconds(7)});
     name_version(book, "m", {3, start, start + seconds(11)});
     EXPECT_FALSE(name_version(book, "m", {2, start, start}));
-    EXPECT_EQ(oldest_allowed(book, "m", start), 0U);
-    EXPECT_EQ(oldest_allowed(book, "m", start + seconds(7)), 2U);
-    EXPECT_EQ(oldest_allowed(book, "m", start + seconds(11)), 3U);
-    EXPECT_EQ(oldest_allowed(book, "other", start + seconds(11)), 0U);
+    auto const oldest_allowed = [&book](char const* model, seconds passed)
+    {
+        std::uint64_t version = 0;
+        while (use_ends(book, model, version) &&
+               *use_ends(book, model, version) <= start + passed)
+        {
+            ++version;
+        }
+        return version;
+    };
+    EXPECT_EQ(oldest_allowed("m", seconds(0)), 0U);
+    EXPECT_EQ(oldest_allowed("m", seconds(7)), 2U);
+    EXPECT_EQ(oldest_allowed("m", seconds(11)), 3U);
+    EXPECT_EQ(oldest_allowed("other", seconds(11)), 0U);
 }
 
 TEST(versions, the_use_of_one_ends_with_the_first_newer_one)
@@ -128,7 +138,8 @@
     name_version(book, "m", {2, start, start + seconds(9)});
     name_version(book, "m", {3, start, start + seconds(8)});
     EXPECT_EQ(use_ends(book, "m", 1), start + seconds(8));
-    EXPECT_EQ(oldest_allowed(book, "m", start + seconds(8)), 3U);
+    EXPECT_EQ(use_ends(book, "m", 2), start + seconds(8));
+    EXPECT_FALSE(use_ends(book, "m", 3));
 }
 
 TEST(use, an_endpoint_that_cannot_be_reached_is_left_alone_longer_each_time)
