A store that comes back from a copy: views are of an era and a revision

Nothing read Store-Era. After a return a watch refused every list until the store had outgrown the old revision; followers believed the higher of two revisions; domains that the copy lacks came back into service, and endpoints that had left were used again.

Now the state of a view is (era, revision).

--- a/libs/direct/include/direct/endpoint_book.hpp
+++ b/libs/direct/include/direct/endpoint_book.hpp
@@ -110,6 +110,19 @@
     base::time_point older_until;
 };
 
+// What is held against the list after the store came back from a copy.
+struct list_doubt
+{
+    // When the store last came back.
+    std::optional<base::time_point> returned;
+    // Endpoints that left the list, and when.
+    std::map<std::string, base::time_point> left;
+    // Records of the copy that are not believed yet, by id.
+    std::map<std::string, endpoint_record> kept_back;
+    // Failure domains that are out of service though the copy lacks them.
+    std::set<std::string> held_out;
+};
+
 struct endpoint_book
 {
     // By id.
@@ -123,6 +136,7 @@
     std::map<std::string, std::string> regions;
     // Entries of each failure domain, as the agents there name them.
     std::map<std::string, std::set<std::string>> domain_entries;
+    list_doubt doubt;
 };
 
 // How long an endpoint that left the list is still used when the list itself
@@ -151,7 +165,7 @@
 // How many endpoints of the service are listed.
 std::size_t count_of(endpoint_book const& book, std::string const& service);
 
-// Drops what lapsed.
+// Drops what lapsed and believes what was kept back for long enough.
 void expire(endpoint_book& book, base::time_point now);
 
 // Takes an agent's word on the engine at this IP address.
--- a/libs/direct/src/endpoint_book.cpp
+++ b/libs/direct/src/endpoint_book.cpp
@@ -1,4 +1,5 @@
 #include <direct/endpoint_book.hpp>
+#include <direct/store_return.hpp>
 
 #include <algorithm>
 #include <cmath>
@@ -113,6 +114,7 @@
 
 bool put(endpoint_book& book, endpoint_record record)
 {
+    note_present(book, record.id);
     auto& state = book.endpoints[record.id];
     state.lapses.reset();
     if (state.listed == record)
@@ -137,6 +139,7 @@
     bool list_was_lost,
     base::time_point now)
 {
+    forget_kept_back(book, id);
     auto const found = book.endpoints.find(id);
     if (found == book.endpoints.end())
     {
@@ -150,6 +153,7 @@
         }
         return;
     }
+    note_left(book, id, now);
     book.endpoints.erase(found);
 }
 
@@ -163,7 +167,10 @@
     for (auto& record : records)
     {
         listed.insert(record.id);
-        put(book, std::move(record));
+        if (!keep_back(book, record, now))
+        {
+            put(book, std::move(record));
+        }
     }
     std::vector<std::string> missing;
     for (auto const& [id, state] : book.endpoints)
@@ -173,9 +180,10 @@
             missing.push_back(id);
         }
     }
+    auto const may_lack = list_was_lost || may_lack_endpoints(book, now);
     for (auto const& id : missing)
     {
-        remove(book, id, list_was_lost, now);
+        remove(book, id, may_lack, now);
     }
 }
 
@@ -197,6 +205,10 @@
         {
             return entry.second.lapses && *entry.second.lapses <= now;
         });
+    for (auto& record : take_believed(book, now))
+    {
+        put(book, std::move(record));
+    }
 }
 
 void note_report(
--- a/libs/gateway/include/gateway/entry_views.hpp
+++ b/libs/gateway/include/gateway/entry_views.hpp
@@ -18,6 +18,10 @@
 
     void start();
 
+    // Takes back failure domains that were held out since the store's return
+    // and were not written again.
+    void expire_domains();
+
     // The list of endpoints was read at least once.
     bool knows_endpoints() const;
 
@@ -33,7 +37,8 @@
     void add_feed(
         platform::object_kind kind,
         std::chrono::milliseconds wait,
-        watch_handlers handlers);
+        watch_handlers handlers,
+        own_numbers numbers = {});
     void watch_configuration();
     void watch_endpoints();
     void watch_domains();
@@ -45,6 +50,10 @@
     // The earliest moment at which what is read now may have come.
     base::boot_time arrived() const;
     void take_domain(platform::store_object const& object);
+    void note_return(
+        platform::object_kind kind,
+        platform::store_mark const& before,
+        platform::store_mark const& now);
     std::function<void(bool, std::string const&)> report_loss(char const* what);
 
     std::shared_ptr<entry_context> context;
--- a/libs/gateway/include/gateway/store_watch.hpp
+++ b/libs/gateway/include/gateway/store_watch.hpp
@@ -36,6 +36,11 @@
     std::function<void(bool lost, std::string const& why)> on_lost;
     // A call that began then was answered, or was not.
     std::function<void(bool answered, base::boot_time began)> on_call;
+    // The store came back from a copy; what it holds now is handed on next.
+    // May be empty.
+    std::function<void(
+        platform::store_mark const& before, platform::store_mark const& now)>
+        on_return;
 };
 
 struct watch_settings
@@ -52,20 +57,24 @@
 
 // Keeps a view of one kind of objects: lists it, then watches it from the
 // revision that the listing spoke for, and lists anew when the store has
-// dropped that history. Alive while one of its operations is pending.
+// dropped that history. When the store has come back from a copy, which a
+// higher era shows, it lists anew and takes no answer of the era before. Alive
+// while one of its operations is pending.
 class store_watch : public std::enable_shared_from_this<store_watch>
 {
 public:
     store_watch(
         boost::asio::io_context& event_loop,
         watch_settings chosen,
-        watch_handlers callbacks);
+        watch_handlers callbacks,
+        // The era of what is known already, or zero.
+        std::uint64_t known_era = 0);
 
     void start();
     void stop();
 
-    // Revision of the answer that is being handed on or was last.
-    std::uint64_t revision_read() const;
+    // Mark of the answer that is being handed on or was last.
+    platform::store_mark const& mark_read() const;
 
     // The platform could not be read a moment ago: entries may be missing
     // that come back.
@@ -78,6 +87,8 @@
     // Ends the call when nothing has come on it for so long.
     void give_up_after(std::chrono::milliseconds limit);
     void on_response();
+    // Whether the answer is of the era that this watch is in now.
+    bool take_era();
     void take_list(platform::store_reply reply);
     void take_changes(platform::store_reply const& reply);
     void succeed();
@@ -94,8 +105,10 @@
     bool stopped = false;
     bool waiting_to_retry = false;
     bool watching = false;
-    std::uint64_t revision = 0;
+    platform::store_mark mark;
     unsigned status = 0;
+    // Of the answer at hand; zero if it names none.
+    std::uint64_t answer_era = 0;
     std::string body;
     base::time_point last_data;
     std::vector<platform::store_object> listed;
--- a/libs/gateway/include/gateway/view_feed.hpp
+++ b/libs/gateway/include/gateway/view_feed.hpp
@@ -17,6 +17,14 @@
 namespace foxtailvale::gateway
 {
 
+// Numbers that writers give to objects of a kind, for kinds that have some.
+struct own_numbers
+{
+    own_number of;
+    // Of what is in force here.
+    std::function<std::uint64_t()> in_force;
+};
+
 // One kind of the platform's objects: filled by a watch of its own or by pages
 // from another entry, handed to the same handlers either way.
 class view_feed
@@ -25,7 +33,8 @@
     view_feed(
         boost::asio::io_context& event_loop,
         watch_settings chosen,
-        watch_handlers callbacks);
+        watch_handlers callbacks,
+        own_numbers given = {});
     ~view_feed();
     view_feed(view_feed const&) = delete;
     view_feed& operator=(view_feed const&) = delete;
@@ -35,22 +44,33 @@
 
     platform::object_kind kind() const;
 
-    // The store's revision of the last change that is known here.
-    std::uint64_t revision() const;
+    // The store's mark of the last change that is known here.
+    platform::store_mark const& mark() const;
+
+    // It holds more than the store has shown since its return from a copy.
+    bool is_ahead() const;
+
+    // The own number of what is in force here; zero where there is none.
+    std::uint64_t in_force() const;
 
     // Until which moment all that was accepted is known here.
     std::optional<base::boot_time> confirmed() const;
 
-    // Another entry's view of this revision was confirmed until then. Counts
-    // only if all of it is known here.
-    void confirm_by_peer(std::uint64_t revision, base::boot_time until);
+    // Another entry's view of this mark was confirmed until then. Counts only
+    // if all of it is known here and nothing of a later era is.
+    void
+    confirm_by_peer(platform::store_mark const& mark, base::boot_time until);
 
-    // What changed since the revision, as another entry takes it.
-    std::string page_for(std::uint64_t revision) const;
+    // What changed since the mark, as another entry takes it.
+    std::string page_for(platform::store_mark const& known) const;
 
     // Takes such a page, asked for at that moment; false when it is none.
     bool take_page(std::string const& bytes, base::boot_time asked);
 
+    // Takes from a whole page only what is newer by its own number than what is
+    // in force here, whatever the store holds.
+    void take_ahead(std::string const& bytes, base::boot_time asked);
+
     // Called when something changed. Set before start_watch().
     std::function<void()> on_change;
 
@@ -62,6 +82,7 @@
     watch_settings settings;
     watch_handlers handlers;
     std::shared_ptr<store_watch> watch;
+    own_numbers numbers;
     kept_view view;
 };
 
--- a/libs/gateway/include/gateway/view_relay.hpp
+++ b/libs/gateway/include/gateway/view_relay.hpp
@@ -18,10 +18,17 @@
 #include <string_view>
 #include <vector>
 
+namespace google::protobuf
+{
+template <typename Element>
+class RepeatedPtrField;
+} // namespace google::protobuf
+
 namespace foxtailvale::wire
 {
 class Datagram;
 class ViewAsk;
+class ViewMark;
 class ViewNotice;
 } // namespace foxtailvale::wire
 
@@ -57,6 +64,15 @@
         send;
 
 private:
+    // What a page is asked for.
+    enum class page_use
+    {
+        // All that changed.
+        follow,
+        // Only what is ahead of the store.
+        ahead,
+    };
+
     void run_round();
     std::chrono::milliseconds time_to_next_round();
     void follow_duty();
@@ -76,21 +92,31 @@
     // One that was asked at the start knows nothing yet, or does not watch and
     // names those that do.
     void note_unfit_answer(wire::ViewNotice const& notice);
-    void fetch_page(std::string const& from, view_feed& feed);
+    void
+    fetch_page(std::string const& from, view_feed const& feed, page_use use);
+    // What another entry has in force, by the writer's own number, though the
+    // store, back from a copy, lacks it.
+    void fetch_ahead(
+        std::string const& from,
+        google::protobuf::RepeatedPtrField<wire::ViewMark> const& marks);
     // Failure: notices arrive and pages do not. Unless every kind is
     // confirmed, this entry watches for itself.
     void note_followed(std::uint32_t kind, base::boot_time asked_at);
     // A page as it is sent: for how many milliseconds it was kept, and itself.
-    std::string page_text(view_feed const& feed, std::uint64_t after);
+    std::string
+    page_text(view_feed const& feed, platform::store_mark const& after);
     void take_page(
-        std::uint32_t kind, std::string_view text, base::boot_time asked_at);
+        std::uint32_t kind,
+        page_use use,
+        std::string_view text,
+        base::boot_time asked_at);
     std::shared_ptr<net::http_server> make_page_door();
 
     // The last page made of a kind of objects.
     struct kept_page
     {
-        std::uint64_t after = 0;
-        std::uint64_t revision = 0;
+        platform::store_mark after;
+        platform::store_mark mark;
         base::boot_time made;
         std::string bytes;
     };
--- a/libs/gateway/src/entry.cpp
+++ b/libs/gateway/src/entry.cpp
@@ -272,6 +272,7 @@
             direct::note_tick(self->context->pause, base::boot_now());
             note_suspend(*self->context);
             direct::expire(self->context->book, clock::now());
+            self->views->expire_domains();
             request::expire(self->context->refusals, clock::now());
             self->peers->tell_refusals();
             serve_all_waiting(*self->context);
--- a/libs/gateway/src/entry_views.cpp
+++ b/libs/gateway/src/entry_views.cpp
@@ -1,3 +1,4 @@
+#include <direct/store_return.hpp>
 #include <gateway/entry_views.hpp>
 #include <kernel/events.hpp>
 
@@ -37,6 +38,31 @@
 // that has just started counts for nothing in the first three seconds.
 constexpr milliseconds unknown_past{5000};
 
+char const* name_of(platform::object_kind kind)
+{
+    switch (kind)
+    {
+    case platform::object_kind::configuration:
+        return "configuration";
+    case platform::object_kind::endpoints:
+        return "endpoints";
+    case platform::object_kind::domains_out:
+        return "failure domains";
+    case platform::object_kind::versions:
+        break;
+    }
+    return "versions";
+}
+
+void log_domains_in(std::vector<std::string> const& domains)
+{
+    for (auto const& domain : domains)
+    {
+        kernel::log_event(
+            kernel::event_id::domain_in, {{"failure_domain", domain}});
+    }
+}
+
 } // namespace
 
 entry_views::entry_views(std::shared_ptr<entry_context> shared)
@@ -63,7 +89,10 @@
 }
 
 void entry_views::add_feed(
-    platform::object_kind kind, milliseconds wait, watch_handlers handlers)
+    platform::object_kind kind,
+    milliseconds wait,
+    watch_handlers handlers,
+    own_numbers numbers)
 {
     auto const store =
         net::parse_endpoint(this->context->settings.store_address);
@@ -84,8 +113,30 @@
         }
         direct::note_failure(self->outage, began);
     };
+    handlers.on_return =
+        [self = this->shared_from_this(), kind](
+            platform::store_mark const& before, platform::store_mark const& now)
+    {
+        self->note_return(kind, before, now);
+    };
     this->kept.push_back(std::make_shared<view_feed>(
-        this->context->loop, chosen, std::move(handlers)));
+        this->context->loop, chosen, std::move(handlers), std::move(numbers)));
+}
+
+void entry_views::note_return(
+    platform::object_kind kind,
+    platform::store_mark const& before,
+    platform::store_mark const& now)
+{
+    direct::note_return(this->context->book, clock::now());
+    this->context->counters.count(
+        "foxtailvale_store_returns_total", {{"view", name_of(kind)}});
+    kernel::log_event(
+        kernel::event_id::store_returned,
+        {{"view", name_of(kind)},
+         {"era", now.era},
+         {"era_before", before.era},
+         {"revision_before", before.revision}});
 }
 
 std::function<void(bool, std::string const&)>
@@ -120,7 +171,17 @@
          {
              self->context->confirmed = until;
          },
-         this->report_loss("configuration")});
+         this->report_loss("configuration")},
+        {[](std::string const& content)
+         {
+             auto const read = platform::read_configuration(content);
+             return read.has_error() ? std::uint64_t{0} : read.value().version;
+         },
+         [self]
+         {
+             auto const& known = self->context->configuration;
+             return known ? known->version : std::uint64_t{0};
+         }});
 }
 
 void entry_views::adopt(platform::store_object const& object)
@@ -212,11 +273,14 @@
         platform::object_kind::domains_out, domains_wait,
         {[self](std::vector<platform::store_object> const& objects, bool)
          {
-             self->context->book.domains_out.clear();
+             std::set<std::string> listed;
              for (auto const& object : objects)
              {
+                 listed.insert(object.name);
                  self->take_domain(object);
              }
+             log_domains_in(direct::replace_domains(
+                 self->context->book, listed, clock::now()));
          },
          [self](platform::store_object const& object, bool)
          {
@@ -227,18 +291,23 @@
 
 void entry_views::take_domain(platform::store_object const& object)
 {
-    auto& out = this->context->book.domains_out;
-    auto const changed = object.removed ? out.erase(object.name) > 0
-                                        : out.insert(object.name).second;
-    if (changed)
+    auto& book = this->context->book;
+    if (object.removed && direct::take_in(book, object.name))
+    {
+        log_domains_in({object.name});
+    }
+    if (!object.removed && direct::take_out(book, object.name))
     {
         kernel::log_event(
-            object.removed ? kernel::event_id::domain_in
-                           : kernel::event_id::domain_out,
-            {{"failure_domain", object.name}});
+            kernel::event_id::domain_out, {{"failure_domain", object.name}});
     }
 }
 
+void entry_views::expire_domains()
+{
+    log_domains_in(direct::expire_domains(this->context->book, clock::now()));
+}
+
 void entry_views::watch_versions()
 {
     auto const began = base::boot_now();
@@ -270,7 +339,13 @@
          {
              self->versions_confirmed = until;
          },
-         this->report_loss("versions")});
+         this->report_loss("versions")},
+        {[](std::string const& content)
+         {
+             auto const read = platform::read_version(content);
+             return read ? read->version : std::uint64_t{0};
+         },
+         {}});
 }
 
 base::boot_time entry_views::arrived() const
--- a/libs/gateway/src/store_watch.cpp
+++ b/libs/gateway/src/store_watch.cpp
@@ -34,9 +34,10 @@
 store_watch::store_watch(
     boost::asio::io_context& event_loop,
     watch_settings chosen,
-    watch_handlers callbacks)
+    watch_handlers callbacks,
+    std::uint64_t known_era)
     : loop(event_loop), settings(chosen), handlers(std::move(callbacks)),
-      timer(event_loop), random{chosen.seed}
+      timer(event_loop), random{chosen.seed}, mark{known_era, 0}
 {
 }
 
@@ -55,9 +56,9 @@
     }
 }
 
-std::uint64_t store_watch::revision_read() const
+platform::store_mark const& store_watch::mark_read() const
 {
-    return this->revision;
+    return this->mark;
 }
 
 void store_watch::list(std::string const& after)
@@ -77,7 +78,7 @@
     this->watching = true;
     this->send(
         platform::watch_request(
-            this->settings.kind, this->revision, this->settings.wait),
+            this->settings.kind, this->mark.revision, this->settings.wait),
         this->settings.wait + watch_slack);
 }
 
@@ -87,6 +88,7 @@
     this->waiting_to_retry = false;
     this->began = base::boot_now();
     this->status = 0;
+    this->answer_era = 0;
     this->body.clear();
     if (!this->connection || !this->connection->is_idle())
     {
@@ -99,6 +101,7 @@
         {[self](net::response_head const& head)
          {
              self->status = head.status;
+             self->answer_era = platform::read_era(head.fields);
              return net::head_verdict::take;
          },
          [self](std::string_view data)
@@ -144,9 +147,46 @@
         });
 }
 
+bool store_watch::take_era()
+{
+    if (this->answer_era == 0 || this->answer_era == this->mark.era)
+    {
+        return true;
+    }
+    if (this->answer_era < this->mark.era)
+    {
+        this->fail("an answer of an era before", this->began);
+        return false;
+    }
+    auto const before = this->mark;
+    this->mark.era = this->answer_era;
+    if (before.era == 0)
+    {
+        return true;
+    }
+    this->mark.revision = 0;
+    this->regained = base::boot_now();
+    if (this->handlers.on_return)
+    {
+        this->handlers.on_return(before, this->mark);
+    }
+    if (this->status != 200)
+    {
+        return true;
+    }
+    // What the answer tells may begin in the era before.
+    this->succeed();
+    this->list({});
+    return false;
+}
+
 void store_watch::on_response()
 {
     constexpr unsigned history_gone = 410;
+    if (!this->take_era())
+    {
+        return;
+    }
     if (this->status == history_gone)
     {
         this->succeed();
@@ -193,7 +233,7 @@
         this->list(std::string(this->listed.back().name));
         return;
     }
-    if (this->listed_revision < this->revision)
+    if (this->listed_revision < this->mark.revision)
     {
         // An answer from before what was already seen would take back what
         // has been adopted.
@@ -201,7 +241,7 @@
         this->fail("an answer from before", this->began);
         return;
     }
-    this->revision = this->listed_revision;
+    this->mark.revision = this->listed_revision;
     this->handlers.on_list(this->listed, this->was_lost());
     this->listed.clear();
     this->handlers.on_confirmed(this->list_began);
@@ -211,7 +251,7 @@
 void store_watch::take_changes(platform::store_reply const& reply)
 {
     auto const lost = this->was_lost();
-    this->revision = std::max(this->revision, reply.revision);
+    this->mark.revision = std::max(this->mark.revision, reply.revision);
     for (auto const& object : reply.objects)
     {
         this->handlers.on_change(object, lost);
@@ -275,7 +315,7 @@
             }
             // After a failure a listing confirms the view at once; a watch
             // would only after its wait.
-            if (self->lost_since || self->revision == 0)
+            if (self->lost_since || self->mark.revision == 0)
             {
                 self->list({});
                 return;
--- a/libs/gateway/src/view_feed.cpp
+++ b/libs/gateway/src/view_feed.cpp
@@ -37,9 +37,12 @@
 view_feed::view_feed(
     boost::asio::io_context& event_loop,
     watch_settings chosen,
-    watch_handlers callbacks)
-    : loop(event_loop), settings(chosen), handlers(std::move(callbacks))
+    watch_handlers callbacks,
+    own_numbers given)
+    : loop(event_loop), settings(chosen), handlers(std::move(callbacks)),
+      numbers(std::move(given))
 {
+    this->view.number = this->numbers.of;
 }
 
 view_feed::~view_feed()
@@ -52,9 +55,19 @@
     return this->settings.kind;
 }
 
-std::uint64_t view_feed::revision() const
+platform::store_mark const& view_feed::mark() const
 {
-    return this->view.revision;
+    return this->view.mark;
+}
+
+bool view_feed::is_ahead() const
+{
+    return !this->view.ahead.empty();
+}
+
+std::uint64_t view_feed::in_force() const
+{
+    return this->numbers.in_force ? this->numbers.in_force() : 0;
 }
 
 std::optional<base::boot_time> view_feed::confirmed() const
@@ -69,7 +82,7 @@
         return;
     }
     this->watch = std::make_shared<store_watch>(
-        this->loop, this->settings, this->own_handlers());
+        this->loop, this->settings, this->own_handlers(), this->view.mark.era);
     this->watch->start();
 }
 
@@ -92,8 +105,7 @@
             std::vector<platform::store_object> const& objects, bool was_lost)
     {
         put_list(
-            self->view, objects, self->watch->revision_read(),
-            base::boot_now());
+            self->view, objects, self->watch->mark_read(), base::boot_now());
         self->handlers.on_list(objects, was_lost);
         self->on_change();
     };
@@ -101,7 +113,7 @@
         [self](platform::store_object const& object, bool was_lost)
     {
         put_change(
-            self->view, object, self->watch->revision_read(), base::boot_now());
+            self->view, object, self->watch->mark_read(), base::boot_now());
         self->handlers.on_change(object, was_lost);
         self->on_change();
     };
@@ -113,9 +125,10 @@
     return wrapped;
 }
 
-void view_feed::confirm_by_peer(std::uint64_t revision, base::boot_time until)
+void view_feed::confirm_by_peer(
+    platform::store_mark const& mark, base::boot_time until)
 {
-    if (this->view.revision < revision)
+    if (this->view.mark.era != mark.era || this->view.mark < mark)
     {
         return;
     }
@@ -123,14 +136,15 @@
     this->handlers.on_confirmed(*this->view.confirmed);
 }
 
-std::string view_feed::page_for(std::uint64_t revision) const
+std::string view_feed::page_for(platform::store_mark const& known) const
 {
     auto const now = base::boot_now();
     wire::ViewPage page;
-    page.set_revision(this->view.revision);
+    page.set_era(this->view.mark.era);
+    page.set_revision(this->view.mark.revision);
     page.set_age_ms(age_at(this->view.confirmed.value_or(now), now));
     page.set_was_lost(this->watch && this->watch->was_lost());
-    auto const part = page_after(this->view, revision);
+    auto const part = page_after(this->view, known);
     page.set_whole(part.whole);
     for (auto const* kept : part.objects)
     {
@@ -140,6 +154,7 @@
         sent.set_content(kept->object.content);
         sent.set_removed(kept->object.removed);
         sent.set_age_ms(age_at(kept->learned, now));
+        sent.set_ahead(this->view.ahead.contains(kept->object.name));
     }
     return compress(page.SerializeAsString());
 }
@@ -152,16 +167,43 @@
     {
         return false;
     }
+    platform::store_mark const mark{page.era(), page.revision()};
+    if (mark.era > this->view.mark.era && !page.whole())
+    {
+        return false;
+    }
     // Only forwards: an answer that was delayed must not take back what has
     // been adopted.
-    if (page.revision() > this->view.revision)
+    if (mark > this->view.mark)
     {
         this->hand_on(page, asked);
     }
-    this->confirm_by_peer(page.revision(), asked - milliseconds(page.age_ms()));
+    this->confirm_by_peer(mark, asked - milliseconds(page.age_ms()));
     return true;
 }
 
+void view_feed::take_ahead(std::string const& bytes, base::boot_time asked)
+{
+    wire::ViewPage page;
+    auto const text = expand(bytes);
+    if (!text || !page.ParseFromString(*text) ||
+        page.era() != this->view.mark.era)
+    {
+        return;
+    }
+    auto const now = base::boot_now();
+    for (auto const& sent : page.objects())
+    {
+        auto const object = read_object(sent, now - asked);
+        if (this->numbers.of &&
+            this->numbers.of(object.content) > this->in_force())
+        {
+            hold_ahead(this->view, object, now);
+            this->handlers.on_change(object, false);
+        }
+    }
+}
+
 void view_feed::hand_on(wire::ViewPage const& page, base::boot_time asked)
 {
     auto const now = base::boot_now();
@@ -171,19 +213,32 @@
         objects.push_back(read_object(sent, now - asked));
     }
     auto const lost = page.was_lost();
+    platform::store_mark const mark{page.era(), page.revision()};
+    if (this->view.mark.era != 0 && mark.era > this->view.mark.era &&
+        this->handlers.on_return)
+    {
+        this->handlers.on_return(this->view.mark, mark);
+    }
     if (page.whole())
     {
-        put_list(this->view, objects, page.revision(), now);
+        put_list(this->view, objects, mark, now);
         this->handlers.on_list(objects, lost);
     }
     else
     {
         for (auto const& object : objects)
         {
-            put_change(this->view, object, page.revision(), now);
+            put_change(this->view, object, mark, now);
             this->handlers.on_change(object, lost);
         }
-        this->view.revision = page.revision();
+        this->view.mark = mark;
+    }
+    for (auto const& sent : page.objects())
+    {
+        if (sent.ahead())
+        {
+            note_ahead(this->view, sent.name());
+        }
     }
 }
 
--- a/libs/gateway/src/view_relay.cpp
+++ b/libs/gateway/src/view_relay.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 
 namespace foxtailvale::gateway
@@ -80,6 +81,57 @@
     return number;
 }
 
+platform::store_mark mark_of(wire::ViewMark const& told)
+{
+    return {told.era(), told.revision()};
+}
+
+void set_mark(wire::ViewMark& told, view_feed const& feed)
+{
+    told.set_kind(static_cast<std::uint32_t>(feed.kind()));
+    told.set_era(feed.mark().era);
+    told.set_revision(feed.mark().revision);
+    if (feed.is_ahead())
+    {
+        told.set_in_force(feed.in_force());
+    }
+}
+
+// A page's path: the kind, the era and the revision that the asker knows.
+std::string page_target(std::uint32_t kind, platform::store_mark const& known)
+{
+    return std::string(page_root) + std::to_string(kind) + "/" +
+           std::to_string(known.era) + "/" + std::to_string(known.revision);
+}
+
+struct asked_page
+{
+    std::uint32_t kind = 0;
+    platform::store_mark known;
+};
+
+std::optional<asked_page> read_target(std::string_view target)
+{
+    if (!target.starts_with(page_root))
+    {
+        return std::nullopt;
+    }
+    target.remove_prefix(page_root.size());
+    std::array<std::uint64_t, 3> numbers{};
+    for (auto& number : numbers)
+    {
+        auto const taken = take_number(target);
+        if (!taken)
+        {
+            return std::nullopt;
+        }
+        number = *taken;
+        target.remove_prefix(std::min<std::size_t>(target.size(), 1));
+    }
+    return asked_page{
+        static_cast<std::uint32_t>(numbers[0]), {numbers[1], numbers[2]}};
+}
+
 } // namespace
 
 view_relay::view_relay(
@@ -232,7 +284,7 @@
         this->feeds,
         [](std::shared_ptr<view_feed> const& feed)
         {
-            return feed->revision() > 0;
+            return feed->mark().revision > 0;
         });
 }
 
@@ -273,8 +325,7 @@
             continue;
         }
         auto& mark = *told.add_marks();
-        mark.set_kind(static_cast<std::uint32_t>(feed->kind()));
-        mark.set_revision(feed->revision());
+        set_mark(mark, *feed);
         mark.set_age_ms(age_of(feed->confirmed()));
     }
     return message;
@@ -344,6 +395,13 @@
         ask.set_token(++this->last_token);
         ask.set_failure_domain(this->context->settings.failure_domain);
         ask.set_wants_names(this->context->entry_addresses.size() <= 1);
+        for (auto const& feed : this->feeds)
+        {
+            if (feed->is_ahead())
+            {
+                set_mark(*ask.add_ahead(), *feed);
+            }
+        }
         this->asked[this->last_token] = now;
         this->send(sources[place], message.SerializeAsString());
     }
@@ -356,6 +414,7 @@
         return;
     }
     this->askers[ask.failure_domain()].insert(from);
+    this->fetch_ahead(from, ask.ahead());
     auto told = this->notice(ask.token());
     if (ask.wants_names())
     {
@@ -413,6 +472,7 @@
         this->note_unfit_answer(notice);
         return;
     }
+    this->fetch_ahead(from, notice.marks());
     if (this->duty.watching)
     {
         if (this->knows_all() || std::exchange(this->followed_at_start, true))
@@ -441,19 +501,35 @@
         {
             continue;
         }
-        if (feed->revision() < mark.revision())
+        auto const told = mark_of(mark);
+        if (feed->mark() < told)
         {
-            this->fetch_page(from, *feed);
+            this->fetch_page(from, *feed, page_use::follow);
         }
-        else if (sent)
+        else if (sent && feed->mark().era == told.era)
         {
-            feed->confirm_by_peer(
-                mark.revision(), *sent - milliseconds(mark.age_ms()));
+            feed->confirm_by_peer(told, *sent - milliseconds(mark.age_ms()));
             this->note_followed(mark.kind(), *sent);
         }
     }
 }
 
+void view_relay::fetch_ahead(
+    std::string const& from,
+    google::protobuf::RepeatedPtrField<wire::ViewMark> const& marks)
+{
+    for (auto const& mark : marks)
+    {
+        auto* const feed = this->feed_of(mark.kind());
+        auto const told = mark_of(mark);
+        if (feed != nullptr && mark.in_force() > feed->in_force() &&
+            feed->mark().era == told.era && feed->mark() >= told)
+        {
+            this->fetch_page(from, *feed, page_use::ahead);
+        }
+    }
+}
+
 void view_relay::note_unfit_answer(wire::ViewNotice const& notice)
 {
     if (notice.token() == 0 || this->knows_all())
@@ -484,7 +560,8 @@
     direct::note_followed(this->duty, least);
 }
 
-void view_relay::fetch_page(std::string const& from, view_feed& feed)
+void view_relay::fetch_page(
+    std::string const& from, view_feed const& feed, page_use use)
 {
     auto const kind = static_cast<std::uint32_t>(feed.kind());
     if (std::exchange(this->fetching[kind], true))
@@ -494,8 +571,9 @@
     auto& state = *this->context;
     net::request const request{
         .method = "GET",
-        .target = std::string(page_root) + std::to_string(kind) + "/" +
-                  std::to_string(feed.revision()),
+        .target = page_target(
+            kind,
+            use == page_use::ahead ? platform::store_mark() : feed.mark()),
         .fields = {{"Host", "entry"}},
         .body = {}};
     auto const began = base::boot_now();
@@ -503,19 +581,22 @@
         state.loop, state.pool,
         from + ":" + std::to_string(state.settings.peer_port), request,
         page_limit,
-        [self = this->shared_from_this(), kind,
+        [self = this->shared_from_this(), kind, use,
          began](std::optional<fetched> const& response)
         {
             self->fetching[kind] = false;
-            if (!self->duty.watching && response && response->status == 200)
+            if (response && response->status == 200)
             {
-                self->take_page(kind, response->body, began);
+                self->take_page(kind, use, response->body, began);
             }
         });
 }
 
 void view_relay::take_page(
-    std::uint32_t kind, std::string_view text, base::boot_time asked_at)
+    std::uint32_t kind,
+    page_use use,
+    std::string_view text,
+    base::boot_time asked_at)
 {
     auto* const target = this->feed_of(kind);
     auto const held = take_number(text);
@@ -526,20 +607,27 @@
     }
     text.remove_prefix(1);
     auto const as_of = asked_at - milliseconds(*held);
-    if (target->take_page(std::string(text), as_of))
+    if (use == page_use::ahead)
+    {
+        target->take_ahead(std::string(text), as_of);
+        return;
+    }
+    // One that watches by now takes what its watch brings, in order.
+    if (!this->duty.watching && target->take_page(std::string(text), as_of))
     {
         this->note_followed(kind, as_of);
     }
 }
 
-std::string view_relay::page_text(view_feed const& feed, std::uint64_t after)
+std::string
+view_relay::page_text(view_feed const& feed, platform::store_mark const& after)
 {
     auto const now = base::boot_now();
     auto& kept = this->pages[static_cast<std::uint32_t>(feed.kind())];
-    if (kept.after != after || kept.revision != feed.revision() ||
+    if (kept.after != after || kept.mark != feed.mark() ||
         now - kept.made > page_life)
     {
-        kept = {after, feed.revision(), now, feed.page_for(after)};
+        kept = {after, feed.mark(), now, feed.page_for(after)};
     }
     return std::to_string((now - kept.made).count()) + "\n" + kept.bytes;
 }
@@ -552,19 +640,19 @@
             std::shared_ptr<net::server_session> const& session,
             net::request const& call)
     {
-        std::string_view rest = call.target;
-        rest.remove_prefix(std::min(rest.size(), page_root.size()));
-        auto const kind = take_number(rest);
-        rest.remove_prefix(std::min<std::size_t>(rest.size(), 1));
-        auto const after = take_number(rest);
-        auto* const feed =
-            kind ? this->feed_of(static_cast<std::uint32_t>(*kind)) : nullptr;
-        if (feed == nullptr || !after || !this->duty.watching)
+        auto const wanted = read_target(call.target);
+        auto* const feed = wanted ? this->feed_of(wanted->kind) : nullptr;
+        // Who asks for all takes from one that follows only what is ahead of
+        // the store.
+        auto const may_answer =
+            this->duty.watching ||
+            (wanted && wanted->known == platform::store_mark());
+        if (feed == nullptr || !may_answer)
         {
             session->respond(404, {}, {});
             return;
         }
-        session->respond(200, {}, this->page_text(*feed, *after));
+        session->respond(200, {}, this->page_text(*feed, wanted->known));
     };
     handlers.on_fault = [](net::server_session& session, net::read_fault)
     {
--- a/libs/kernel/include/kernel/events.hpp
+++ b/libs/kernel/include/kernel/events.hpp
@@ -33,6 +33,7 @@
     version_named = 1108,
     watching_began = 1109,
     watching_ended = 1110,
+    store_returned = 1111,
     peer_suspected = 1201,
     peer_back = 1202,
     peer_leaving = 1203,
--- a/libs/kernel/src/events.cpp
+++ b/libs/kernel/src/events.cpp
@@ -34,6 +34,7 @@
     event_row{event_id::version_named, "version_named"},
     event_row{event_id::watching_began, "watching_began"},
     event_row{event_id::watching_ended, "watching_ended"},
+    event_row{event_id::store_returned, "store_returned"},
     event_row{event_id::peer_suspected, "peer_suspected"},
     event_row{event_id::peer_back, "peer_back"},
     event_row{event_id::peer_leaving, "peer_leaving"},
