Bytes that entries receive are counted by kind of message and by domain

Sight before the change: at 300 machines before 3,000 servers the links between regions fill up and nothing told with what.

--- a/libs/gateway/include/gateway/entry_context.hpp
+++ b/libs/gateway/include/gateway/entry_context.hpp
@@ -7,6 +7,7 @@
 #include <direct/process_pause.hpp>
 #include <direct/shares.hpp>
 #include <gateway/connection_pool.hpp>
+#include <gateway/traffic.hpp>
 #include <kernel/metrics.hpp>
 #include <platform/settings.hpp>
 #include <request/admission.hpp>
@@ -53,6 +54,7 @@
     platform::settings settings;
     connection_pool pool;
     kernel::metrics counters;
+    traffic_book traffic;
 
     // The configuration in force; null before the first.
     std::shared_ptr<routing::configuration const> configuration;
--- a/libs/gateway/src/entry.cpp
+++ b/libs/gateway/src/entry.cpp
@@ -289,6 +289,9 @@
             kernel::event_id::settings_reloaded, {{"node", changed->name}});
     }
     this->context->pool.sweep();
+    tell_traffic(
+        this->context->traffic, this->context->book,
+        this->context->settings.failure_domain, this->context->counters);
     this->peers->subscribe();
     this->chore_timer.expires_after(chore_interval);
     this->chore_timer.async_wait(
--- a/libs/gateway/src/peer_link.cpp
+++ b/libs/gateway/src/peer_link.cpp
@@ -34,6 +34,36 @@
     return report;
 }
 
+char const* kind_of(wire::Datagram const& message)
+{
+    switch (message.body_case())
+    {
+    case wire::Datagram::kEngineState:
+        return "engine_state";
+    case wire::Datagram::kCrashNotice:
+        return "crash_notice";
+    case wire::Datagram::kRefusalNotice:
+        return "refusal_notice";
+    case wire::Datagram::kViewAsk:
+        return "view_ask";
+    case wire::Datagram::kViewNotice:
+        return "view_notice";
+    case wire::Datagram::kFleetAsk:
+        return "fleet_ask";
+    case wire::Datagram::kEntriesNotice:
+        return "entries_notice";
+    case wire::Datagram::kReportAsk:
+        return "report_ask";
+    case wire::Datagram::kPassedReports:
+        return "passed_reports";
+    case wire::Datagram::kFleetNotice:
+    case wire::Datagram::kSubscribe:
+    case wire::Datagram::BODY_NOT_SET:
+        break;
+    }
+    return "unknown";
+}
+
 } // namespace
 
 peer_link::peer_link(std::shared_ptr<entry_context> shared)
@@ -183,6 +213,7 @@
         return;
     }
     auto const from = source.address().to_string();
+    note_received(this->context->traffic, kind_of(message), from, bytes.size());
     switch (message.body_case())
     {
     case wire::Datagram::kEngineState:
--- a/libs/gateway/src/view_relay.cpp
+++ b/libs/gateway/src/view_relay.cpp
@@ -581,12 +581,15 @@
         state.loop, state.pool,
         from + ":" + std::to_string(state.settings.peer_port), request,
         page_limit,
-        [self = this->shared_from_this(), kind, use,
+        [self = this->shared_from_this(), kind, use, from,
          began](std::optional<fetched> const& response)
         {
             self->fetching[kind] = false;
             if (response && response->status == 200)
             {
+                note_received(
+                    self->context->traffic, "view_page", from,
+                    response->body.size());
                 self->take_page(kind, use, response->body, began);
             }
         });
