Agents leave the store alone at a start; views come from the own domain's watcher

At 300 machines before 3,000 servers nobody outside the store's region served. Cause, by the calls and bytes of a trial that logs them: an agent that no entry had asked listed all servers from the store every two seconds though it did not know its model yet and could not use the list, then the configuration every two seconds, given up after 1.5 s and asked for again. The links of 27 Mbit/s were full from -11.2 s on, entries behind them lost the store at -9.8 s, never knew an agent, and so it stayed.

- Agents ask the entries that the settings name while none has asked them, also for the model.
- Pages and confirmations come from the own domain's watcher while it is heard and not older than 0.5 s; changes are told at once to the own domain, to watchers and to domains without one.
All seeds are asked, not the first two.
- Endpoints that become known within 100 ms are asked together, not each alone.

--- a/libs/direct/include/direct/watch_duty.hpp
+++ b/libs/direct/include/direct/watch_duty.hpp
@@ -131,6 +131,28 @@
 // Returns whether it is to watch.
 bool decide(watch_duty& state, bool fresh, base::boot_time now);
 
+// Views that nobody of the own failure domain confirmed for this long are asked
+// for, and taken, in other domains: the links between them are narrow, and each
+// entry of the domain would draw the same over them.
+inline constexpr std::chrono::milliseconds near_patience{500};
+
+// Whether views are taken from a watcher of that failure domain now.
+bool may_take_from(
+    watch_duty const& state,
+    std::string const& failure_domain,
+    base::boot_time now);
+
+// Whether entries of that failure domain are told of each change at once. Those
+// of others hear it from their own watcher.
+bool tells_at_once(
+    watch_duty const& state,
+    std::string const& failure_domain,
+    base::boot_time now);
+
+// Whom to ask now: two watchers, of the own failure domain while one there
+// confirms the views; all seeds while no watcher is known.
+std::vector<std::string> asked(watch_duty const& state, base::boot_time now);
+
 // Whom to ask, best first: watchers of the own failure domain, then others, in
 // an order of this entry's own so that not all ask the same; seeds while no
 // watcher is known.
--- a/libs/direct/src/watch_duty.cpp
+++ b/libs/direct/src/watch_duty.cpp
@@ -192,6 +192,57 @@
     return state.watching;
 }
 
+bool may_take_from(
+    watch_duty const& state,
+    std::string const& failure_domain,
+    base::boot_time now)
+{
+    if (failure_domain == state.own_domain ||
+        now - state.followed > near_patience)
+    {
+        return true;
+    }
+    return count(state, now).own_domain == 0;
+}
+
+bool tells_at_once(
+    watch_duty const& state,
+    std::string const& failure_domain,
+    base::boot_time now)
+{
+    return failure_domain == state.own_domain ||
+           std::ranges::none_of(
+               state.watchers,
+               [&](auto const& entry)
+               {
+                   return is_live(entry.second, now) &&
+                          entry.second.failure_domain == failure_domain;
+               });
+}
+
+std::vector<std::string> asked(watch_duty const& state, base::boot_time now)
+{
+    constexpr std::size_t most_asked = 2;
+    auto chosen = sources(state, now);
+    auto const is_watcher = [&state](std::string const& name)
+    {
+        return state.watchers.contains(name);
+    };
+    if (std::ranges::none_of(chosen, is_watcher))
+    {
+        return chosen;
+    }
+    std::erase_if(
+        chosen,
+        [&](std::string const& name)
+        {
+            auto const& domain = state.watchers.at(name).failure_domain;
+            return !may_take_from(state, domain, now);
+        });
+    chosen.resize(std::min(chosen.size(), most_asked));
+    return chosen;
+}
+
 std::vector<std::string> sources(watch_duty const& state, base::boot_time now)
 {
     std::vector<std::string> found;
--- a/libs/direct/tests/watch_duty_tests.cpp
+++ b/libs/direct/tests/watch_duty_tests.cpp
@@ -352,4 +352,40 @@
     EXPECT_TRUE(sources(duty, {seconds(102)}).empty());
 }
 
+// Guards against lists that cross the links between domains once for each entry
+// although a watcher of the own domain has them.
+TEST(watch_duty, other_domains_are_asked_only_while_none_of_the_own_confirms)
+{
+    base::boot_time const start{seconds(100)};
+    watch_duty duty;
+    duty.own = "own-1";
+    duty.own_domain = "own";
+    duty.watching = false;
+    duty.followed = start;
+    note_watcher(duty, "far-1", "far", watch_word::fresh, start);
+    EXPECT_TRUE(may_take_from(duty, "far", start));
+    EXPECT_EQ(asked(duty, start), std::vector<std::string>{"far-1"});
+    note_watcher(duty, "own-2", "own", watch_word::fresh, start);
+    EXPECT_FALSE(may_take_from(duty, "far", start));
+    EXPECT_EQ(asked(duty, start), std::vector<std::string>{"own-2"});
+    EXPECT_FALSE(tells_at_once(duty, "far", start));
+    auto const late = start + near_patience + milliseconds(1);
+    EXPECT_TRUE(may_take_from(duty, "far", late));
+    EXPECT_EQ(asked(duty, late), (std::vector<std::string>{"own-2", "far-1"}));
+    auto const silent = start + watcher_silence + milliseconds(1);
+    note_followed(duty, silent);
+    note_watcher(duty, "far-1", "far", watch_word::fresh, silent);
+    EXPECT_TRUE(may_take_from(duty, "far", silent));
+    EXPECT_TRUE(tells_at_once(duty, "other", silent));
+}
+
+// Guards against an entry that starts and asks only seeds of other domains.
+TEST(watch_duty, whoever_knows_no_watcher_asks_all_seeds)
+{
+    watch_duty duty;
+    duty.own = "own-1";
+    duty.seeds = {"far-1", "far-2", "own-2"};
+    EXPECT_EQ(asked(duty, {}).size(), 3U);
+}
+
 } // namespace foxtailvale::direct
--- a/libs/gateway/include/gateway/entry.hpp
+++ b/libs/gateway/include/gateway/entry.hpp
@@ -41,6 +41,8 @@
     void await_signal();
     void run_tick();
     void run_chores();
+    // Asks agents that became known, all of the next moment together.
+    void subscribe_soon();
     void await_end();
     bool is_ready() const;
 
@@ -56,6 +58,8 @@
     boost::asio::signal_set signals;
     boost::asio::steady_timer tick_timer;
     boost::asio::steady_timer chore_timer;
+    boost::asio::steady_timer subscribe_timer;
+    bool subscribe_planned = false;
     boost::asio::steady_timer stop_timer;
     base::time_point stop_began;
 };
--- a/libs/gateway/include/gateway/peer_link.hpp
+++ b/libs/gateway/include/gateway/peer_link.hpp
@@ -9,8 +9,15 @@
 #include <set>
 #include <vector>
 
+namespace google::protobuf
+{
+template <typename Element>
+class RepeatedPtrField;
+} // namespace google::protobuf
+
 namespace foxtailvale::wire
 {
+class ServedModel;
 class CrashNotice;
 class EngineState;
 class EntriesNotice;
@@ -62,7 +69,8 @@
 
 private:
     // Tells agents what the configuration says of engines.
-    void add_models(wire::Subscribe& asked) const;
+    void add_models(
+        google::protobuf::RepeatedPtrField<wire::ServedModel>& told) const;
     // Addresses of the agents of each failure domain.
     std::map<std::string, std::vector<net::udp_endpoint>> agents() const;
     // Asks two agents of each domain, other ones each time.
--- a/libs/gateway/include/gateway/view_relay.hpp
+++ b/libs/gateway/include/gateway/view_relay.hpp
@@ -82,6 +82,9 @@
     // A watcher's word to all.
     void announce();
     void tell_all();
+    // Tells of a change those who hear it from nobody nearer.
+    void tell_change();
+    void tell(std::set<std::string> const& entries);
     void ask_sources();
     void plan_push();
     wire::Datagram notice(std::uint64_t token) const;
--- a/libs/gateway/src/entry.cpp
+++ b/libs/gateway/src/entry.cpp
@@ -23,6 +23,11 @@
 // Connections, settings and subscriptions are looked after this often.
 constexpr milliseconds chore_interval{1000};
 
+// Endpoints that become known within this time are asked together. Failure:
+// 3,000 endpoints registered within seconds, and with each of them every entry
+// asked all agents of its failure domain anew.
+constexpr milliseconds subscribe_pause{100};
+
 // The balancer looks once a second and takes an entry out after two misses;
 // until then new connections still come.
 constexpr milliseconds balancer_time{2600};
@@ -60,7 +65,8 @@
       reports(std::make_shared<domain_reports>(this->context)),
       views(std::make_shared<entry_views>(this->context)),
       signals(event_loop, SIGTERM, SIGINT, SIGHUP), tick_timer(event_loop),
-      chore_timer(event_loop), stop_timer(event_loop)
+      chore_timer(event_loop), subscribe_timer(event_loop),
+      stop_timer(event_loop)
 {
     this->views->on_limits = [this](routing::caller_limits const& limits)
     {
@@ -70,7 +76,7 @@
     };
     this->views->on_endpoints = [this]
     {
-        this->peers->subscribe();
+        this->subscribe_soon();
     };
     this->views->on_versions = [this]
     {
@@ -304,6 +310,24 @@
         });
 }
 
+void entry_process::subscribe_soon()
+{
+    if (std::exchange(this->subscribe_planned, true))
+    {
+        return;
+    }
+    this->subscribe_timer.expires_after(subscribe_pause);
+    this->subscribe_timer.async_wait(
+        [self = this->shared_from_this()](boost::system::error_code error)
+        {
+            self->subscribe_planned = false;
+            if (!error)
+            {
+                self->peers->subscribe();
+            }
+        });
+}
+
 void entry_process::stop()
 {
     if (this->context->stopping)
--- a/libs/gateway/src/fleet_lists.cpp
+++ b/libs/gateway/src/fleet_lists.cpp
@@ -31,17 +31,10 @@
 constexpr milliseconds answer_limit{150};
 constexpr std::uint32_t most_tries = 3;
 
-// Entries tell the origin and the model with each subscription. An agent that
-// none has told for this long reads the configuration itself. Failure: all
-// processes are killed, and 58 agents list a configuration of a megabyte; the
-// links between regions are full for eight seconds and entries, which need it
-// first, do not get it.
-constexpr milliseconds told_patience{4000};
-
 } // namespace
 
 fleet_lists::fleet_lists(std::shared_ptr<agent_context> shared)
-    : context(std::move(shared)), began(clock::now())
+    : context(std::move(shared)), fallback{clock::now(), {}}
 {
 }
 
@@ -58,13 +51,7 @@
         return;
     }
     this->reading = true;
-    auto& state = *this->context;
-    if (state.model.empty() && now - this->began >= told_patience)
-    {
-        this->read_configuration();
-        return;
-    }
-    this->token = base::next_random(state.random) | 1U;
+    this->token = base::next_random(this->context->random) | 1U;
     this->tries = 0;
     this->ask_again();
 }
@@ -76,7 +63,7 @@
     if (!asked)
     {
         this->token = 0;
-        this->read_endpoints();
+        this->read_store();
         return;
     }
     ++this->tries;
@@ -84,6 +71,28 @@
     this->answer_by = clock::now() + answer_limit;
 }
 
+void fleet_lists::read_store()
+{
+    auto& state = *this->context;
+    auto const now = clock::now();
+    auto const draw =
+        static_cast<double>(base::random_below(state.random, 1000)) / 1000;
+    auto const need = state.model.empty() ? direct::list_need::model
+                                          : direct::list_need::transfer;
+    if (!direct::may_read_store(this->fallback, need, now, draw))
+    {
+        this->reading = false;
+        this->last_read = now - (again - again_after_failure);
+        return;
+    }
+    if (state.model.empty())
+    {
+        this->read_configuration();
+        return;
+    }
+    this->read_endpoints();
+}
+
 void fleet_lists::take_notice(wire::FleetNotice const& notice)
 {
     if (this->token == 0 || notice.token() != this->token ||
@@ -111,6 +120,7 @@
     this->token = 0;
     this->reading = false;
     this->last_read = clock::now();
+    direct::note_answered(this->fallback, this->last_read);
     this->take_members(all);
     this->on_read();
 }
--- a/libs/gateway/src/fleet_lists.hpp
+++ b/libs/gateway/src/fleet_lists.hpp
@@ -3,6 +3,7 @@
 
 #include "agent_context.hpp"
 
+#include <direct/store_fallback.hpp>
 #include <platform/objects.hpp>
 
 #include <functional>
@@ -30,9 +31,9 @@
 
 // What an agent needs for a transfer: the origin, the model of its engine, the
 // other agents and what their engines serve. Entries know all of it and tell;
-// the platform's store is read only when no entry answers. Failure: when a
-// version was named, 88 agents listed 88 engines from the store at once, and
-// the links between regions carried these lists for half a second before
+// the platform's store is read only when no entry answers for long. Failure:
+// when a version was named, 88 agents listed 88 engines from the store at once,
+// and the links between regions carried these lists for half a second before
 // anything else. The lists are asked for while a transfer is under way only.
 class fleet_lists : public std::enable_shared_from_this<fleet_lists>
 {
@@ -54,6 +55,7 @@
 
 private:
     void ask_again();
+    void read_store();
     void take_members(std::vector<fleet_member> const& members);
     void read_configuration();
     void read_endpoints();
@@ -69,7 +71,7 @@
     base::time_point answer_by;
     std::map<std::string, std::vector<fleet_member>> answered;
     base::time_point last_read;
-    base::time_point began;
+    direct::store_fallback fallback;
 };
 
 } // namespace foxtailvale::gateway
--- a/libs/gateway/src/peer_link.cpp
+++ b/libs/gateway/src/peer_link.cpp
@@ -117,7 +117,7 @@
             clock::now() - named.back().learned);
         notice.set_age_ms(static_cast<std::uint64_t>(age.count()));
     }
-    this->add_models(asked);
+    this->add_models(*asked.mutable_models());
     auto const bytes = message.SerializeAsString();
     auto const known = this->agents();
     for (auto const& domain : this->asked_directly())
@@ -173,7 +173,8 @@
     }
 }
 
-void peer_link::add_models(wire::Subscribe& asked) const
+void peer_link::add_models(
+    google::protobuf::RepeatedPtrField<wire::ServedModel>& told) const
 {
     auto const& known = this->context->configuration;
     if (!known)
@@ -194,7 +195,7 @@
     {
         if (service.engine && !service.engine->models.empty())
         {
-            auto& served = *asked.add_models();
+            auto& served = *told.Add();
             served.set_service(name);
             served.set_model(service.engine->models.front());
             served.set_origin(origin->second.origin);
@@ -291,6 +292,10 @@
         notice.set_token(asked.token());
         notice.set_domains(static_cast<std::uint32_t>(by_domain.size()));
         notice.set_failure_domain(domain);
+        if (asked.wants_models())
+        {
+            this->add_models(*notice.mutable_models());
+        }
         wire::Datagram message;
         message.set_from(this->context->settings.name);
         *message.mutable_fleet_notice() = std::move(notice);
--- a/libs/gateway/src/report_link.cpp
+++ b/libs/gateway/src/report_link.cpp
@@ -49,6 +49,7 @@
             }
             if (message.has_fleet_notice())
             {
+                held->take_models(message.fleet_notice().models());
                 held->on_fleet(message.fleet_notice());
             }
         });
@@ -77,7 +78,19 @@
         return;
     }
     this->subscribers[source] = {now, asked.failure_domain()};
-    for (auto const& served : asked.models())
+    this->take_models(asked.models());
+    for (auto const& notice : asked.versions())
+    {
+        this->on_version(
+            notice.model(), notice.version(),
+            now - milliseconds(notice.age_ms()));
+    }
+}
+
+void report_link::take_models(
+    google::protobuf::RepeatedPtrField<wire::ServedModel> const& models)
+{
+    for (auto const& served : models)
     {
         if (served.service() == this->context->settings.engine_service)
         {
@@ -88,12 +101,6 @@
                  {served.origin_rate(), served.origin_connections()}});
         }
     }
-    for (auto const& notice : asked.versions())
-    {
-        this->on_version(
-            notice.model(), notice.version(),
-            now - milliseconds(notice.age_ms()));
-    }
 }
 
 bool report_link::ask_fleet(std::uint64_t token, std::uint32_t tries)
@@ -113,6 +120,17 @@
             break;
         }
     }
+    // Entries that do not know this agent yet: those that the settings name.
+    auto const& settings = this->context->settings;
+    for (auto const& seed : settings.seeds)
+    {
+        boost::system::error_code error;
+        auto const ip = boost::asio::ip::make_address(seed, error);
+        if (!error && this->subscribers.empty())
+        {
+            known.emplace_back(ip, settings.peer_port);
+        }
+    }
     if (known.empty())
     {
         return false;
@@ -121,6 +139,7 @@
     auto& asked = *message.mutable_fleet_ask();
     asked.set_service(this->context->settings.engine_service);
     asked.set_token(token);
+    asked.set_wants_models(this->context->model.empty());
     this->socket->send(
         known[(token + tries) % known.size()], message.SerializeAsString());
     return true;
--- a/libs/gateway/src/report_link.hpp
+++ b/libs/gateway/src/report_link.hpp
@@ -12,9 +12,16 @@
 #include <optional>
 #include <string>
 
+namespace google::protobuf
+{
+template <typename Element>
+class RepeatedPtrField;
+} // namespace google::protobuf
+
 namespace foxtailvale::wire
 {
 class FleetNotice;
+class ServedModel;
 class Subscribe;
 } // namespace foxtailvale::wire
 
@@ -49,7 +56,8 @@
         on_version;
 
     // Asks one of the entries, those of the own failure domain first, another
-    // one for another try; false when none asked for reports lately.
+    // one for another try; those that the settings name while none has asked
+    // for reports. False when there is nobody to ask.
     bool ask_fleet(std::uint64_t token, std::uint32_t tries);
 
     // What an entry said of a failure domain. Set before open().
@@ -64,6 +72,9 @@
     };
 
     void take(net::udp_endpoint const& source, wire::Subscribe const& asked);
+    // Takes what the configuration says of this agent's service.
+    void take_models(
+        google::protobuf::RepeatedPtrField<wire::ServedModel> const& models);
     // The entry stands in this agent's failure domain.
     bool is_near(subscriber const& entry) const;
     std::string report() const;
--- a/libs/gateway/src/view_relay.cpp
+++ b/libs/gateway/src/view_relay.cpp
@@ -341,13 +341,46 @@
 
 void view_relay::tell_all()
 {
-    auto const bytes = this->notice(0).SerializeAsString();
     auto told = this->context->entry_addresses;
     for (auto const& [domain, entries] : this->askers)
     {
         told.insert(entries.begin(), entries.end());
     }
-    for (auto const& entry : told)
+    this->tell(told);
+}
+
+void view_relay::tell_change()
+{
+    auto const now = base::boot_now();
+    auto told = this->context->entry_addresses;
+    auto const leave_out = [&](auto const& by_domain)
+    {
+        for (auto const& [domain, entries] : by_domain)
+        {
+            if (direct::tells_at_once(this->duty, domain, now))
+            {
+                told.insert(entries.begin(), entries.end());
+                continue;
+            }
+            for (auto const& entry : entries)
+            {
+                told.erase(entry);
+            }
+        }
+    };
+    leave_out(this->askers);
+    leave_out(this->context->book.domain_entries);
+    for (auto const& [watcher, heard] : this->duty.watchers)
+    {
+        told.insert(watcher);
+    }
+    this->tell(told);
+}
+
+void view_relay::tell(std::set<std::string> const& entries)
+{
+    auto const bytes = this->notice(0).SerializeAsString();
+    for (auto const& entry : entries)
     {
         if (entry != this->context->settings.ip)
         {
@@ -369,7 +402,10 @@
         [self = this->shared_from_this()]
         {
             self->push_planned = false;
-            self->announce();
+            if (self->duty.watching)
+            {
+                self->tell_change();
+            }
         });
 }
 
@@ -382,12 +418,7 @@
         {
             return now - entry.second > answer_limit;
         });
-    // The second one each time too: when the first falls silent, the views
-    // stay confirmed.
-    constexpr std::size_t most_asked = 2;
-    auto const sources = direct::sources(this->duty, now);
-    for (std::size_t place = 0; place < std::min(sources.size(), most_asked);
-         ++place)
+    for (auto const& source : direct::asked(this->duty, now))
     {
         wire::Datagram message;
         message.set_from(this->context->settings.name);
@@ -403,7 +434,7 @@
             }
         }
         this->asked[this->last_token] = now;
-        this->send(sources[place], message.SerializeAsString());
+        this->send(source, message.SerializeAsString());
     }
 }
 
@@ -487,6 +518,10 @@
         direct::follow(this->duty, now);
         this->change_duty();
     }
+    if (!direct::may_take_from(this->duty, notice.failure_domain(), now))
+    {
+        return;
+    }
     auto const question = this->asked.find(notice.token());
     std::optional<base::boot_time> sent;
     if (question != this->asked.end())
