Seeds that fell silent are asked anew instead of ending the process

Entries ended by themselves (map::at) when all watchers had fallen silent and one of them was a seed: those to ask were looked up among the watchers, where the other seeds are not. The test fails on the code before with map::at.

A removal that a listing showed is kept without its content.

--- a/libs/direct/src/watch_duty.cpp
+++ b/libs/direct/src/watch_duty.cpp
@@ -224,11 +224,7 @@
 {
     constexpr std::size_t most_asked = 2;
     auto chosen = sources(state, now);
-    auto const is_watcher = [&state](std::string const& name)
-    {
-        return state.watchers.contains(name);
-    };
-    if (std::ranges::none_of(chosen, is_watcher))
+    if (count(state, now).all == 0)
     {
         return chosen;
     }
@@ -236,8 +232,9 @@
         chosen,
         [&](std::string const& name)
         {
-            auto const& domain = state.watchers.at(name).failure_domain;
-            return !may_take_from(state, domain, now);
+            auto const watcher = state.watchers.find(name);
+            return watcher != state.watchers.end() &&
+                   !may_take_from(state, watcher->second.failure_domain, now);
         });
     chosen.resize(std::min(chosen.size(), most_asked));
     return chosen;
--- a/libs/direct/tests/watch_duty_tests.cpp
+++ b/libs/direct/tests/watch_duty_tests.cpp
@@ -379,6 +379,21 @@
     EXPECT_TRUE(tells_at_once(duty, "other", silent));
 }
 
+// Guards against the end of a process whose watchers all fell silent, one of
+// which is a seed.
+TEST(watch_duty, seeds_are_asked_anew_when_one_of_them_fell_silent)
+{
+    base::boot_time const start{seconds(100)};
+    watch_duty duty;
+    duty.own = "own-1";
+    duty.own_domain = "own";
+    duty.seeds = {"own-2", "far-1"};
+    note_watcher(duty, "own-2", "own", watch_word::fresh, start);
+    EXPECT_EQ(asked(duty, start).size(), 1U);
+    auto const silent = start + watcher_silence + milliseconds(1);
+    EXPECT_EQ(asked(duty, silent).size(), 2U);
+}
+
 // Guards against an entry that starts and asks only seeds of other domains.
 TEST(watch_duty, whoever_knows_no_watcher_asks_all_seeds)
 {
--- a/libs/gateway/src/kept_view.cpp
+++ b/libs/gateway/src/kept_view.cpp
@@ -29,6 +29,7 @@
     base::boot_time now)
 {
     object.removed = true;
+    object.content.clear();
     auto const learned = now - object.age;
     auto const name = object.name;
     state.removed[name] = {std::move(object), mark.revision, learned};
