What is ahead of the store outlives a second return

Found by reading: in the list of a third era what was kept ahead in the second counted as listed, was no longer marked as ahead, and the next listing took it back. The test fails on the code before (5 instead of 7).

--- a/libs/gateway/src/kept_view.cpp
+++ b/libs/gateway/src/kept_view.cpp
@@ -119,9 +119,10 @@
     base::boot_time now)
 {
     std::map<std::string, kept_object> listed;
+    auto const goes_on = state.mark.revision > 0 && state.mark.era == mark.era;
     for (auto const& object : objects)
     {
-        if (is_behind(state, object))
+        if (goes_on && is_behind(state, object))
         {
             listed[object.name] = state.objects.at(object.name);
             continue;
@@ -133,7 +134,6 @@
         auto const learned = same ? before->second.learned : now - object.age;
         listed[object.name] = {object, revision_of(object, mark), learned};
     }
-    auto const goes_on = state.mark.revision > 0 && state.mark.era == mark.era;
     if (goes_on)
     {
         note_gap(state, mark);
--- a/libs/gateway/tests/kept_view_tests.cpp
+++ b/libs/gateway/tests/kept_view_tests.cpp
@@ -232,6 +232,21 @@
     }
 }
 
+// Guards against a second return that makes forget what the first lost.
+TEST(kept_view, what_is_ahead_outlives_a_second_return)
+{
+    kept_view view;
+    view.number = number_in;
+    put_list(view, {object("main", "7")}, at(50), start);
+    put_list(view, {object("main", "5")}, {2, 40}, start);
+    put_list(view, {object("main", "5")}, {3, 40}, start);
+    put_list(view, {object("main", "5")}, {3, 41}, start);
+    EXPECT_EQ(contents(view).at("main"), "7");
+    put_change(view, object("main", "8"), {3, 42}, start);
+    EXPECT_EQ(contents(view).at("main"), "8");
+    EXPECT_TRUE(view.ahead.empty());
+}
+
 // Guards against removals that are remembered without end.
 TEST(kept_view, removals_are_bounded)
 {
