--- a/libs/direct/tests/watch_duty_tests.cpp
+++ b/libs/direct/tests/watch_duty_tests.cpp
@@ -96,6 +96,8 @@
     milliseconds listing_time{0};
     // All that have watched.
     std::set<std::string> ever;
+    // Questions of followers to other failure domains.
+    std::size_t far_questions = 0;
 
 private:
     bool hears(watch_duty const& one, watch_duty const& other) const
@@ -125,6 +127,10 @@
             {
                 this->ever.insert(duty.own);
             }
+            else
+            {
+                this->far_questions += this->far_asked(duty);
+            }
             auto& latest =
                 this->confirmed.try_emplace(duty.own, this->now).first->second;
             if (duty.watching && this->is_fresh(duty))
@@ -137,6 +143,17 @@
         }
     }
 
+    std::size_t far_asked(watch_duty const& duty) const
+    {
+        auto const all = asked(duty, this->now);
+        return static_cast<std::size_t>(std::ranges::count_if(
+            all,
+            [&duty](std::string const& name)
+            {
+                return !name.starts_with(duty.own_domain + "-");
+            }));
+    }
+
     void hear(watch_duty& duty)
     {
         for (auto const& other : this->duties)
@@ -326,6 +343,26 @@
     }
 }
 
+// Guards against what crosses the links between domains growing with the
+// entries: once watchers are known, followers ask nobody elsewhere, with a seed
+// in each domain or with all seeds in one.
+TEST(watch_duty, followers_ask_nothing_over_the_links_at_any_size)
+{
+    for (std::size_t const each : {4U, 10U, 34U, 66U})
+    {
+        for (auto const& seeds : std::vector<std::vector<std::string>>{
+                 {"d0-1", "d1-2", "d2-3"}, {"d0-1", "d0-2", "d0-3"}})
+        {
+            fleet entries(3, each);
+            entries.start_with(seeds);
+            entries.run(seconds(6));
+            entries.far_questions = 0;
+            entries.run(seconds(10));
+            EXPECT_EQ(entries.far_questions, 0U) << each << seeds.at(1);
+        }
+    }
+}
+
 // Guards against entries that wait for seeds which are gone.
 TEST(watch_duty, entries_whose_seeds_are_gone_watch_soon)
 {
