--- a/libs/direct/include/direct/store_fallback.hpp
+++ b/libs/direct/include/direct/store_fallback.hpp
@@ -8,9 +8,9 @@
 
 // When an agent that no entry answers reads lists from the platform's store.
 //
-// Failure: 177 agents started before their entries knew them, and each listed
-// 3,000 endpoints from the store every two seconds. The links between regions
-// were full, the entries behind them lost the store, and so asked no agent.
+// Failure: agents started before their entries knew them, and each listed all
+// endpoints from the store again and again. The links between regions were
+// full, the entries behind them lost the store, and so asked no agent.
 namespace foxtailvale::direct
 {
 
--- a/libs/gateway/src/entry.cpp
+++ b/libs/gateway/src/entry.cpp
@@ -24,8 +24,8 @@
 constexpr milliseconds chore_interval{1000};
 
 // Endpoints that become known within this time are asked together. Failure:
-// 3,000 endpoints registered within seconds, and with each of them every entry
-// asked all agents of its failure domain anew.
+// a fleet registered within seconds, and with each endpoint every entry asked
+// all agents of its failure domain anew.
 constexpr milliseconds subscribe_pause{100};
 
 // The balancer looks once a second and takes an entry out after two misses;
--- a/libs/gateway/src/view_relay.cpp
+++ b/libs/gateway/src/view_relay.cpp
@@ -353,7 +353,7 @@
 {
     auto const now = base::boot_now();
     auto told = this->context->entry_addresses;
-    auto const leave_out = [&](auto const& by_domain)
+    auto const choose_in = [&](auto const& by_domain)
     {
         for (auto const& [domain, entries] : by_domain)
         {
@@ -368,8 +368,8 @@
             }
         }
     };
-    leave_out(this->askers);
-    leave_out(this->context->book.domain_entries);
+    choose_in(this->askers);
+    choose_in(this->context->book.domain_entries);
     for (auto const& [watcher, heard] : this->duty.watchers)
     {
         told.insert(watcher);
