One copy of when an attempt at a silent endpoint is given up

The decision stood twice: in gateway/call, beside sockets and timers, and again in the played fleet of libs/direct, which tests the product's decisions and here tested its own. Both call direct::give_up_at and direct::is_lost now.

--- a/libs/direct/tests/played_entries.cpp
+++ b/libs/direct/tests/played_entries.cpp
@@ -2,6 +2,7 @@
 
 #include "played_callers.hpp"
 
+#include <direct/attempt_limit.hpp>
 #include <direct/placement.hpp>
 #include <direct/repeat.hpp>
 
@@ -18,9 +19,6 @@
 
 // As the entry does it.
 constexpr milliseconds connect_limit{400};
-constexpr milliseconds least_first_byte{600};
-constexpr milliseconds longest_first_byte{1600};
-constexpr milliseconds least_gap{900};
 constexpr std::uint32_t most_attempts = 2;
 
 placement_ask placement(
@@ -188,32 +186,26 @@
     return true;
 }
 
-bool engine_is_lost(world const& state, caller_request const& asked)
-{
-    auto const& book = state.entries[asked.entry].book;
-    auto const& known = book.endpoints.at(id_of_engine(*asked.engine));
-    auto const silent = known.report && !is_fresh(known, state.now);
-    return is_stalled(known, state.now) || silent;
-}
-
 // When the entry gives the attempt up.
-base::time_point attempt_limit(world const& state, caller_request const& asked)
+std::optional<base::time_point>
+attempt_limit(world const& state, caller_request const& asked)
 {
     if (!asked.written)
     {
         return asked.decided + connect_limit;
     }
-    if (asked.runs + 1 >= most_attempts)
-    {
-        return asked.deadline;
-    }
-    auto const lost = engine_is_lost(state, asked);
-    if (asked.events > 0)
-    {
-        return asked.last_byte + (lost ? least_gap : 2 * least_gap);
-    }
-    auto const soon = std::max(least_first_byte, 2 * caller_goal);
-    return asked.decided + (lost ? soon : std::max(soon, longest_first_byte));
+    auto const& book = state.entries[asked.entry].book;
+    auto const& known = book.endpoints.at(id_of_engine(*asked.engine));
+    return give_up_at(
+        {.repeats = routing::repetition::resumable,
+         .goal = caller_goal,
+         .gap_goal = caller_gap_goal,
+         .runs = asked.runs,
+         .most_attempts = most_attempts,
+         .events = asked.events,
+         .begun = asked.decided,
+         .last_byte = asked.last_byte,
+         .lost = is_lost(known, state.now)});
 }
 
 void watch_time(world& state, caller_request& asked)
@@ -238,7 +230,8 @@
         after_failure(state, asked, ran);
         return;
     }
-    if (state.now >= attempt_limit(state, asked))
+    auto const limit = attempt_limit(state, asked);
+    if (limit && state.now >= *limit)
     {
         end_attempt(
             state, asked,
--- a/libs/direct/tests/played_fleet.hpp
+++ b/libs/direct/tests/played_fleet.hpp
@@ -35,6 +35,10 @@
 
 // What callers bring.
 inline constexpr std::chrono::milliseconds caller_goal{400};
+inline constexpr std::chrono::milliseconds caller_gap_goal{300};
+
+// Silence after which callers of streams leave.
+inline constexpr std::chrono::milliseconds caller_patience{2400};
 
 enum class final_word
 {
--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -1,6 +1,7 @@
 #include "call.hpp"
 
 #include <base/digest.hpp>
+#include <direct/attempt_limit.hpp>
 #include <kernel/events.hpp>
 
 #include <algorithm>
@@ -24,20 +25,6 @@
 // Callers that name no time and routes without one.
 constexpr milliseconds longest_time{60000};
 
-// Time to the first byte after which a silent endpoint is given up, for
-// requests that may run twice: one that sends to nobody is gone, one that sends
-// to others has the request in its queue. Failure: under full load requests
-// were given up while they waited, and each repeat took the place of another.
-constexpr int first_byte_goals = 2;
-constexpr milliseconds least_first_byte{600};
-constexpr milliseconds longest_first_byte{1600};
-
-// Silence in the middle of a stream after which it goes on elsewhere: callers
-// count a pause over the route's gap goal as late, and endpoints that are
-// merely busy pause for less than this.
-constexpr int gap_goals = 3;
-constexpr milliseconds least_gap{700};
-
 std::string owner_name(routing::permission const& allowed)
 {
     return allowed.owner != nullptr ? allowed.owner->name : "";
@@ -381,16 +368,7 @@
 {
     auto const& known = this->context->book.endpoints;
     auto const found = known.find(this->current->endpoint);
-    if (found == known.end())
-    {
-        return true;
-    }
-    auto const now = clock::now();
-    auto const& state = found->second;
-    auto const agent_silent = state.report && !direct::is_fresh(state, now);
-    auto const agent_says =
-        direct::is_fresh(state, now) && state.report->unreachable;
-    return direct::is_stalled(state, now) || agent_silent || agent_says;
+    return found == known.end() || direct::is_lost(found->second, clock::now());
 }
 
 std::optional<base::time_point> call::attempt_limit() const
@@ -401,21 +379,16 @@
     {
         return now_running.begun + connect_limit;
     }
-    if (chosen.repeats == repetition::non_idempotent ||
-        this->runs + 1 >= std::max<std::uint32_t>(chosen.most_attempts, 1))
-    {
-        return std::nullopt;
-    }
-    auto const lost = this->endpoint_is_lost();
-    if (now_running.events_sent > 0)
-    {
-        auto const gap = std::max(least_gap, chosen.gap_goal * gap_goals);
-        return now_running.last_byte + (lost ? gap : 2 * gap);
-    }
-    auto const soon =
-        std::max(least_first_byte, chosen.goal * first_byte_goals);
-    return now_running.begun +
-           (lost ? soon : std::max(soon, longest_first_byte));
+    return direct::give_up_at(
+        {.repeats = chosen.repeats,
+         .goal = chosen.goal,
+         .gap_goal = chosen.gap_goal,
+         .runs = this->runs,
+         .most_attempts = chosen.most_attempts,
+         .events = now_running.events_sent,
+         .begun = now_running.begun,
+         .last_byte = now_running.last_byte,
+         .lost = this->endpoint_is_lost()});
 }
 
 std::optional<base::time_point> call::beginning_limit() const
