Lines of ended attempts say how long the endpoint has been silent

From a line of a caller who left nobody could tell an engine that is busy from one whose machine stands still, nor whether a repeat went to one that was known to be silent. 1401 to 1403, 1408 and 1409 now have sent_ago_ms, silent_ms and report_age_ms of the endpoint that the request was sent to last.

--- a/libs/gateway/src/call.hpp
+++ b/libs/gateway/src/call.hpp
@@ -103,6 +103,9 @@
     void note_placed(direct::choice const& chosen);
     // Measures the beginning of an attempt by its first event.
     void note_begun();
+    // Adds when the last attempt was sent, and how long ago its endpoint and
+    // the agent beside it last showed life.
+    void add_endpoint(nlohmann::json& fields) const;
     // Adds what came of an attempt that note_placed() told of.
     void add_beginning(nlohmann::json& fields) const;
     // Counts an event that is passed on.
--- a/libs/gateway/src/call_end.cpp
+++ b/libs/gateway/src/call_end.cpp
@@ -194,6 +194,7 @@
          this->configuration ? this->configuration->version : 0},
         {"view_age_ms", age},
         {"after_ms", since(this->arrived)}};
+    this->add_endpoint(fields);
     this->add_beginning(fields);
     kernel::log_event(event, std::move(fields));
 }
--- a/libs/gateway/src/call_sight.cpp
+++ b/libs/gateway/src/call_sight.cpp
@@ -99,6 +99,24 @@
     }
 }
 
+void call::add_endpoint(nlohmann::json& fields) const
+{
+    auto const& known = this->context->book.endpoints;
+    auto const found = known.find(this->last_endpoint);
+    if (!this->sight || found == known.end())
+    {
+        return;
+    }
+    auto const now = clock::now();
+    auto const& state = found->second;
+    auto const never = base::time_point();
+    fields["sent_ago_ms"] = in_ms(now - this->sight->sent).count();
+    fields["silent_ms"] =
+        state.last_sent == never ? -1 : in_ms(now - state.last_sent).count();
+    fields["report_age_ms"] =
+        state.report ? in_ms(now - state.reported).count() : -1;
+}
+
 void call::add_beginning(nlohmann::json& fields) const
 {
     if (!this->sight || !this->sight->expected.ends)
