Callers whose last endpoint stands still are told before they leave

Hypotheses: (1) the engine gets the close after it has begun, and ends or runs by the deadline it was handed: then a shorter deadline or a reset would help; (2) the caller need not have left: nothing gave up a last attempt, so it waited at a lost endpoint until it left. The lines of the callers who left tell them apart: all had two sends and one run, their second endpoint had been silent for 1.9 to 2.5 s and its agent's report was as old.

Cause: give_up_at gave no limit to a last attempt, also at an endpoint known to be lost. Mend: at a lost endpoint the last attempt ends as an earlier one does, and the caller of a stream hears it 0.3 s before its patience ends at the latest, also where the stream may run once only. It is told that it may have run (502, or the end of the stream), and has time to ask again. A plain request that may run once is waited for as before: its caller cannot ask again.

--- a/libs/direct/include/direct/attempt_limit.hpp
+++ b/libs/direct/include/direct/attempt_limit.hpp
@@ -17,6 +17,7 @@
 struct attempt_progress
 {
     routing::repetition repeats = routing::repetition::non_idempotent;
+    bool streams = false;
     // What callers of the route expect to wait: for the answer or a stream's
     // first event, and between two events.
     std::chrono::milliseconds goal{0};
@@ -29,6 +30,8 @@
     std::uint32_t events = 0;
     base::time_point begun;
     base::time_point last_byte;
+    // When the caller asked, or got its last event.
+    base::time_point caller_heard;
     // The endpoint sends to nobody any more.
     bool lost = false;
 };
@@ -39,6 +42,11 @@
 
 // When the attempt is given up unless the endpoint sends something before;
 // nothing when it is waited for until the request's time is up.
+//
+// The last attempt is given up at a lost endpoint only, and its caller told
+// that it may have run. Failure: callers whose requests had been repeated at a
+// second machine that stood still waited there until they left, and the engines
+// ran for nobody what they had read. Who is told in time asks again.
 std::optional<base::time_point> give_up_at(attempt_progress const& attempt);
 
 } // namespace foxtailvale::direct
--- /dev/null
+++ b/libs/direct/tests/attempt_limit_tests.cpp
@@ -0,0 +1,124 @@
+#include <direct/attempt_limit.hpp>
+
+#include <gtest/gtest.h>
+
+namespace foxtailvale::direct
+{
+
+namespace
+{
+
+using routing::repetition;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+base::time_point const start{seconds(100)};
+
+// A stream that may be resumed, sent to its first endpoint as it came.
+attempt_progress stream()
+{
+    return {
+        .repeats = repetition::resumable,
+        .streams = true,
+        .goal = milliseconds(400),
+        .gap_goal = milliseconds(300),
+        .most_attempts = 2,
+        .begun = start,
+        .last_byte = start,
+        .caller_heard = start};
+}
+
+attempt_progress last_of(attempt_progress attempt)
+{
+    attempt.runs = attempt.most_attempts - 1;
+    return attempt;
+}
+
+attempt_progress at_lost_endpoint(attempt_progress attempt)
+{
+    attempt.lost = true;
+    return attempt;
+}
+
+} // namespace
+
+TEST(attempt_limit, a_busy_endpoint_is_waited_for_longer_than_a_lost_one)
+{
+    EXPECT_EQ(give_up_at(stream()), start + milliseconds(1600));
+    EXPECT_EQ(
+        give_up_at(at_lost_endpoint(stream())), start + milliseconds(800));
+}
+
+TEST(attempt_limit, the_last_attempt_waits_for_an_endpoint_that_lives)
+{
+    EXPECT_FALSE(give_up_at(last_of(stream())));
+}
+
+// Guards against callers who wait at a second endpoint that stands still until
+// they leave.
+TEST(attempt_limit, the_last_attempt_ends_at_a_lost_endpoint)
+{
+    EXPECT_EQ(
+        give_up_at(at_lost_endpoint(last_of(stream()))),
+        start + milliseconds(800));
+}
+
+// Guards against an end in the middle of a stream that its caller, who may go
+// on with it elsewhere, hears of by leaving.
+TEST(attempt_limit, a_stream_that_stops_at_a_lost_endpoint_ends)
+{
+    auto attempt = at_lost_endpoint(last_of(stream()));
+    attempt.events = 5;
+    attempt.last_byte = start + seconds(1);
+    attempt.caller_heard = attempt.last_byte;
+    EXPECT_EQ(give_up_at(attempt), attempt.last_byte + milliseconds(900));
+}
+
+// Guards against a late repeat at a lost endpoint whose end comes after the
+// caller has left.
+TEST(attempt_limit, a_caller_of_a_stream_is_told_before_it_leaves)
+{
+    auto attempt = at_lost_endpoint(last_of(stream()));
+    attempt.begun = start + milliseconds(1700);
+    attempt.last_byte = attempt.begun;
+    EXPECT_EQ(give_up_at(attempt), start + milliseconds(2100));
+    attempt.repeats = repetition::non_idempotent;
+    EXPECT_EQ(give_up_at(attempt), start + milliseconds(2100));
+}
+
+// Guards against an answer that nobody can ask for again being given up.
+TEST(attempt_limit, a_plain_request_that_may_run_once_is_waited_for)
+{
+    auto attempt = at_lost_endpoint(last_of(stream()));
+    attempt.repeats = repetition::non_idempotent;
+    attempt.streams = false;
+    EXPECT_FALSE(give_up_at(attempt));
+}
+
+// A lookup may be asked again by its caller.
+TEST(attempt_limit, a_plain_request_that_may_be_repeated_ends)
+{
+    auto attempt = at_lost_endpoint(last_of(stream()));
+    attempt.repeats = repetition::idempotent;
+    attempt.streams = false;
+    attempt.goal = milliseconds(120);
+    EXPECT_EQ(give_up_at(attempt), start + milliseconds(600));
+}
+
+TEST(attempt_limit, an_endpoint_is_lost_when_it_or_its_agent_is_silent)
+{
+    endpoint_state state;
+    EXPECT_FALSE(is_lost(state, start));
+    state.report.emplace();
+    state.reported = start;
+    EXPECT_FALSE(is_lost(state, start));
+    EXPECT_TRUE(is_lost(state, start + report_silence + milliseconds(1)));
+    state.own_running = 1;
+    state.last_heard = start - stall_time - milliseconds(1);
+    EXPECT_TRUE(is_lost(state, start));
+    state.last_heard = start;
+    state.report->unreachable = true;
+    EXPECT_TRUE(is_lost(state, start));
+}
+
+} // namespace foxtailvale::direct
--- a/libs/direct/tests/engine_world.cpp
+++ b/libs/direct/tests/engine_world.cpp
@@ -135,6 +135,10 @@
 
 void run_step(world& state)
 {
+    for (std::size_t number = 0; number < state.engines.size(); ++number)
+    {
+        go_on(state, number);
+    }
     while (!state.events.empty() && state.events.begin()->first <= state.now)
     {
         auto const event = state.events.extract(state.events.begin());
@@ -182,8 +186,9 @@
     std::ostringstream text;
     text << "asked " << outcome.asked << ", answered " << outcome.answered
          << ", in time " << outcome.in_time << ", cut " << outcome.cut
-         << ", refused " << outcome.refused << ", begun on older "
-         << outcome.begun_on_older << ", least left "
+         << ", refused " << outcome.refused << ", left " << outcome.left
+         << ", ran on " << outcome.ran_on << " of " << outcome.at_work_when_left
+         << ", begun on older " << outcome.begun_on_older << ", least left "
          << outcome.least_left.count() << " ms, longest with a slot "
          << outcome.longest_with_slot.count() << " ms, late "
          << outcome.late.size();
--- a/libs/direct/tests/engine_world.hpp
+++ b/libs/direct/tests/engine_world.hpp
@@ -64,6 +64,12 @@
     std::uint64_t one_late_write_in = 0;
     // The engines go on with requests whose callers closed the connection.
     bool ignores_close = false;
+    // Engines that stand still work on what they had read, as a device beside
+    // the process does; nothing of it comes out, and nothing new is read,
+    // before they go on.
+    bool works_unheard = false;
+    // Callers leave when nothing has come for caller_patience.
+    bool callers_leave = false;
     // This entry never learns of versions.
     std::optional<std::size_t> entry_without_news;
 };
@@ -100,6 +106,13 @@
     // was sent as the engine's agent had reported a free slot.
     std::chrono::milliseconds longest_with_slot{0};
     std::vector<late_beginning> late;
+    // Callers who left unanswered.
+    std::size_t left = 0;
+    // Their requests that engines had read and not ended when they left, as far
+    // as they would have lasted for run_on_time, and those of them that were
+    // still worked on that long afterwards.
+    std::size_t at_work_when_left = 0;
+    std::size_t ran_on = 0;
     // Engines that serve the newest version at the end.
     std::size_t on_newest = 0;
 
@@ -109,6 +122,9 @@
 // How long after a naming requests may begin on the version before.
 inline constexpr std::chrono::milliseconds version_bound{8000};
 
+// How long an engine may still work for a caller who has left.
+inline constexpr std::chrono::milliseconds run_on_time{500};
+
 // Plays the course in steps of a millisecond. Entries and agents decide as in
 // the product; engines, wires and callers are played here.
 fleet_outcome run_fleet(fleet_course const& course);
--- a/libs/direct/tests/played_answers.cpp
+++ b/libs/direct/tests/played_answers.cpp
@@ -80,10 +80,12 @@
     {
     case engine_word::began:
         ++asked.events;
+        asked.last_heard = state.now;
         take_first_event(state, asked);
         return;
     case engine_word::wrote:
         ++asked.events;
+        asked.last_heard = state.now;
         return;
     case engine_word::answered:
         end_attempt(state, asked, use_end::answered);
@@ -127,11 +129,30 @@
 
 } // namespace
 
+void go_on(world& state, std::size_t number)
+{
+    if (!state.paused.contains(number) ||
+        is_hit(state.course.engine_pauses, number, state.now))
+    {
+        return;
+    }
+    auto const paused = state.paused.extract(number).mapped();
+    if (!state.course.works_unheard)
+    {
+        return;
+    }
+    for (auto at = paused; at < state.now; at += wire_time)
+    {
+        work(state.engines[number], at);
+    }
+}
+
 void work_engine(world& state, std::size_t number)
 {
     auto& engine = state.engines[number];
     if (is_hit(state.course.engine_pauses, number, state.now))
     {
+        state.paused.try_emplace(number, state.now);
         return;
     }
     auto const before = engine.version;
@@ -142,6 +163,7 @@
     auto const said = std::exchange(engine.said, {});
     for (auto const& event : said)
     {
+        note_word(state, event);
         if (event.word == engine_word::began)
         {
             check_beginning(state, number, event.number, event.version);
--- a/libs/direct/tests/played_answers.hpp
+++ b/libs/direct/tests/played_answers.hpp
@@ -9,6 +9,10 @@
 namespace foxtailvale::direct
 {
 
+// An engine that stood still goes on, before it reads what came meanwhile: what
+// it had read may have been worked on in that time.
+void go_on(world& state, std::size_t number);
+
 // Lets the engine work until now, and passes on what it says.
 void work_engine(world& state, std::size_t number);
 
--- a/libs/direct/tests/played_callers.cpp
+++ b/libs/direct/tests/played_callers.cpp
@@ -2,6 +2,7 @@
 
 #include "played_entries.hpp"
 
+#include <algorithm>
 #include <cmath>
 
 namespace foxtailvale::direct
@@ -14,6 +15,24 @@
 
 constexpr milliseconds caller_time{6000};
 
+// Whether the engine has read the attempt, not ended it, and would work on it
+// for long enough to be asked about.
+bool is_at_work(world const& state, std::uint64_t attempt)
+{
+    auto const& engine = state.engines[state.sent.at(attempt).engine];
+    auto const is_it = [attempt](played_request const& request)
+    {
+        return request.number == attempt;
+    };
+    if (std::ranges::any_of(engine.line, is_it))
+    {
+        return true;
+    }
+    auto const found = std::ranges::find_if(engine.running, is_it);
+    return found != engine.running.end() &&
+           found->to_write * state.costs.step > run_on_time;
+}
+
 // A caller that is refused comes back once, if there is time.
 void refuse(world& state, caller_request& asked)
 {
@@ -39,7 +58,8 @@
                 .prompt = back.prompt,
                 .answer = back.answer,
                 .hint = back.hint,
-                .came_back = true};
+                .came_back = true,
+                .last_heard = state.now};
             back = same;
             back.returned = true;
             admit(state, number);
@@ -57,6 +77,7 @@
     asked.entry = base::random_below(state.random, state.entries.size());
     asked.asked = state.now;
     asked.deadline = state.now + caller_time;
+    asked.last_heard = state.now;
     asked.prompt = 1 + state.costs.usual_prompt *
                            lognormal(state.random, prompt_spread, most);
     asked.answer = 1 + state.costs.usual_answer *
@@ -83,9 +104,46 @@
                 : 0;
         return;
     }
+    if (word == final_word::left)
+    {
+        ++outcome.left;
+        return;
+    }
     ++(word == final_word::cut ? outcome.cut : outcome.refused);
 }
 
+void leave(world& state, caller_request& asked)
+{
+    if (asked.engine)
+    {
+        end_attempt(state, asked, use_end::cancelled);
+    }
+    for (auto const attempt : asked.sent)
+    {
+        if (is_at_work(state, attempt))
+        {
+            state.left[attempt] = state.now;
+            ++state.outcome.at_work_when_left;
+        }
+    }
+    end_request(state, asked.number, final_word::left);
+}
+
+void note_word(world& state, engine_event const& event)
+{
+    auto const found = state.left.find(event.number);
+    auto const is_work = event.word == engine_word::began ||
+                         event.word == engine_word::wrote ||
+                         event.word == engine_word::answered;
+    if (found == state.left.end() || !is_work ||
+        state.now < found->second + run_on_time)
+    {
+        return;
+    }
+    state.left.erase(found);
+    ++state.outcome.ran_on;
+}
+
 void fail(world& state, caller_request& asked)
 {
     if (asked.answer_begun)
--- a/libs/direct/tests/played_entries.cpp
+++ b/libs/direct/tests/played_entries.cpp
@@ -129,6 +129,7 @@
         static_cast<std::size_t>(std::stoul(endpoint.listed.id.substr(1)));
     ++asked.sends;
     asked.attempt = ++state.attempts;
+    asked.sent.push_back(asked.attempt);
     asked.tried.insert(endpoint.listed.id);
     asked.version = chosen.version;
     asked.engine = number;
@@ -198,6 +199,7 @@
     auto const& known = book.endpoints.at(id_of_engine(*asked.engine));
     return give_up_at(
         {.repeats = routing::repetition::resumable,
+         .streams = true,
          .goal = caller_goal,
          .gap_goal = caller_gap_goal,
          .runs = asked.runs,
@@ -205,11 +207,19 @@
          .events = asked.events,
          .begun = asked.decided,
          .last_byte = asked.last_byte,
+         .caller_heard = asked.last_heard,
          .lost = is_lost(known, state.now)});
 }
 
 void watch_time(world& state, caller_request& asked)
 {
+    if (state.course.callers_leave &&
+        state.now >= asked.last_heard + caller_patience)
+    {
+        leave_line(state, asked);
+        leave(state, asked);
+        return;
+    }
     if (asked.in_line && state.now >= asked.wait_until)
     {
         leave_line(state, asked);
--- a/libs/direct/tests/played_fleet.hpp
+++ b/libs/direct/tests/played_fleet.hpp
@@ -45,6 +45,7 @@
     answered,
     cut,
     refused,
+    left,
 };
 
 // A request of a caller, from its arrival at an entry to the last word on it.
@@ -80,6 +81,10 @@
     base::time_point last_byte;
     std::uint32_t events = 0;
     std::optional<base::time_point> first_event;
+    // When it asked, or got its last event.
+    base::time_point last_heard;
+    // Attempts of its own that went to engines.
+    std::vector<std::uint64_t> sent;
 };
 
 // Order in an entry's line: those that came back last, then by time.
@@ -138,6 +143,10 @@
     std::set<std::string> entry_names;
     std::map<std::uint64_t, caller_request> callers;
     std::map<std::uint64_t, sent_request> sent;
+    // When the callers of these attempts left.
+    std::map<std::uint64_t, base::time_point> left;
+    // Engines that stand still, and since when.
+    std::map<std::size_t, base::time_point> paused;
     // What happens later, in order.
     std::multimap<base::time_point, std::function<void()>> events;
     std::uint64_t numbers = 0;
--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -381,6 +381,7 @@
     }
     return direct::give_up_at(
         {.repeats = chosen.repeats,
+         .streams = chosen.streams,
          .goal = chosen.goal,
          .gap_goal = chosen.gap_goal,
          .runs = this->runs,
@@ -388,6 +389,7 @@
          .events = now_running.events_sent,
          .begun = now_running.begun,
          .last_byte = now_running.last_byte,
+         .caller_heard = this->last_passed.value_or(this->arrived),
          .lost = this->endpoint_is_lost()});
 }
 
--- a/libs/gateway/src/call.hpp
+++ b/libs/gateway/src/call.hpp
@@ -151,6 +151,8 @@
     // When it was sent to an endpoint first, and when its answer began.
     std::optional<base::time_point> first_sent;
     std::optional<base::time_point> first_answered;
+    // When an event was passed on last, of any attempt.
+    std::optional<base::time_point> last_passed;
     base::time_point deadline;
     base::time_point wait_until;
     waiting_place place_in_line;
--- a/libs/gateway/src/call_attempt.cpp
+++ b/libs/gateway/src/call_attempt.cpp
@@ -214,6 +214,7 @@
                 now - now_running.last_event));
     }
     now_running.last_event = now;
+    this->last_passed = now;
     ++now_running.events_sent;
 }
 
