A request that is given up is reset, not closed in order

They had been sent to engines that stood still and given up by the entry; the system went on delivering them, and at its return the engine read each whole, with an orderly end behind it.

Hypotheses: (1) the entry wrote them after their callers had left; (2) the system held them. The report shows the latter: sent at 9.5 s, left by the caller at 11.3 s, read by the engine at 13.305 s, the moment at which its machine went on.

Mend: client_connection::close() with an exchange under way resets. What the system still holds is dropped, and who reads the rest sees that it was broken off. A connection between two exchanges, and one whose response came whole, ends in order as before. The same class serves the store's watches and calls and the agents' staging: a staged chunk or a write that is given up no longer lands later as long as it was not read.

--- a/libs/net/include/net/client_connection.hpp
+++ b/libs/net/include/net/client_connection.hpp
@@ -94,7 +94,10 @@
     // exchange ends as withheld and the connection is left as it was.
     void start(request_source source, exchange_handlers handlers);
 
-    // Ends the connection; no handler is called any more.
+    // Ends the connection; no handler is called any more. An exchange that is
+    // under way is broken off with a reset. Failure: a server stood still, and
+    // at its return the system delivered the requests that had been given up
+    // meanwhile, each whole and with an orderly end behind it; they ran.
     void close();
 
     // Whether another exchange may be started on it.
@@ -112,6 +115,7 @@
 
 private:
     void begin(exchange_handlers next);
+    void reset_at_close();
     void connect();
     // Asks for the bytes of the request and writes them.
     void write_request();
--- a/libs/net/src/client_connection.cpp
+++ b/libs/net/src/client_connection.cpp
@@ -103,6 +103,10 @@
 
 void client_connection::close()
 {
+    if (this->running)
+    {
+        this->reset_at_close();
+    }
     this->dead = true;
     this->running = false;
     this->handlers.reset();
@@ -110,6 +114,12 @@
     this->socket.close(ignored);
 }
 
+void client_connection::reset_at_close()
+{
+    boost::system::error_code ignored;
+    this->socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+}
+
 bool client_connection::is_idle() const
 {
     return !this->dead && !this->running;
--- a/libs/net/tests/exchange_tests.cpp
+++ b/libs/net/tests/exchange_tests.cpp
@@ -121,6 +121,64 @@
     return found;
 }
 
+// A server whose machine stands still: it takes connections and reads nothing
+// before it is told to go on.
+class standing_server
+{
+public:
+    explicit standing_server(boost::asio::io_context& loop)
+        : acceptor(loop), socket(loop)
+    {
+        // Most of a large request stays with the sender's system.
+        constexpr int little_room = 4096;
+        this->acceptor.open(loopback.protocol());
+        this->acceptor.set_option(
+            boost::asio::socket_base::receive_buffer_size(little_room));
+        this->acceptor.bind(loopback);
+        this->acceptor.listen();
+        this->acceptor.async_accept(
+            this->socket, [](boost::system::error_code) {});
+    }
+
+    tcp_endpoint address() const
+    {
+        return this->acceptor.local_endpoint();
+    }
+
+    // What it reads when it goes on, and how the connection ended.
+    std::pair<std::string, boost::system::error_code> read_all()
+    {
+        std::string bytes;
+        boost::system::error_code error;
+        boost::asio::read(
+            this->socket, boost::asio::dynamic_buffer(bytes), error);
+        return {bytes, error};
+    }
+
+private:
+    tcp::acceptor acceptor;
+    tcp::socket socket;
+};
+
+// Sends a request with such a body to a server that stands still, and closes
+// the connection once the system has taken all of it.
+std::pair<std::string, boost::system::error_code>
+read_after_close(std::string body)
+{
+    boost::asio::io_context loop;
+    standing_server server(loop);
+    auto const connection =
+        std::make_shared<client_connection>(loop, server.address());
+    seen found;
+    connection->start(
+        serialize(request{"POST", "/", {{"Host", "here"}}, std::move(body)}),
+        note_in(found));
+    loop.run_for(std::chrono::milliseconds(50));
+    EXPECT_FALSE(found.result);
+    connection->close();
+    return server.read_all();
+}
+
 } // namespace
 
 TEST(exchange, a_response_with_a_length_is_whole_and_the_connection_kept)
@@ -359,4 +417,22 @@
     connection->close();
 }
 
+// Guards against a server that stood still running, at its return, what had
+// been given up meanwhile: it is to see that the request was broken off.
+TEST(exchange, a_request_that_is_given_up_ends_with_a_reset)
+{
+    auto const [bytes, end] = read_after_close("x");
+    EXPECT_EQ(end, boost::asio::error::connection_reset);
+}
+
+// Guards against the system delivering, after the end, what it held for such a
+// server.
+TEST(exchange, what_the_system_holds_of_a_request_that_is_given_up_is_dropped)
+{
+    constexpr std::size_t size = 40000;
+    auto const [bytes, end] = read_after_close(std::string(size, 'x'));
+    EXPECT_LT(bytes.size(), size);
+    EXPECT_EQ(end, boost::asio::error::connection_reset);
+}
+
 } // namespace foxtailvale::net
