Calls of the own interface that are given up are reset, too

The session closes itself when a call fails, so the reset is set before the call and taken back once the answer is whole. Cancelling shut the socket down both ways, which is an orderly end as well: a call that was sent whole is now woken by shutting down the receiving side only. Tried first: setting the reset in the handler of the failure; too late, the session has closed by then (both tests stayed red).

http_client.a_call_that_is_given_up_ends_with_a_reset and a_call_that_is_cancelled_ends_with_a_reset: red before, green in ten runs.

--- a/libs/http/src/http_client.cpp
+++ b/libs/http/src/http_client.cpp
@@ -6,8 +6,10 @@
 #include <Poco/Net/StreamSocket.h>
 #include <http/http_client.hpp>
 
+#include <atomic>
 #include <istream>
 #include <iterator>
+#include <memory>
 #include <ostream>
 #include <vector>
 
@@ -135,9 +137,10 @@
             return;
         }
         this->wanted = this->control->attach(
-            [open = Poco::Net::StreamSocket(socket)]() mutable
+            [open = Poco::Net::StreamSocket(socket),
+             sent = this->sent]() mutable
             {
-                shut_down(open);
+                shut_down(open, *sent);
             });
     }
 
@@ -153,12 +156,22 @@
     controlled_call& operator=(controlled_call const&) = delete;
 
     bool wanted = true;
+    // The whole call was handed to the system.
+    std::shared_ptr<std::atomic<bool>> sent =
+        std::make_shared<std::atomic<bool>>(false);
 
 private:
-    static void shut_down(Poco::Net::StreamSocket& socket)
+    // Wakes whoever waits at the socket. A call that was sent whole must not
+    // get an orderly end behind it; that of half a call does no harm.
+    static void shut_down(Poco::Net::StreamSocket& socket, bool sent)
     {
         try
         {
+            if (sent)
+            {
+                socket.shutdownReceive();
+                return;
+            }
             socket.shutdown();
         }
         catch (Poco::Exception const&)
@@ -225,6 +238,16 @@
     return ask.control && ask.control->is_cancelled();
 }
 
+// Whether an end of the connection is a reset, with which the server sees the
+// call broken off and the system drops what it still holds of it. Set before
+// the call, as the session closes itself when the call fails. Failure: a server
+// stood still, and at its return it was handed calls that had been given up
+// meanwhile, each whole and with an orderly end behind it; they ran.
+void set_reset_at_end(HTTPClientSession& session, bool resets)
+{
+    session.socket().setLinger(resets, 0);
+}
+
 // Makes the call over an open connection, which is kept afterwards if the
 // answer was read whole and both sides agree.
 base::result<response> run_call(
@@ -239,9 +262,11 @@
     }
     try
     {
+        set_reset_at_end(*session, true);
         session->setTimeout(timespan(ask.timeout));
         session->setKeepAlive(ask.kept != nullptr);
         send_request(*session, ask);
+        *controlled.sent = true;
         auto whole = true;
         auto answer = read_answer(
             *session,
@@ -250,6 +275,10 @@
                 whole = handle(head, std::move(piece));
                 return whole;
             });
+        if (answer && whole)
+        {
+            set_reset_at_end(*session, false);
+        }
         if (answer && whole && ask.kept && session->getKeepAlive())
         {
             ask.kept->give_back(std::move(session));
