Requests that a version could hold earlier are not sent beyond its end

Seen (known red, virtual time): at engines ten times slower than published that go on with what was closed, requests sent 3.4 to 4 s before a version's end began 0.8 to 1.4 s after it.

Hypotheses: the engine's slowness could have been known and the expected beginning was wrong; or the deadline handed was. The requests were decided 0 to 0.6 s after the engine had turned slow, when nothing had shown it, which rules out the first. Cause: what would not be done by the end was sent up to 3 s ahead of it with the caller's deadline and trusted to the closing. Mend: only what could be done by the end at no moment of the version's time goes like that; all else goes elsewhere near the end, as shorter requests do.

placement.work_on_a_version_that_ends_has_its_end_as_deadline asked that a request of 5 s is sent 3 s before the end with no deadline of its own, which is the fault. It now asks that such a request is sent while 5 s are left, with the end as its deadline, and not later; the check at 3 s holds for one of 8 s, which never fits.

--- a/libs/direct/src/placement.cpp
+++ b/libs/direct/src/placement.cpp
@@ -30,8 +30,8 @@
 constexpr double entries_per_slot = 4;
 constexpr std::chrono::milliseconds lot_time{100};
 
-// Requests that will run beyond a version's end are sent to it until this long
-// before: time enough to begin.
+// Requests that are done by a version's end at no moment are sent to it until
+// this long before: time enough to begin.
 constexpr std::chrono::milliseconds long_notice{3000};
 
 double draw(base::random_state& random)
@@ -89,9 +89,22 @@
     return now + ask.expected < ends;
 }
 
+// Whether a request needs longer than the version may be used after the next
+// one's naming, so that it is done by the end at no moment after that.
+bool never_fits(
+    endpoint_book const& book,
+    placement_ask const& ask,
+    std::uint64_t version,
+    base::time_point ends)
+{
+    auto const named = succeeded_at(book, ask.model, version);
+    return named && *named + ask.expected >= ends;
+}
+
 // Whether a request may be sent to an endpoint whose version ends.
 bool may_go_before(
     base::time_point ends,
+    endpoint_book const& book,
     endpoint_state const& state,
     placement_ask const& ask,
     base::time_point now)
@@ -101,8 +114,12 @@
         return false;
     }
     // A stream that goes on has nowhere else to go.
-    return ask.version != 0 || is_done_by(ends, ask, now) ||
-           now + long_notice <= ends;
+    if (ask.version != 0 || is_done_by(ends, ask, now))
+    {
+        return true;
+    }
+    auto const version = weights_of(state, now).version;
+    return never_fits(book, ask, version, ends) && now + long_notice <= ends;
 }
 
 bool has_weights(
@@ -134,7 +151,7 @@
         return false;
     }
     auto const ends = use_ends(book, ask.model, weights.version);
-    return !ends || may_go_before(*ends, state, ask, now);
+    return !ends || may_go_before(*ends, book, state, ask, now);
 }
 
 // Slots that the last report left free, over all entries.
--- a/libs/direct/tests/old_weights_tests.cpp
+++ b/libs/direct/tests/old_weights_tests.cpp
@@ -135,4 +135,27 @@
     expect_kept(course, {4, 17, 29, 38});
 }
 
+// Guards against requests that outlast a version and are held by the closing
+// alone: engines ten times slower than published that go on with what was
+// closed begin them after the version's end.
+TEST(old_weights, a_slow_engine_ignores_that_the_entry_closed_at_the_end)
+{
+    for (std::uint64_t const seed : {1UL, 24UL, 37UL, 38UL})
+    {
+        fleet_course course;
+        course.seed = seed;
+        course.load = 1.1;
+        course.late_chunks = {0, 4, 8, 12};
+        course.chunk_delay = milliseconds(9000);
+        course.slowness = 10;
+        course.slow = {
+            {course.late_chunks, {milliseconds(6000), milliseconds(14000)}}};
+        course.ignores_close = true;
+        auto const outcome = run_fleet(course);
+        EXPECT_GT(outcome.begun_on_older, 100U) << "seed " << seed;
+        EXPECT_TRUE(outcome.late.empty())
+            << "seed " << seed << ": " << to_text(outcome);
+    }
+}
+
 } // namespace foxtailvale::direct
--- a/libs/direct/tests/placement_tests.cpp
+++ b/libs/direct/tests/placement_tests.cpp
@@ -404,7 +404,8 @@
 // A request began on older weights after their time: it stood in the engine's
 // line for longer than thought. The engine is handed the version's end as the
 // deadline, so a request that needs longer than that goes elsewhere; one that
-// needs more than the version has left at all goes in good time to begin.
+// needs longer than a version has after the next one's naming goes in good time
+// to begin.
 TEST(placement, work_on_a_version_that_ends_has_its_end_as_deadline)
 {
     auto book = engines(1);
@@ -424,6 +425,10 @@
     EXPECT_EQ(at(milliseconds(1501)).works_until, ends);
     EXPECT_EQ(at(milliseconds(1500)).chosen, nullptr);
     ask.expected = milliseconds(5000);
+    EXPECT_EQ(at(milliseconds(5001)).works_until, ends);
+    EXPECT_EQ(at(milliseconds(5000)).chosen, nullptr);
+    EXPECT_EQ(at(milliseconds(3000)).chosen, nullptr);
+    ask.expected = milliseconds(8000);
     EXPECT_EQ(at(milliseconds(2999)).chosen, nullptr);
     ASSERT_NE(at(milliseconds(3000)).chosen, nullptr);
     EXPECT_FALSE(at(milliseconds(3000)).works_until);
