Who stands in for a drawer asks at once whether it lives

Hypotheses: the turns of those who stand in come too late; or the question that comes with a turn takes too long and the place of the chunk's usual one. Mend: a check of its own, beside the chunks' questions: 0.4 s after a chunk's slot the first in turn asks the drawer, which answers at once; after 0.25 s of silence it counts as gone and its chunks are drawn at once.

--- a/libs/gateway/src/version_fetch.cpp
+++ b/libs/gateway/src/version_fetch.cpp
@@ -254,6 +254,37 @@
     {
         this->ask(version, wanted);
     }
+    auto const checks = weights::next_checks(
+        held.transfer, labelled(state, label), place, draws_of(state, version),
+        clock::now());
+    for (auto const& drawer : checks)
+    {
+        this->check(version, drawer);
+    }
+}
+
+void version_fetch::check(
+    std::uint64_t version, weights::chunk_source const& drawer)
+{
+    auto& state = *this->context;
+    fetch(
+        state.loop, state.pool, drawer.address,
+        peer_check_request(state.model, version), weights::check_limit,
+        [self = this->shared_from_this(), version,
+         drawer](std::optional<fetched> response)
+        {
+            auto const lives = response && response->status == 200;
+            if (!lives)
+            {
+                kernel::log_event(
+                    kernel::event_id::drawer_silent,
+                    {{"version", version},
+                     {"drawer", drawer.agent},
+                     {"status", response ? response->status : 0}});
+            }
+            weights::note_check(
+                self->context->versions[version].transfer, drawer.agent, lives);
+        });
 }
 
 void version_fetch::ask(std::uint64_t version, weights::chunk_ask const& wanted)
--- a/libs/gateway/src/version_fetch.hpp
+++ b/libs/gateway/src/version_fetch.hpp
@@ -46,6 +46,8 @@
     };
 
     void ask(std::uint64_t version, weights::chunk_ask const& wanted);
+    // Asks an agent that draws from the origin whether it lives.
+    void check(std::uint64_t version, weights::chunk_source const& drawer);
     void fetch_ready();
     void fetch_chunk(ready_chunk const& next);
     // Numbers a fetch from another agent.
--- a/libs/gateway/src/weights_door.cpp
+++ b/libs/gateway/src/weights_door.cpp
@@ -77,7 +77,14 @@
         std::to_string(index));
 }
 
-// "/weights/MODEL/VERSION/INDEX", with "manifest" in place of the index or
+net::request peer_check_request(std::string const& model, std::uint64_t version)
+{
+    return peer_request(
+        std::string(root) + model + "/" + std::to_string(version) + "/check");
+}
+
+// "/weights/MODEL/VERSION/INDEX", with "manifest" or "check" in place of the
+// index or
 // "/ready" behind it.
 std::optional<weights_door::asked_path>
 weights_door::read_path(std::string_view target)
@@ -110,6 +117,10 @@
     {
         read.kind = asked_kind::manifest;
     }
+    else if (what == "check")
+    {
+        read.kind = asked_kind::check;
+    }
     else if (!read_number(what, read.index))
     {
         return std::nullopt;
@@ -166,6 +177,12 @@
         session->respond(weights_missing, {}, {});
         return;
     }
+    if (path->kind == asked_kind::check)
+    {
+        session->respond(
+            this->takes_part(path->version) ? 200 : weights_missing, {}, {});
+        return;
+    }
     if (path->kind == asked_kind::chunk)
     {
         weights::note_called_in(this->line, clock::now());
@@ -194,15 +211,21 @@
     this->waiting.insert(place, asked);
 }
 
-bool weights_door::can_answer(asked_part const& asked) const
+bool weights_door::takes_part(std::uint64_t version) const
 {
     auto const& known = this->context->versions;
-    auto const found = known.find(asked.version);
-    if (found == known.end() || !found->second.manifest)
+    auto const found = known.find(version);
+    return found != known.end() && found->second.manifest;
+}
+
+bool weights_door::can_answer(asked_part const& asked) const
+{
+    if (!this->takes_part(asked.version))
     {
         return false;
     }
-    auto const& chunks = found->second.transfer.chunks;
+    auto const& chunks =
+        this->context->versions.at(asked.version).transfer.chunks;
     if (asked.kind == asked_kind::manifest || asked.index >= chunks.size())
     {
         return true;
--- a/libs/gateway/src/weights_door.hpp
+++ b/libs/gateway/src/weights_door.hpp
@@ -24,6 +24,11 @@
 net::request peer_chunk_request(
     std::string const& model, std::uint64_t version, std::uint32_t index);
 
+// Asks whether the agent takes part in the version's transfer; answered at
+// once.
+net::request
+peer_check_request(std::string const& model, std::uint64_t version);
+
 // Statuses that the door answers with, beside 200.
 inline constexpr unsigned weights_ready = 204;
 inline constexpr unsigned weights_missing = 404;
@@ -55,6 +60,7 @@
         manifest,
         question,
         chunk,
+        check,
     };
     struct asked_path
     {
@@ -87,6 +93,8 @@
         net::request const& asked);
     // Puts a request in its place: those first behind whom most wait.
     void line_up(asked_part const& asked);
+    // Whether the version's manifest is held.
+    bool takes_part(std::uint64_t version) const;
     bool can_answer(asked_part const& asked) const;
     void answer(asked_part const& asked);
     // Whether one more chunk may be promised to whoever asks for it.
--- a/libs/weights/include/weights/chunk_transfer.hpp
+++ b/libs/weights/include/weights/chunk_transfer.hpp
@@ -35,6 +35,14 @@
 // it.
 inline constexpr char chunk_drawn = '2';
 
+// Whether a drawer lives, as last asked.
+struct drawer_check
+{
+    base::time_point asked;
+    bool is_pending = false;
+    bool is_silent = false;
+};
+
 struct said_holdings
 {
     chunk_source source;
@@ -53,6 +61,8 @@
     std::map<std::uint32_t, chunk_pending> pending;
     // What other agents last said they hold.
     std::map<std::string, said_holdings> holdings;
+    // Drawers that were asked whether they live, by name.
+    std::map<std::string, drawer_check> checks;
     // Agents that said that they do not have a chunk, until when that counts.
     std::map<std::pair<std::uint32_t, std::string>, base::time_point> declined;
 };
@@ -123,6 +133,23 @@
     std::string marks,
     base::time_point now);
 
+// Drawers to be asked now whether they live, each noted as asked. Those who
+// stand in ask a moment after a chunk's slot when it has not come. Failure: two
+// drawers ended within a second of a naming, who stood in found out after a
+// second and more for each chunk, and the origin died before.
+std::vector<chunk_source> next_checks(
+    chunk_transfer& state,
+    plan_set const& plans,
+    transfer_place const& place,
+    draw_schedule const& schedule,
+    base::time_point now);
+
+// How long a drawer that lives may take for its answer.
+inline constexpr std::chrono::milliseconds check_limit{250};
+
+// The drawer answered or did not. If not, the next in turn draws its chunks.
+void note_check(chunk_transfer& state, std::string const& drawer, bool lives);
+
 // Chunks to ask for now, each noted as pending.
 std::vector<chunk_ask> next_asks(
     chunk_transfer& state,
--- a/libs/weights/src/chunk_transfer.cpp
+++ b/libs/weights/src/chunk_transfer.cpp
@@ -29,6 +29,19 @@
 // are left to whoever stands in.
 constexpr std::size_t most_announced = 2;
 
+// After a chunk's slot, when it has not come to the first who stands in, this
+// one asks whether the drawer lives; each later one as long after the one
+// before it.
+constexpr std::chrono::milliseconds check_time{400};
+
+// So many stand in early; with more gone the usual turns hold.
+constexpr std::size_t most_checking = 2;
+
+// A drawer is asked again after this, and one that was silent counts as gone
+// for so long.
+constexpr std::chrono::milliseconds check_again{400};
+constexpr std::chrono::milliseconds gone_time{2000};
+
 // A chunk has usually come to every agent by then.
 constexpr std::chrono::milliseconds usual_time{2500};
 
@@ -182,6 +195,27 @@
     std::optional<std::size_t> draw_turn;
 };
 
+bool is_gone(
+    chunk_transfer const& state,
+    std::string const& drawer,
+    base::time_point now)
+{
+    auto const found = state.checks.find(drawer);
+    return found != state.checks.end() && found->second.is_silent &&
+           now < found->second.asked + gone_time;
+}
+
+// Whether all who draw the chunk before this agent were found silent.
+bool all_gone(asking const& look, std::uint32_t index, std::size_t turn)
+{
+    return std::ranges::all_of(
+        earlier_drawers(look.schedule, turn, index),
+        [&look](std::string const& drawer)
+        {
+            return is_gone(look.state, drawer, look.now);
+        });
+}
+
 // Whether one that draws before this agent said a moment ago that it does, or
 // that it has the chunk.
 bool is_left_to(
@@ -207,6 +241,10 @@
 {
     for (auto const& drawer : earlier_drawers(look.schedule, turn, index))
     {
+        if (is_gone(look.state, drawer, look.now))
+        {
+            continue;
+        }
         auto const source = source_named(look.plans, drawer);
         if (source && view.is_usable(drawer))
         {
@@ -225,8 +263,11 @@
 {
     auto const begun = look.state.begun;
     auto const turn = turn_of(look.schedule, look.place.agent, index);
-    auto const due = turn ? draws_at(look.schedule, *turn, index, begun)
-                          : begun + alone_time;
+    auto const stands_alone =
+        turn && *turn <= most_checking && all_gone(look, index, *turn);
+    auto const due = stands_alone ? draws_at(look.schedule, 0, index, begun)
+                     : turn       ? draws_at(look.schedule, *turn, index, begun)
+                                  : begun + alone_time;
     if (look.now < due || !is_usable(look.book, {}, look.now))
     {
         return std::nullopt;
@@ -261,6 +302,30 @@
         sources.standbys.begin(), found.begin(), found.end());
 }
 
+// The first of those before this agent who is not known to be gone, if he is
+// to be asked now.
+std::optional<std::string> drawer_to_check(
+    chunk_transfer const& state,
+    draw_schedule const& schedule,
+    std::uint32_t index,
+    std::size_t turn,
+    base::time_point now)
+{
+    for (auto const& drawer : earlier_drawers(schedule, turn, index))
+    {
+        if (is_gone(state, drawer, now))
+        {
+            continue;
+        }
+        auto const found = state.checks.find(drawer);
+        auto const may_ask = found == state.checks.end() ||
+                             (!found->second.is_pending &&
+                              now >= found->second.asked + check_again);
+        return may_ask ? std::optional(drawer) : std::nullopt;
+    }
+    return std::nullopt;
+}
+
 found_source find_source(asking const& look, std::uint32_t index)
 {
     auto sources = sources_of(
@@ -383,6 +448,48 @@
     return !state.digests.empty() && state.held == state.digests.size();
 }
 
+std::vector<chunk_source> next_checks(
+    chunk_transfer& state,
+    plan_set const& plans,
+    transfer_place const& place,
+    draw_schedule const& schedule,
+    base::time_point now)
+{
+    std::vector<chunk_source> checks;
+    for (std::uint32_t index = 0; index < state.digests.size(); ++index)
+    {
+        auto const turn = turn_of(schedule, place.agent, index);
+        if (state.chunks[index] || !turn || *turn == 0 ||
+            *turn > most_checking ||
+            now < draws_at(schedule, 0, index, state.begun) +
+                      check_time * static_cast<int>(*turn))
+        {
+            continue;
+        }
+        auto const drawer = drawer_to_check(state, schedule, index, *turn, now);
+        auto const source =
+            drawer ? source_named(plans, *drawer) : std::nullopt;
+        if (source)
+        {
+            state.checks[*drawer] = {now, true, false};
+            checks.push_back(*source);
+        }
+    }
+    return checks;
+}
+
+void note_check(chunk_transfer& state, std::string const& drawer, bool lives)
+{
+    auto& check = state.checks[drawer];
+    check.is_pending = false;
+    check.is_silent = !lives;
+    if (!lives)
+    {
+        // What it said that it draws does not come.
+        state.holdings.erase(drawer);
+    }
+}
+
 std::vector<chunk_ask> next_asks(
     chunk_transfer& state,
     source_book& book,
--- a/libs/weights/tests/burst_tests.cpp
+++ b/libs/weights/tests/burst_tests.cpp
@@ -138,6 +138,22 @@
     EXPECT_LE(after.copies, 1.2);
 }
 
+// Guards against chunks of drawers that end without a word being missed by the
+// whole fleet until an origin that dies soon after is back.
+TEST(burst, chunks_of_stopped_drawers_are_drawn_before_the_origin_dies)
+{
+    for (std::size_t const agents : {24UL, 88UL})
+    {
+        burst_course course;
+        course.agents = agents;
+        course.dies = {{0, milliseconds(600)}, {8, milliseconds(1050)}};
+        course.origin_away = {{milliseconds(2500), milliseconds(8500)}};
+        auto const outcome = run_burst(course);
+        ASSERT_TRUE(outcome.whole);
+        EXPECT_LE(*outcome.whole, milliseconds(5500)) << agents;
+    }
+}
+
 // Engines are added under load, and one machine in five has a squeezed link.
 // Each agent asks those that serve; waiting for the squeezed ones it is empty
 // for ten seconds.
--- a/libs/weights/tests/burst_world.cpp
+++ b/libs/weights/tests/burst_world.cpp
@@ -22,6 +22,7 @@
 constexpr double link_rate = 7.6e6 / 8;
 // Agents keep a question for so long, and a connection without use.
 constexpr milliseconds question_time{500};
+constexpr milliseconds answer_at_once{10};
 constexpr milliseconds silent_question{900};
 constexpr milliseconds idle_time{1500};
 constexpr milliseconds fetch_limit{2500};
@@ -35,6 +36,13 @@
     std::size_t behind = 0;
 };
 
+// One that is answered at once, to a drawer.
+struct check_question
+{
+    std::size_t asked = 0;
+    base::time_point until;
+};
+
 struct sending
 {
     std::size_t receiver = 0;
@@ -61,6 +69,7 @@
     receive_line receiving;
     send_line line;
     std::list<question> questions;
+    std::vector<check_question> checks;
     std::deque<sending> sends;
     std::list<sending> on_link;
     base::time_point next_send;
@@ -221,6 +230,41 @@
     }
 }
 
+void ask_checks(world& state, std::size_t number)
+{
+    auto& own = state.agents[number];
+    if (is_dead(state, number) || !own.begun)
+    {
+        return;
+    }
+    transfer_place const place{own.domain, own.name, "m@2", state.holders};
+    for (auto const& drawer : next_checks(
+             own.transfer, state.fleet, place, state.schedule, state.now))
+    {
+        auto const asked = state.by_name.at(drawer.agent);
+        auto const lives = !is_dead(state, asked) && state.agents[asked].begun;
+        own.checks.push_back(
+            {asked, state.now + (lives ? answer_at_once : check_limit)});
+    }
+    for (auto const& check : own.checks)
+    {
+        auto const& other = state.agents[check.asked];
+        if (check.until > state.now)
+        {
+            continue;
+        }
+        note_check(
+            own.transfer, other.name,
+            !is_dead(state, check.asked) && other.begun);
+    }
+    std::erase_if(
+        own.checks,
+        [&state](check_question const& check)
+        {
+            return check.until <= state.now;
+        });
+}
+
 void answer_questions(world& state, std::size_t number)
 {
     auto& own = state.agents[number];
@@ -439,6 +483,7 @@
         }
         for (std::size_t number = 0; number < state.agents.size(); ++number)
         {
+            ask_checks(state, number);
             answer_questions(state, number);
             fetch_ready(state, number);
             end_overdue(state, number);
--- a/libs/weights/tests/chunk_transfer_tests.cpp
+++ b/libs/weights/tests/chunk_transfer_tests.cpp
@@ -344,4 +344,79 @@
         next_asks(state, book, {}, alone, paced, limits, later).size(), 10U);
 }
 
+namespace
+{
+
+// The first agent that stands in for the drawer of chunk 0, at a moment at
+// which it may ask whether that drawer lives.
+struct standing_in
+{
+    standing_in()
+    {
+        begin(this->transfer, digests(), start);
+    }
+
+    std::vector<chunk_source> checks(base::time_point now)
+    {
+        return next_checks(
+            this->transfer, fleet(), this->place, this->draws, now);
+    }
+
+    bool draws_first_chunk(base::time_point now)
+    {
+        transfer_limits limits;
+        limits.origin = chunk_count;
+        auto const asks = next_asks(
+            this->transfer, this->book, fleet(), this->place, this->draws,
+            limits, now);
+        return std::ranges::any_of(
+            asks,
+            [](chunk_ask const& wanted)
+            {
+                return wanted.index == 0 && wanted.source.agent.empty();
+            });
+    }
+
+    draw_schedule draws = schedule();
+    std::string drawer = drawer_of(this->draws, 0);
+    transfer_place place{
+        this->draws.order[1].substr(0, 1), this->draws.order[1], "m@2", {}};
+    chunk_transfer transfer;
+    source_book book;
+};
+
+constexpr milliseconds may_check{400};
+
+} // namespace
+
+TEST(chunk_transfer, who_stands_in_asks_once_whether_the_drawer_lives)
+{
+    standing_in agent;
+    EXPECT_TRUE(agent.checks(start + may_check - milliseconds(1)).empty());
+    auto const asked = agent.checks(start + may_check);
+    ASSERT_EQ(asked.size(), 1U);
+    EXPECT_EQ(asked.front().agent, agent.drawer);
+    EXPECT_TRUE(agent.checks(start + may_check + milliseconds(1)).empty());
+}
+
+// Guards against chunks of a drawer that ended being drawn after more than a
+// second each.
+TEST(chunk_transfer, chunks_of_a_silent_drawer_are_drawn_at_once)
+{
+    standing_in agent;
+    agent.checks(start + may_check);
+    auto const answered = start + may_check + check_limit;
+    note_check(agent.transfer, agent.drawer, false);
+    EXPECT_TRUE(agent.draws_first_chunk(answered));
+}
+
+// Guards against a second copy of what a drawer that lives is about to have.
+TEST(chunk_transfer, chunks_of_a_drawer_that_lives_are_left_to_it)
+{
+    standing_in agent;
+    agent.checks(start + may_check);
+    note_check(agent.transfer, agent.drawer, true);
+    EXPECT_FALSE(agent.draws_first_chunk(start + may_check + check_limit));
+}
+
 } // namespace foxtailvale::weights
