Drawers ask others for their own chunks last

Looked for: why a fleet is whole 3.3 s (24 agents) and 3.8 s (88) after the return of an origin that died half a second after a naming, instead of 3.0 s (known red). Hypotheses and what told them apart, in virtual time: 1. All drawers find the origin back at once and share its link, so no chunk is out for 0.4 s. Agents have left the trees and ask around. What comes first is not what is asked for.

Mend: a drawer's own chunks come behind all others when questions are given out.

chunk_transfer.own_chunks_are_asked_of_others_behind_all_the_rest: red before.

--- a/libs/weights/src/chunk_transfer.cpp
+++ b/libs/weights/src/chunk_transfer.cpp
@@ -379,6 +379,29 @@
     return {index, source, found.behind};
 }
 
+// Chunks that are neither here nor asked for, those that this agent is the
+// first to draw behind all others. Failure: while the origin was away, drawers
+// asked each other for these, and when it was back, they drew later ones first,
+// which nobody was asking for yet.
+std::vector<std::uint32_t> missing_in_order(asking const& look)
+{
+    std::vector<std::uint32_t> found;
+    for (std::uint32_t index = 0; index < look.state.digests.size(); ++index)
+    {
+        if (!look.state.chunks[index] && !look.state.pending.contains(index))
+        {
+            found.push_back(index);
+        }
+    }
+    std::ranges::stable_partition(
+        found,
+        [&look](std::uint32_t index)
+        {
+            return drawer_of(look.schedule, index) != look.place.agent;
+        });
+    return found;
+}
+
 } // namespace
 
 void begin(
@@ -502,12 +525,8 @@
     asking const look{state, book, plans, place, schedule, limits, now};
     std::vector<chunk_ask> asks;
     std::vector<std::pair<std::size_t, std::uint32_t>> draws;
-    for (std::uint32_t index = 0; index < state.digests.size(); ++index)
+    for (auto const index : missing_in_order(look))
     {
-        if (state.chunks[index] || state.pending.contains(index))
-        {
-            continue;
-        }
         auto const is_full =
             state.pending.size() - pending_at(state, {}) >= limits.total;
         if (is_full && !turn_now(look, index))
--- a/libs/weights/tests/chunk_transfer_tests.cpp
+++ b/libs/weights/tests/chunk_transfer_tests.cpp
@@ -419,4 +419,25 @@
     EXPECT_FALSE(agent.draws_first_chunk(start + may_check + check_limit));
 }
 
+// Guards against drawers that ask each other for their own chunks while the
+// origin is away, and then draw later ones first, which nobody asks for yet.
+TEST(chunk_transfer, own_chunks_are_asked_of_others_behind_all_the_rest)
+{
+    chunk_transfer transfer;
+    begin(transfer, digests(), start);
+    source_book book;
+    auto const draws = schedule();
+    auto const& agent = draws.order.front();
+    auto const now = start + seconds(3);
+    hold_off(book, {}, now);
+    auto const asks = next_asks(
+        transfer, book, fleet(), {agent.substr(0, 1), agent, "m@2", {}}, draws,
+        {}, now);
+    EXPECT_EQ(asks.size(), transfer_limits{}.total);
+    for (auto const& wanted : asks)
+    {
+        EXPECT_NE(drawer_of(draws, wanted.index), agent) << wanted.index;
+    }
+}
+
 } // namespace foxtailvale::weights
