--- a/libs/weights/src/chunk_transfer.cpp
+++ b/libs/weights/src/chunk_transfer.cpp
@@ -393,8 +393,8 @@
             found.push_back(index);
         }
     }
-    std::ranges::stable_partition(
-        found,
+    std::stable_partition(
+        found.begin(), found.end(),
         [&look](std::uint32_t index)
         {
             return drawer_of(look.schedule, index) != look.place.agent;
