Shares: newcomers' estimate follows the order of the shares, at any fleet size

Cause: two things that hold only while the fleet is small. The number of entries that a newcomer assumes was cut at 512, while the fleet has 508 and 38 to be added. And the estimate drew its endpoints by another order than the shares: of 474 engines a newcomer could use those in both, half an engine on average, for the first 1.5 s. Now the estimate takes the front of the same order, and the assumed number follows from what agents, watchers and the list show, without a cut; 2,048 while nothing is known, twice the largest fleet. Figures: 1,000 entries that know five of the others stay within a cold endpoint's bound, and so do those that know none (cold_share tests, now with 1,000); of 500 entries' estimated shares nine in ten or more are shares.

--- a/libs/direct/include/direct/placement.hpp
+++ b/libs/direct/include/direct/placement.hpp
@@ -39,7 +39,7 @@
     // This entry may not know all other entries yet, and assumes the number
     // below.
     bool newcomer = false;
-    std::size_t assumed_entries = max_entries;
+    std::size_t assumed_entries = unknown_entries;
     // If not zero, only endpoints with this version may continue the request.
     std::uint64_t version = 0;
     // Expected run time. Endpoints that switch versions before its end are
--- a/libs/direct/include/direct/shares.hpp
+++ b/libs/direct/include/direct/shares.hpp
@@ -129,13 +129,14 @@
     std::string const& endpoint,
     cold_bound const& bound);
 
-// Upper bound on the number of entries in a fleet.
-inline constexpr std::size_t max_entries = 512;
+// Least number of entries assumed while no agent has reported any: twice the
+// number in the largest fleet.
+inline constexpr std::size_t unknown_entries = 2048;
 
 // Returns an upper estimate of the number of entries, for an entry that may
-// know few of them: max_entries while no agent has reported any entry,
-// otherwise an estimate from the reported entries and from the entries that
-// asked a watcher, or from the listed endpoints of the service if none did.
+// know few of them, from the entries that agents reported and from the entries
+// that asked a watcher, or from the listed endpoints of the service if none
+// did.
 std::size_t assumed_entries(entry_count const& count, std::size_t endpoints);
 
 // Approximates has_share for an entry that may know few of the others: each
--- a/libs/direct/src/shares.cpp
+++ b/libs/direct/src/shares.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <utility>
 
 namespace foxtailvale::direct
@@ -183,15 +184,13 @@
 
 std::size_t assumed_entries(entry_count const& count, std::size_t endpoints)
 {
+    // Fleets have about as many entries as engines, or fewer.
+    auto const others = count.hinted > 0 ? count.hinted : endpoints;
     if (count.max_seen == 0)
     {
-        return max_entries;
+        return std::max(unknown_entries, others * 3 / 2);
     }
-    // Fleets have about as many entries as engines, or fewer.
-    auto const others = count.hinted > 0 ? count.hinted : endpoints;
-    return std::clamp(
-        std::max(2 * count.max_seen, others * 3 / 2), count.assumed,
-        max_entries);
+    return std::max({2 * count.max_seen, others * 3 / 2, count.assumed});
 }
 
 bool has_estimated_share(
@@ -200,9 +199,15 @@
     cold_bound const& bound,
     std::size_t assumed)
 {
-    return bound.per_second <= 0 ||
-           base::stable_hash(own + "/" + endpoint) % assumed <
-               share_count(bound);
+    if (!is_divided(assumed, bound))
+    {
+        return true;
+    }
+    // The same order of entries as in has_share, so that an entry which has an
+    // estimated share also has one once it knows the others.
+    constexpr auto ranks = std::numeric_limits<std::uint64_t>::max();
+    return base::stable_hash(own + "/" + endpoint) <
+           ranks / assumed * share_count(bound);
 }
 
 bool is_newcomer(entry_count const& count, base::time_point now)
--- a/libs/direct/tests/shares_tests.cpp
+++ b/libs/direct/tests/shares_tests.cpp
@@ -138,7 +138,7 @@
 TEST(cold_share, entries_that_have_just_started_stay_below_the_bound)
 {
     cold_bound const bound{33, 5};
-    for (auto const entries : {8UL, 45UL, 148UL, 410UL})
+    for (auto const entries : {8UL, 45UL, 148UL, 410UL, 1000UL})
     {
         entry_count const few_known{.max_seen = 5};
         auto const assumed = assumed_entries(few_known, entries);
@@ -481,4 +481,32 @@
     }
 }
 
+// Failure: an entry that has just started uses other endpoints than once it
+// knows the others, and has to learn about them anew.
+TEST(endpoint_shares, an_estimated_share_is_a_share)
+{
+    cold_bound const bound{21, 5};
+    std::set<std::string> entries;
+    for (auto number = 0; number < 500; ++number)
+    {
+        entries.insert("10.1.0." + std::to_string(number));
+    }
+    std::size_t estimated = 0;
+    std::size_t kept = 0;
+    for (auto number = 0; number < 500; ++number)
+    {
+        auto const endpoint = "i-" + std::to_string(number);
+        for (auto const& name : {"10.1.0.3", "10.1.0.77", "10.1.0.401"})
+        {
+            if (has_estimated_share(name, endpoint, bound, 2 * entries.size()))
+            {
+                ++estimated;
+                kept += has_share(entries, {}, name, endpoint, bound) ? 1 : 0;
+            }
+        }
+    }
+    EXPECT_GE(estimated, 15U);
+    EXPECT_GE(kept * 10, estimated * 9);
+}
+
 } // namespace foxtailvale::direct
