Entries follow the reports of the engines that they share, and no others

Cause: each entry received the reports of all engines: ten a second from each agent of its failure domain (96 here) and all others relayed by two entries a domain, 1,900 reports a second. Relays alone took 11 of 30 Mbit/s on each link between regions; a link that filled for a moment silenced them, entries then subscribed to each agent beyond it, which adds 20 Mbit/s, and the link stayed full: four of five regions lost the store's views 11 s before the first request. It grows with entries times engines. Yet an entry may send only to the engines of which it has a share (20 entries an engine, the rate that a cold one bears): some 18 of 474. It now subscribes to those, in all domains, and to none else. Relays stay where the entries do not outnumber the shares. Four agents of each domain are its directory: all entries announce themselves there. Names in other domains are asked for in turn, two domains a second. Placement also counted all 508 entries as senders to each engine: one request of the own made an engine appear full until its next report, and 6 in 100 drawings let an entry use a free engine. It now counts those with a share. Ruled out: that the store's own lists fill the links; the bytes fell by nine tenths with reports alone.

--- /dev/null
+++ b/libs/direct/src/endpoint_shares.cpp
@@ -0,0 +1,94 @@
+#include "endpoint_shares.hpp"
+
+#include <base/digest.hpp>
+
+#include <string_view>
+
+namespace foxtailvale::direct
+{
+
+namespace
+{
+
+// Returns the entries of failure domains without an endpoint for the request.
+std::set<std::string> entries_without_endpoints(
+    endpoint_table const& table, placement_query const& query)
+{
+    std::set<std::string_view> served;
+    for (auto const& [id, state] : table.endpoints)
+    {
+        if (is_listed_for(table, state, query))
+        {
+            served.insert(state.listed.failure_domain);
+        }
+    }
+    std::set<std::string> found;
+    for (auto const& [domain, entries] : table.domain_entries)
+    {
+        if (!served.contains(domain))
+        {
+            found.insert(entries.begin(), entries.end());
+        }
+    }
+    return found;
+}
+
+std::uint64_t key_of(std::set<std::string> const& names)
+{
+    std::uint64_t key = 0;
+    for (auto const& name : names)
+    {
+        key = base::stable_hash(name, key);
+    }
+    return key;
+}
+
+} // namespace
+
+bool is_listed_for(
+    endpoint_table const& table,
+    endpoint_state const& state,
+    placement_query const& query)
+{
+    auto const& listed = state.listed;
+    if (listed.service != query.service || listed.draining ||
+        table.domains_out.contains(listed.failure_domain))
+    {
+        return false;
+    }
+    if (query.regions.empty())
+    {
+        return true;
+    }
+    auto const region = table.regions.find(listed.failure_domain);
+    return region != table.regions.end() &&
+           query.regions.contains(region->second);
+}
+
+endpoint_shares::endpoint_shares(
+    endpoint_table const& known, placement_query const& wanted)
+    : table(known), query(wanted),
+      without_endpoints(entries_without_endpoints(known, wanted)),
+      without_key(key_of(this->without_endpoints))
+{
+}
+
+bool endpoint_shares::includes(endpoint_state const& state) const
+{
+    if (this->query.all_entries == nullptr)
+    {
+        return true;
+    }
+    auto const near =
+        this->table.domain_entries.find(state.listed.failure_domain);
+    entry_ranks const ranks{
+        near != this->table.domain_entries.end() ? &near->second : nullptr,
+        &this->without_endpoints, this->without_key};
+    share_cache none;
+    return has_share(
+        this->query.parts != nullptr ? *this->query.parts : none,
+        *this->query.all_entries, ranks, this->query.own_entry, state.listed.id,
+        this->query.cold);
+}
+
+} // namespace foxtailvale::direct
--- a/libs/direct/src/placement.cpp
+++ b/libs/direct/src/placement.cpp
@@ -1,10 +1,11 @@
+#include "endpoint_shares.hpp"
+
 #include <base/digest.hpp>
 #include <direct/placement.hpp>
 
 #include <algorithm>
 #include <cmath>
 #include <limits>
-#include <string_view>
 
 namespace foxtailvale::direct
 {
@@ -43,27 +44,6 @@
            static_cast<double>(steps);
 }
 
-// Whether the endpoint can take such a request at all.
-bool is_listed_for(
-    endpoint_table const& table,
-    endpoint_state const& state,
-    placement_query const& query)
-{
-    auto const& listed = state.listed;
-    if (listed.service != query.service || listed.draining ||
-        table.domains_out.contains(listed.failure_domain))
-    {
-        return false;
-    }
-    if (query.regions.empty())
-    {
-        return true;
-    }
-    auto const region = table.regions.find(listed.failure_domain);
-    return region != table.regions.end() &&
-           query.regions.contains(region->second);
-}
-
 // Estimates how long a request waits at the endpoint before it starts. An
 // endpoint mostly rejects requests that arrive later than that before its
 // version retires.
@@ -219,55 +199,10 @@
     return ticket % std::max<std::size_t>(query.entries, 1) == 0;
 }
 
-// Returns the entries of failure domains without an endpoint for the request.
-std::set<std::string> entries_without_endpoints(
-    endpoint_table const& table, placement_query const& query)
-{
-    std::set<std::string_view> served;
-    for (auto const& [id, state] : table.endpoints)
-    {
-        if (is_listed_for(table, state, query))
-        {
-            served.insert(state.listed.failure_domain);
-        }
-    }
-    std::set<std::string> found;
-    for (auto const& [domain, entries] : table.domain_entries)
-    {
-        if (!served.contains(domain))
-        {
-            found.insert(entries.begin(), entries.end());
-        }
-    }
-    return found;
-}
-
-std::uint64_t key_of(std::set<std::string> const& names)
-{
-    std::uint64_t key = 0;
-    for (auto const& name : names)
-    {
-        key = base::stable_hash(name, key);
-    }
-    return key;
-}
-
-// Whether this entry has a share of the endpoint's capacity.
-bool has_share_of(
-    endpoint_state const& state,
-    placement_query const& query,
-    entry_ranks const& ranks)
-{
-    share_cache none;
-    return has_share(
-        query.parts != nullptr ? *query.parts : none, *query.all_entries, ranks,
-        query.own_entry, state.listed.id, query.cold);
-}
-
 bool can_accept(
     endpoint_state const& state,
     placement_query const& query,
-    entry_ranks const& ranks,
+    endpoint_shares const& shares,
     base::time_point now)
 {
     if (state.avoid_until > now || !wins_lottery(state, query, now))
@@ -304,7 +239,7 @@
     {
         return false;
     }
-    return query.all_entries == nullptr || has_share_of(state, query, ranks);
+    return shares.includes(state);
 }
 
 placement_estimate estimate(
@@ -447,8 +382,7 @@
 {
     choice found;
     auto best = std::numeric_limits<double>::max();
-    auto const unserved = entries_without_endpoints(table, query);
-    entry_ranks ranks{nullptr, &unserved, key_of(unserved)};
+    endpoint_shares const shares(table, query);
     for (auto const& [id, state] : table.endpoints)
     {
         // The request cannot wait for an endpoint that was already tried.
@@ -465,11 +399,7 @@
             }
             continue;
         }
-        auto const near =
-            table.domain_entries.find(state.listed.failure_domain);
-        ranks.near =
-            near != table.domain_entries.end() ? &near->second : nullptr;
-        if (!can_accept(state, query, ranks, now))
+        if (!can_accept(state, query, shares, now))
         {
             if (found.why != no_endpoint_reason::no_weights)
             {
--- a/libs/gateway/include/gateway/entry_context.hpp
+++ b/libs/gateway/include/gateway/entry_context.hpp
@@ -4,6 +4,7 @@
 #include <base/boot_clock.hpp>
 #include <base/random.hpp>
 #include <direct/endpoint_table.hpp>
+#include <direct/placement.hpp>
 #include <direct/process_pause.hpp>
 #include <direct/shares.hpp>
 #include <gateway/connection_pool.hpp>
@@ -129,6 +130,17 @@
 // Failure domains in which agents run.
 std::set<std::string> agent_domains(entry_context const& context);
 
+// Returns the part of a placement query that is the same for all requests to
+// the service.
+direct::placement_query query_for(
+    entry_context const& context,
+    std::string const& name,
+    routing::service const& service);
+
+// Whether this entry has a share of some endpoints of the service only, and
+// needs no reports of the others.
+bool is_divided(entry_context const& context, std::string const& service);
+
 // Tries to place the waiting requests of the service, in queue order.
 void serve_waiting(entry_context& context, std::string const& service);
 
--- a/libs/gateway/include/gateway/peer_link.hpp
+++ b/libs/gateway/include/gateway/peer_link.hpp
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <set>
+#include <string>
 #include <vector>
 
 namespace google::protobuf
@@ -32,9 +33,10 @@
 {
 
 // The datagrams that an entry exchanges with agents and other entries. It
-// subscribes to the reports of the agents of its failure domain, and asks two
-// agents of each domain which entries subscribe there, so that entries find
-// each other without a registry.
+// subscribes to the reports of the agents of its failure domain, or of the
+// endpoints of which it has a share if it has none of others. A few agents of
+// each domain hear of all its entries and tell others of them, so that entries
+// find each other without a registry.
 class peer_link : public std::enable_shared_from_this<peer_link>
 {
 public:
@@ -76,12 +78,31 @@
     // agents.
     void add_models(google::protobuf::RepeatedPtrField<wire::ServedModel>&
                         served_models) const;
-    // Addresses of the agents, by failure domain.
-    std::map<std::string, std::vector<net::udp_endpoint>> agents() const;
-    // Asks two agents of each domain for the entries they know, different
-    // agents each time.
+    // Returns the addresses of the agents to whose reports this entry
+    // subscribes, and discards the reports of others.
+    std::set<net::udp_endpoint> followed_agents() const;
+    std::set<net::udp_endpoint>
+    followed_agents(std::string const& service) const;
+    // Adds the address of the agent beside the endpoint.
+    void add_agent(
+        std::set<net::udp_endpoint>& agents,
+        direct::endpoint_state const& state) const;
+    // Agents that know the entries of their failure domain, by domain.
+    std::map<std::string, std::vector<net::udp_endpoint>> directory() const;
+    // Announces this entry at the directory of its failure domain.
+    void announce_presence(
+        wire::Subscribe const& subscription,
+        std::vector<net::udp_endpoint> const& agents,
+        std::set<net::udp_endpoint> const& followed);
+    // Failure domains whose directory is asked now.
+    std::vector<std::string>
+    domains_to_ask(std::map<std::string, std::vector<net::udp_endpoint>> const&
+                       directories) const;
+    // Asks the directories for the entries they know, different agents each
+    // time: two of this failure domain, one of another.
     void request_entry_names(
-        std::map<std::string, std::vector<net::udp_endpoint>> const& agents);
+        std::map<std::string, std::vector<net::udp_endpoint>> const&
+            directories);
     void handle_entries_notice(wire::EntriesNotice const& notice);
     void
     send_to(std::set<std::string> const& entries, std::string const& bytes);
--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -168,23 +168,15 @@
 
 direct::placement_query call::placement() const
 {
-    auto const& bounds = this->context->settings.promised;
-    direct::placement_query ask;
-    ask.service = this->service_name;
+    auto ask = query_for(*this->context, this->service_name, *this->service);
     ask.model = this->service->engine ? this->parsed.model : std::string();
-    ask.own_domain = this->context->settings.failure_domain;
     ask.regions = this->allowed.regions;
     ask.tried = this->tried;
-    ask.cold.per_second = this->service->cold_per_second * bounds.cold_factor;
-    ask.cold.tolerance = bounds.cold_tolerance;
-    ask.entries = direct::sharers(this->context->entries);
     if (this->goal_expired && this->service->engine)
     {
         ask.depth =
             direct::depth_for_expired_goal(this->service->engine->slots);
     }
-    ask.all_entries = &this->context->entry_addresses;
-    ask.own_entry = this->context->settings.ip;
     ask.parts = &this->context->parts;
     ask.newcomer = direct::is_newcomer(this->context->entries, clock::now());
     if (ask.newcomer)
--- a/libs/gateway/src/domain_reports.cpp
+++ b/libs/gateway/src/domain_reports.cpp
@@ -92,6 +92,22 @@
     return report;
 }
 
+// Returns the failure domains with agents that this entry does not subscribe to
+// one by one.
+std::set<std::string> domains_to_relay(entry_context const& context)
+{
+    std::set<std::string> found;
+    for (auto const& [id, state] : context.book.endpoints)
+    {
+        if (has_agents(context, state.listed.service) &&
+            !is_divided(context, state.listed.service))
+        {
+            found.insert(state.listed.failure_domain);
+        }
+    }
+    return found;
+}
+
 std::string to_datagram(wire::PassedReports batch)
 {
     wire::Datagram message;
@@ -155,7 +171,7 @@
     auto const bytes = message.SerializeAsString();
     auto const now = clock::now();
     auto const home = this->home_domain();
-    auto const wanted = agent_domains(*this->context);
+    auto const wanted = domains_to_relay(*this->context);
     std::erase_if(
         this->sources.domains,
         [&](auto const& entry)
--- a/libs/gateway/src/entry_context.cpp
+++ b/libs/gateway/src/entry_context.cpp
@@ -97,6 +97,37 @@
     return found;
 }
 
+direct::placement_query query_for(
+    entry_context const& context,
+    std::string const& name,
+    routing::service const& service)
+{
+    auto const& bounds = context.settings.promised;
+    direct::placement_query ask;
+    ask.service = name;
+    ask.own_domain = context.settings.failure_domain;
+    ask.cold.per_second = service.cold_per_second * bounds.cold_factor;
+    ask.cold.tolerance = bounds.cold_tolerance;
+    ask.entries = direct::entries_per_endpoint(
+        direct::sharers(context.entries), ask.cold);
+    ask.all_entries = &context.entry_addresses;
+    ask.own_entry = context.settings.ip;
+    return ask;
+}
+
+bool is_divided(entry_context const& context, std::string const& service)
+{
+    if (!context.configuration)
+    {
+        return false;
+    }
+    auto const found = context.configuration->services.find(service);
+    return found != context.configuration->services.end() &&
+           direct::is_divided(
+               context.entry_addresses.size(),
+               query_for(context, service, found->second).cold);
+}
+
 void serve_waiting(entry_context& context, std::string const& service)
 {
     auto const found = context.waiting.find(service);
--- a/libs/gateway/src/peer_link.cpp
+++ b/libs/gateway/src/peer_link.cpp
@@ -1,5 +1,5 @@
 #include <base/digest.hpp>
-#include <direct/endpoint_table.hpp>
+#include <direct/followed_endpoints.hpp>
 #include <gateway/peer_link.hpp>
 #include <proto/foxtailvale.pb.h>
 
@@ -120,41 +120,152 @@
     }
     this->add_models(*asked.mutable_models());
     auto const bytes = message.SerializeAsString();
-    auto const known = this->agents();
-    for (auto const& domain : this->directly_polled_domains())
+    auto const followed = this->followed_agents();
+    for (auto const& agent : followed)
     {
-        auto const found = known.find(domain);
-        if (found == known.end())
+        this->socket->send(agent, bytes);
+    }
+    auto const directories = this->directory();
+    if (!directories.empty())
+    {
+        // A failure domain without agents uses the directory of another one.
+        auto const own = directories.find(asked.failure_domain());
+        this->announce_presence(
+            asked,
+            own != directories.end() ? own->second
+                                     : directories.begin()->second,
+            followed);
+    }
+    this->request_entry_names(directories);
+}
+
+std::set<net::udp_endpoint> peer_link::followed_agents() const
+{
+    std::set<net::udp_endpoint> found;
+    std::set<std::string> services;
+    for (auto const& [id, state] : this->context->book.endpoints)
+    {
+        auto const& service = state.listed.service;
+        if (has_agents(*this->context, service) &&
+            services.insert(service).second)
         {
-            continue;
+            found.merge(this->followed_agents(service));
         }
-        for (auto const& agent : found->second)
+    }
+    return found;
+}
+
+std::set<net::udp_endpoint>
+peer_link::followed_agents(std::string const& service) const
+{
+    auto& shared = *this->context;
+    std::set<net::udp_endpoint> found;
+    if (!is_divided(shared, service))
+    {
+        auto const domains = this->directly_polled_domains();
+        for (auto const& [id, state] : shared.book.endpoints)
         {
-            this->socket->send(agent, bytes);
+            if (state.listed.service == service &&
+                domains.contains(state.listed.failure_domain))
+            {
+                this->add_agent(found, state);
+            }
         }
+        return found;
+    }
+    auto query =
+        query_for(shared, service, shared.configuration->services.at(service));
+    query.parts = &shared.parts;
+    auto const followed = direct::followed_endpoints(shared.book, query);
+    direct::discard_other_reports(shared.book, service, followed);
+    for (auto const& id : followed)
+    {
+        this->add_agent(found, shared.book.endpoints.at(id));
     }
-    this->request_entry_names(known);
+    return found;
 }
 
-std::map<std::string, std::vector<net::udp_endpoint>> peer_link::agents() const
+void peer_link::add_agent(
+    std::set<net::udp_endpoint>& agents,
+    direct::endpoint_state const& state) const
 {
-    std::map<std::string, std::vector<net::udp_endpoint>> found;
-    std::set<boost::asio::ip::address> seen;
+    if (auto const address = net::parse_endpoint(state.listed.address))
+    {
+        agents.emplace(address->address(), this->context->settings.peer_port);
+    }
+}
+
+std::map<std::string, std::vector<net::udp_endpoint>>
+peer_link::directory() const
+{
+    std::map<std::string, std::set<std::string>> agents;
     for (auto const& [id, state] : this->context->book.endpoints)
     {
         auto const address = net::parse_endpoint(state.listed.address);
-        if (address && has_agents(*this->context, state.listed.service) &&
-            seen.insert(address->address()).second)
+        if (address && has_agents(*this->context, state.listed.service))
+        {
+            agents[state.listed.failure_domain].insert(
+                address->address().to_string());
+        }
+    }
+    std::map<std::string, std::vector<net::udp_endpoint>> found;
+    for (auto const& [domain, known] : agents)
+    {
+        for (auto const& agent :
+             direct::choose_directory({known.begin(), known.end()}))
         {
-            found[state.listed.failure_domain].emplace_back(
-                address->address(), this->context->settings.peer_port);
+            found[domain].emplace_back(
+                boost::asio::ip::make_address(agent),
+                this->context->settings.peer_port);
         }
     }
     return found;
 }
 
+void peer_link::announce_presence(
+    wire::Subscribe const& subscription,
+    std::vector<net::udp_endpoint> const& agents,
+    std::set<net::udp_endpoint> const& followed)
+{
+    wire::Datagram message;
+    message.set_from(this->context->settings.name);
+    *message.mutable_subscribe() = subscription;
+    message.mutable_subscribe()->set_presence_only(true);
+    auto const bytes = message.SerializeAsString();
+    for (auto const& agent : agents)
+    {
+        if (!followed.contains(agent))
+        {
+            this->socket->send(agent, bytes);
+        }
+    }
+}
+
+std::vector<std::string> peer_link::domains_to_ask(
+    std::map<std::string, std::vector<net::udp_endpoint>> const& directories)
+    const
+{
+    constexpr std::size_t others_per_request = 2;
+    std::vector<std::string> others;
+    std::vector<std::string> chosen;
+    for (auto const& [domain, agents] : directories)
+    {
+        auto const is_own = domain == this->context->settings.failure_domain;
+        (is_own ? chosen : others).push_back(domain);
+    }
+    auto const all = direct::is_newcomer(this->context->entries, clock::now());
+    auto const count =
+        all ? others.size() : std::min(others_per_request, others.size());
+    for (std::size_t next = 0; next < count; ++next)
+    {
+        auto const turn = this->name_requests_sent * others_per_request + next;
+        chosen.push_back(others[turn % others.size()]);
+    }
+    return chosen;
+}
+
 void peer_link::request_entry_names(
-    std::map<std::string, std::vector<net::udp_endpoint>> const& agents)
+    std::map<std::string, std::vector<net::udp_endpoint>> const& directories)
 {
     constexpr std::size_t agents_per_request = 2;
     wire::Datagram message;
@@ -163,15 +274,19 @@
     asked.set_names_only(true);
     auto const bytes = message.SerializeAsString();
     auto const start = base::stable_hash(this->context->settings.ip) +
-                       agents_per_request * this->name_requests_sent++;
-    for (auto const& [domain, known] : agents)
+                       agents_per_request * this->name_requests_sent;
+    for (auto const& domain : this->domains_to_ask(directories))
     {
-        for (std::size_t next = 0;
-             next < std::min(agents_per_request, known.size()); ++next)
+        auto const& agents = directories.at(domain);
+        auto const is_own = domain == asked.failure_domain();
+        auto const count = is_own ? agents_per_request : std::size_t{1};
+        for (std::size_t next = 0; next < std::min(count, agents.size());
+             ++next)
         {
-            this->socket->send(known[(start + next) % known.size()], bytes);
+            this->socket->send(agents[(start + next) % agents.size()], bytes);
         }
     }
+    ++this->name_requests_sent;
 }
 
 void peer_link::add_models(
--- a/libs/gateway/src/report_link.cpp
+++ b/libs/gateway/src/report_link.cpp
@@ -18,8 +18,7 @@
 // Subscriptions that were not renewed for this long expire.
 constexpr milliseconds subscription_timeout{3500};
 
-// Entries of other failure domains subscribe only while no entry of this domain
-// relays reports to them, and receive only one report in this many.
+// Entries of other failure domains receive only one report in this many.
 constexpr int remote_round_interval = 4;
 
 } // namespace
@@ -77,7 +76,8 @@
         this->socket->send(source, this->entries_notice());
         return;
     }
-    this->subscribers[source] = {now, asked.failure_domain()};
+    this->subscribers[source] = {
+        now, asked.failure_domain(), !asked.presence_only()};
     this->update_models(asked.models());
     for (auto const& notice : asked.versions())
     {
@@ -229,7 +229,7 @@
     auto const to_all = at_once || round % remote_round_interval == 0;
     for (auto const& [address, entry] : this->subscribers)
     {
-        if (to_all || this->is_same_domain(entry))
+        if (entry.wants_reports && (to_all || this->is_same_domain(entry)))
         {
             this->socket->send(address, bytes);
         }
--- a/libs/gateway/src/report_link.hpp
+++ b/libs/gateway/src/report_link.hpp
@@ -73,6 +73,8 @@
     {
         base::time_point last_asked;
         std::string failure_domain;
+        // It does not only announce itself.
+        bool wants_reports = true;
     };
 
     void
