Reading from an engine pauses while its caller does not read

Cause: the answer of a caller that reads slowly was taken from the engine as fast as that made it and held in the entry, up to 8 MiB a connection; beyond that the caller was cut off. Twenty such callers fill the smallest VM. Now an entry holds 32 KiB of a stream for its caller, then leaves the rest to the sockets and the engine until all has been written. A paused engine does not count as silent. Hundreds of slow callers at once and an engine that stops reading were not tried.

--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -297,6 +297,10 @@
             next = std::min(
                 next, std::min(*limit, clock::now() + recheck_interval));
         }
+        if (this->current->waits_for_caller)
+        {
+            next = std::min(next, clock::now() + recheck_interval);
+        }
         if (this->service->engine && !this->current->facts.head_seen)
         {
             // A new version may be announced meanwhile, which retires the one
@@ -333,6 +337,12 @@
         this->set_timer();
         return;
     }
+    if (this->current->waits_for_caller)
+    {
+        // The caller is slow, not the endpoint.
+        this->current->last_byte = now;
+        direct::note_heard(this->context->book, this->current->endpoint, now);
+    }
     auto const connected = this->current->is_dispatched;
     if (now >= this->deadline)
     {
--- a/libs/gateway/src/call.hpp
+++ b/libs/gateway/src/call.hpp
@@ -39,6 +39,8 @@
     base::time_point endpoint_deadline;
     // The request's bytes were passed to the connection.
     bool is_dispatched = false;
+    // Its answer is not read until the caller has read what it was sent.
+    bool waits_for_caller = false;
     // Number of events of this attempt that were forwarded to the caller.
     std::uint32_t events_sent = 0;
     base::time_point begun;
@@ -119,6 +121,9 @@
     void add_first_event(nlohmann::json& fields) const;
     // Records that an event is forwarded to the caller.
     void note_event();
+    // Stops reading the endpoint's answer while the caller does not read what
+    // it was sent.
+    void pause_for_slow_caller();
     void on_end(std::uint64_t number, net::exchange_result const& result);
     bool is_current(std::uint64_t number) const;
     void end_attempt(direct::request_outcome how);
--- a/libs/gateway/src/call_attempt.cpp
+++ b/libs/gateway/src/call_attempt.cpp
@@ -206,6 +206,32 @@
     }
     this->begin_answer();
     this->session->send(passed);
+    this->pause_for_slow_caller();
+}
+
+void call::pause_for_slow_caller()
+{
+    // Failure: callers that read nothing fill the entry's memory with their
+    // answers, and the process is killed with the answers of all others.
+    constexpr std::size_t max_unsent_bytes = 32UL * 1024;
+    if (this->session->unsent_bytes() <= max_unsent_bytes)
+    {
+        return;
+    }
+    this->current->waits_for_caller = true;
+    this->current->connection->pause_reading();
+    std::weak_ptr<call> const weak = this->shared_from_this();
+    this->session->on_written(
+        [weak, number = this->attempt_number]
+        {
+            auto const held = weak.lock();
+            if (held && held->is_current(number))
+            {
+                held->current->waits_for_caller = false;
+                held->current->last_byte = clock::now();
+                held->current->connection->resume_reading();
+            }
+        });
 }
 
 void call::note_event()
--- a/libs/net/include/net/client_connection.hpp
+++ b/libs/net/include/net/client_connection.hpp
@@ -109,6 +109,12 @@
     // executed.
     void close();
 
+    // Stops reading the response, so that the server has to wait, until
+    // resume_reading() or the end of the exchange. Meanwhile a close by the
+    // server goes unnoticed.
+    void pause_reading();
+    void resume_reading();
+
     // Whether another exchange may be started on it.
     bool is_idle() const;
 
@@ -154,6 +160,9 @@
     bool open = false;
     bool closed = false;
     bool skipping = false;
+    // A read is in progress.
+    bool reading = false;
+    bool paused = false;
     bool keeps_alive = true;
     std::size_t exchanges = 0;
     std::chrono::steady_clock::time_point last_use;
--- a/libs/net/include/net/http_server.hpp
+++ b/libs/net/include/net/http_server.hpp
@@ -109,6 +109,13 @@
     // Whether bytes of a response are still being written.
     bool is_sending() const;
 
+    // Number of bytes that wait for the client to read earlier ones.
+    std::size_t unsent_bytes() const;
+
+    // Sets the callback that runs once when no bytes wait any more. It is
+    // discarded when the session closes.
+    void on_written(std::function<void()> callback);
+
     // Whether the client is still connected and waits for a response.
     bool awaits_answer() const;
 
@@ -150,6 +157,7 @@
     std::string pending;
     std::unique_ptr<reader> parser;
     std::function<void()> disconnect_handler;
+    std::function<void()> written_handler;
     bool busy = false;
     bool streaming = false;
     bool reading = false;
--- a/libs/net/src/client_connection.cpp
+++ b/libs/net/src/client_connection.cpp
@@ -228,8 +228,26 @@
         });
 }
 
+void client_connection::pause_reading()
+{
+    this->paused = true;
+}
+
+void client_connection::resume_reading()
+{
+    this->paused = false;
+    if (this->open && !this->closed)
+    {
+        this->read();
+    }
+}
+
 void client_connection::read()
 {
+    if (this->paused || std::exchange(this->reading, true))
+    {
+        return;
+    }
     this->socket.async_read_some(
         boost::asio::buffer(this->read_buffer),
         [self = this->shared_from_this()](
@@ -242,6 +260,7 @@
 void client_connection::on_read(
     boost::system::error_code error, std::size_t count)
 {
+    this->reading = false;
     if (this->closed)
     {
         return;
@@ -376,6 +395,7 @@
 {
     this->result.end = end;
     this->running = false;
+    this->paused = false;
     if (end != exchange_end::withheld)
     {
         this->last_use = clock::now();
--- a/libs/net/src/server_session.cpp
+++ b/libs/net/src/server_session.cpp
@@ -111,6 +111,16 @@
     return this->busy && !this->closed;
 }
 
+std::size_t server_session::unsent_bytes() const
+{
+    return this->writing.size() + this->pending.size();
+}
+
+void server_session::on_written(std::function<void()> callback)
+{
+    this->written_handler = std::move(callback);
+}
+
 bool server_session::is_sending() const
 {
     return !this->closed && !this->writing.empty();
@@ -386,6 +396,14 @@
                 self->write_next();
                 return;
             }
+            if (auto const callback = std::exchange(self->written_handler, {}))
+            {
+                callback();
+            }
+            if (self->closed || !self->writing.empty())
+            {
+                return;
+            }
             if (self->close_when_written)
             {
                 self->close();
@@ -425,6 +443,7 @@
         return;
     }
     this->closed = true;
+    this->written_handler = {};
     boost::system::error_code ignored;
     this->socket.close(ignored);
 }
