Agents whose engine does not run leave the store alone

Cause: at the start of a fleet engines register some five seconds after their agents have started, and no entry can know them before. An agent that no entry had asked for 1.9 s listed and watched the versions in the store: 474 agents, two calls each at least, over links that the start needs. It grows with the agents. An agent without an engine has nothing to prepare.

--- a/libs/gateway/src/agent.cpp
+++ b/libs/gateway/src/agent.cpp
@@ -227,7 +227,10 @@
 
 void agent_process::watch_without_entries()
 {
-    if (this->reports->has_entries())
+    // Failure: engines register seconds after their agents have started, and
+    // before that no entry knows them; every agent of a fleet that started
+    // watched the store meanwhile.
+    if (this->reports->has_entries() || !this->context->engine)
     {
         this->without_entries_since.reset();
         this->end_watch();
@@ -249,6 +252,8 @@
 {
     if (this->versions_watch)
     {
+        kernel::log_event(
+            kernel::event_id::watching_ended, {{"view", "versions"}});
         this->versions_watch->stop();
         this->versions_watch.reset();
     }
@@ -256,6 +261,7 @@
 
 void agent_process::watch_versions()
 {
+    kernel::log_event(kernel::event_id::watching_began, {{"view", "versions"}});
     auto const self = this->shared_from_this();
     auto const take = [self](platform::store_object const& object)
     {
