Endpoint table: reports and removals look at the endpoints concerned

Cause: an entry's processor time. A report was looked up among all endpoints by address (513 here), and fifty times a second all of them were searched for one whose removal is due. The table now knows the ids at each address and the next removal. Both take a time that does not grow with the endpoints.

--- a/libs/direct/include/direct/endpoint_table.hpp
+++ b/libs/direct/include/direct/endpoint_table.hpp
@@ -133,8 +133,14 @@
 
 struct endpoint_table
 {
-    // By endpoint id.
+    // By endpoint id. Endpoints are added and removed by the functions below,
+    // which keep the fields after it in step.
     std::map<std::string, endpoint_state> endpoints;
+    // Ids of the endpoints at each IP address. Failure: reports and the removal
+    // of endpoints looked at all of them, tens of times a second.
+    std::map<std::string, std::set<std::string>> ids_by_ip;
+    // No endpoint's removal is due before this time.
+    std::optional<base::time_point> next_removal;
     // Failure domains that are out of service.
     std::set<std::string> domains_out;
     // By model. Announced versions whose predecessors may still be in use,
@@ -171,6 +177,10 @@
     bool list_was_lost,
     base::time_point now);
 
+// Returns the ids of the endpoints at the IP address.
+std::set<std::string>
+endpoints_at(endpoint_table const& table, std::string const& ip);
+
 // Returns the number of listed endpoints of the service.
 std::size_t count_of(endpoint_table const& table, std::string const& service);
 
--- a/libs/direct/src/endpoint_table.cpp
+++ b/libs/direct/src/endpoint_table.cpp
@@ -43,11 +43,55 @@
 // one report over two entries differ by less than half of that interval.
 constexpr std::chrono::milliseconds same_report{50};
 
-std::string_view ip_of(std::string_view address)
+std::string ip_of(std::string const& address)
 {
     return address.substr(0, address.rfind(':'));
 }
 
+void remove_from_index(
+    endpoint_table& table, std::string const& id, std::string const& address)
+{
+    auto const found = table.ids_by_ip.find(ip_of(address));
+    if (found == table.ids_by_ip.end())
+    {
+        return;
+    }
+    found->second.erase(id);
+    if (found->second.empty())
+    {
+        table.ids_by_ip.erase(found);
+    }
+}
+
+void set_removal_due(
+    endpoint_table& table, endpoint_state& state, base::time_point due)
+{
+    state.removal_due = due;
+    table.next_removal = std::min(table.next_removal.value_or(due), due);
+}
+
+// Removes the endpoints whose removal is due.
+void remove_due(endpoint_table& table, base::time_point now)
+{
+    table.next_removal.reset();
+    for (auto next = table.endpoints.begin(); next != table.endpoints.end();)
+    {
+        auto const position = next++;
+        auto& [id, state] = *position;
+        if (!state.removal_due)
+        {
+            continue;
+        }
+        if (*state.removal_due > now)
+        {
+            set_removal_due(table, state, *state.removal_due);
+            continue;
+        }
+        remove_from_index(table, id, state.listed.address);
+        table.endpoints.erase(position);
+    }
+}
+
 void decay_faults(endpoint_state& state, base::time_point now)
 {
     auto const passed = std::chrono::duration<double>(now - state.last_fault);
@@ -128,6 +172,8 @@
     if (state.listed.address != record.address)
     {
         state.report.reset();
+        remove_from_index(table, record.id, state.listed.address);
+        table.ids_by_ip[ip_of(record.address)].insert(record.id);
     }
     if (state.listed.weights != record.weights)
     {
@@ -153,11 +199,12 @@
     {
         if (!found->second.removal_due)
         {
-            found->second.removal_due = now + removal_grace;
+            set_removal_due(table, found->second, now + removal_grace);
         }
         return;
     }
     note_departed(table, id, now);
+    remove_from_index(table, id, found->second.listed.address);
     table.endpoints.erase(found);
 }
 
@@ -191,6 +238,14 @@
     }
 }
 
+std::set<std::string>
+endpoints_at(endpoint_table const& table, std::string const& ip)
+{
+    auto const found = table.ids_by_ip.find(ip);
+    return found != table.ids_by_ip.end() ? found->second
+                                          : std::set<std::string>();
+}
+
 std::size_t count_of(endpoint_table const& table, std::string const& service)
 {
     return static_cast<std::size_t>(std::ranges::count_if(
@@ -203,12 +258,10 @@
 
 void expire(endpoint_table& table, base::time_point now)
 {
-    std::erase_if(
-        table.endpoints,
-        [now](auto const& entry)
-        {
-            return entry.second.removal_due && *entry.second.removal_due <= now;
-        });
+    if (table.next_removal && *table.next_removal <= now)
+    {
+        remove_due(table, now);
+    }
     for (auto& record : take_released(table, now))
     {
         put(table, std::move(record));
@@ -221,12 +274,9 @@
     load_report const& report,
     base::time_point now)
 {
-    for (auto& [id, state] : table.endpoints)
+    for (auto const& id : endpoints_at(table, address))
     {
-        if (ip_of(state.listed.address) == address)
-        {
-            take_report(state, report, now);
-        }
+        take_report(table.endpoints.at(id), report, now);
     }
 }
 
@@ -236,10 +286,10 @@
     load_report const& report,
     base::time_point as_of)
 {
-    for (auto& [id, state] : table.endpoints)
+    for (auto const& id : endpoints_at(table, address))
     {
-        if (ip_of(state.listed.address) == address &&
-            (!state.report || as_of > state.reported + same_report))
+        auto& state = table.endpoints.at(id);
+        if (!state.report || as_of > state.reported + same_report)
         {
             take_report(state, report, as_of);
             state.own_delta = begun_since(state, as_of);
--- a/libs/direct/tests/endpoint_book_tests.cpp
+++ b/libs/direct/tests/endpoint_book_tests.cpp
@@ -228,4 +228,52 @@
     EXPECT_FALSE(participates_in_transfer(engine, "s"));
 }
 
+// Failure: a report counts for an endpoint that has left the address, or not
+// for the one that has taken it.
+TEST(endpoint_book, reports_follow_an_address_to_its_new_endpoint)
+{
+    endpoint_table table;
+    endpoint_record record;
+    record.id = "first";
+    record.address = "10.0.0.1:8000";
+    put(table, record);
+    load_report report;
+    report.running = 3;
+    record.address = "10.0.0.2:8000";
+    put(table, record);
+    record.id = "second";
+    record.address = "10.0.0.1:8000";
+    put(table, record);
+    note_report(table, "10.0.0.1", report, {});
+    EXPECT_FALSE(table.endpoints.at("first").report.has_value());
+    EXPECT_EQ(table.endpoints.at("second").report->running, 3U);
+    remove(table, "second", false, {});
+    EXPECT_TRUE(endpoints_at(table, "10.0.0.1").empty());
+    EXPECT_EQ(table.ids_by_ip.size(), 1U);
+}
+
+// Failure: an endpoint whose removal was put off, or one of several, stays.
+TEST(endpoint_book, endpoints_are_removed_when_their_time_has_come)
+{
+    endpoint_table table;
+    base::time_point const start{std::chrono::seconds(100)};
+    for (auto const* id : {"a", "b", "c"})
+    {
+        endpoint_record record;
+        record.id = id;
+        record.address = std::string("10.0.0.1:") + id;
+        put(table, record);
+    }
+    remove(table, "a", true, start);
+    remove(table, "b", true, start + std::chrono::milliseconds(500));
+    expire(table, start + removal_grace - std::chrono::milliseconds(1));
+    EXPECT_EQ(table.endpoints.size(), 3U);
+    expire(table, start + removal_grace);
+    EXPECT_EQ(
+        endpoints_at(table, "10.0.0.1"), (std::set<std::string>{"b", "c"}));
+    expire(table, start + removal_grace + std::chrono::milliseconds(500));
+    EXPECT_EQ(endpoints_at(table, "10.0.0.1"), (std::set<std::string>{"c"}));
+    EXPECT_FALSE(table.next_removal.has_value());
+}
+
 } // namespace foxtailvale::direct
--- a/libs/gateway/src/entry_context.cpp
+++ b/libs/gateway/src/entry_context.cpp
@@ -59,15 +59,7 @@
 
 void note_gone_at(entry_context& context, std::string const& ip)
 {
-    std::vector<std::string> gone;
-    for (auto const& [id, state] : context.book.endpoints)
-    {
-        if (state.listed.address.starts_with(ip + ":"))
-        {
-            gone.push_back(id);
-        }
-    }
-    for (auto const& id : gone)
+    for (auto const& id : direct::endpoints_at(context.book, ip))
     {
         note_gone(context, id);
     }
