--- a/libs/direct/include/direct/watch_duty.hpp
+++ b/libs/direct/include/direct/watch_duty.hpp
@@ -13,10 +13,9 @@
 // Decides which entries watch the platform's store and which follow the
 // watching entries.
 //
-// Watches of every entry are the largest cost in a large fleet: 34 entries made
-// 5,600 calls in a day of 45 s, an eighth of the day's value, while the store's
-// allowed rates grow more slowly than the fleet. So one entry of each failure
-// domain watches, and the others ask it how fresh its views are.
+// If every entry watched, the calls would grow with the entries, while the
+// store's allowed rates grow more slowly than the fleet. So one entry of each
+// failure domain watches, and the others ask it how fresh its views are.
 //
 // There is no leader election: an entry that hears from enough other watchers
 // may stop, and an entry that hears from too few starts. Entries whose
@@ -84,8 +83,8 @@
 
 // A process that starts watches for at least this long. It hears from other
 // watchers twice a second, and a listing takes 250 ms when the store is slow.
-// Failure: 40 entries that started together watched for 3 s while all endpoints
-// registered, and made half of the calls of a calm day.
+// Failure: all entries of a fleet that started watched for 3 s while all
+// endpoints registered, and each called the store for every change.
 inline constexpr std::chrono::milliseconds min_first_watch{1200};
 
 // How long an entry that the store rejects does not call it.
@@ -93,8 +92,8 @@
 
 // A process that starts asks its seeds. It begins to watch if no seed answers
 // within seed_timeout, or if the seeds that answer have no information within
-// seed_answered_timeout. Failure: 148 entries that started together watched
-// until each had heard from another, and made 27 calls each.
+// seed_answered_timeout. Failure: entries that started together all
+// watched until each had heard from another.
 inline constexpr std::chrono::milliseconds seed_timeout{700};
 inline constexpr std::chrono::milliseconds seed_answered_timeout{3000};
 
@@ -158,7 +157,8 @@
 // Returns the entries to ask now: two watchers, of this entry's own failure
 // domain while a watcher there confirms the views; all seeds while no watcher
 // is known.
-std::vector<std::string> asked(watch_duty const& state, base::boot_time now);
+std::vector<std::string>
+entries_to_ask(watch_duty const& state, base::boot_time now);
 
 // Returns the entries to ask, best first: watchers of this entry's own failure
 // domain, then others, in an order that differs between entries so that they do
--- a/libs/direct/src/watch_duty.cpp
+++ b/libs/direct/src/watch_duty.cpp
@@ -221,7 +221,8 @@
                });
 }
 
-std::vector<std::string> asked(watch_duty const& state, base::boot_time now)
+std::vector<std::string>
+entries_to_ask(watch_duty const& state, base::boot_time now)
 {
     constexpr std::size_t max_asked = 2;
     auto chosen = sources(state, now);
--- a/libs/direct/tests/watch_duty_tests.cpp
+++ b/libs/direct/tests/watch_duty_tests.cpp
@@ -145,7 +145,7 @@
 
     std::size_t remote_asked(watch_duty const& duty) const
     {
-        auto const all = asked(duty, this->now);
+        auto const all = entries_to_ask(duty, this->now);
         return static_cast<std::size_t>(std::ranges::count_if(
             all,
             [&duty](std::string const& name)
@@ -401,14 +401,16 @@
     duty.views_confirmed_at = start;
     note_watcher(duty, "far-1", "far", watch_status::fresh, start);
     EXPECT_TRUE(accepts_views_from(duty, "far", start));
-    EXPECT_EQ(asked(duty, start), std::vector<std::string>{"far-1"});
+    EXPECT_EQ(entries_to_ask(duty, start), std::vector<std::string>{"far-1"});
     note_watcher(duty, "own-2", "own", watch_status::fresh, start);
     EXPECT_FALSE(accepts_views_from(duty, "far", start));
-    EXPECT_EQ(asked(duty, start), std::vector<std::string>{"own-2"});
+    EXPECT_EQ(entries_to_ask(duty, start), std::vector<std::string>{"own-2"});
     EXPECT_FALSE(notifies_immediately(duty, "far", start));
     auto const late = start + own_domain_timeout + milliseconds(1);
     EXPECT_TRUE(accepts_views_from(duty, "far", late));
-    EXPECT_EQ(asked(duty, late), (std::vector<std::string>{"own-2", "far-1"}));
+    EXPECT_EQ(
+        entries_to_ask(duty, late),
+        (std::vector<std::string>{"own-2", "far-1"}));
     auto const expired = start + watcher_timeout + milliseconds(1);
     note_views_confirmed(duty, expired);
     note_watcher(duty, "far-1", "far", watch_status::fresh, expired);
@@ -426,9 +428,9 @@
     duty.own_domain = "own";
     duty.seeds = {"own-2", "far-1"};
     note_watcher(duty, "own-2", "own", watch_status::fresh, start);
-    EXPECT_EQ(asked(duty, start).size(), 1U);
+    EXPECT_EQ(entries_to_ask(duty, start).size(), 1U);
     auto const expired = start + watcher_timeout + milliseconds(1);
-    EXPECT_EQ(asked(duty, expired).size(), 2U);
+    EXPECT_EQ(entries_to_ask(duty, expired).size(), 2U);
 }
 
 // Failure: an entry that starts asks only seeds of other domains.
@@ -437,7 +439,7 @@
     watch_duty duty;
     duty.own = "own-1";
     duty.seeds = {"far-1", "far-2", "own-2"};
-    EXPECT_EQ(asked(duty, {}).size(), 3U);
+    EXPECT_EQ(entries_to_ask(duty, {}).size(), 3U);
 }
 
 } // namespace foxtailvale::direct
--- a/libs/gateway/src/version_fetch.cpp
+++ b/libs/gateway/src/version_fetch.cpp
@@ -288,7 +288,7 @@
             if (!lives)
             {
                 kernel::log_event(
-                    kernel::event_id::drawer_silent,
+                    kernel::event_id::fetcher_silent,
                     {{"version", version},
                      {"drawer", origin_fetcher.agent},
                      {"status", response ? response->status : 0}});
@@ -337,7 +337,7 @@
 void version_fetch::withdraw_slow_fetches(base::time_point now)
 {
     for (auto const number :
-         weights::squeezed_fetches(this->receive_queue, now))
+         weights::narrowed_fetches(this->receive_queue, now))
     {
         auto const found = this->fetches.find(number);
         if (found == this->fetches.end())
--- a/libs/gateway/src/view_relay.cpp
+++ b/libs/gateway/src/view_relay.cpp
@@ -421,7 +421,7 @@
         {
             return now - entry.second > answer_timeout;
         });
-    for (auto const& source : direct::asked(this->duty, now))
+    for (auto const& source : direct::entries_to_ask(this->duty, now))
     {
         wire::Datagram message;
         message.set_from(this->context->settings.name);
--- a/libs/kernel/include/kernel/events.hpp
+++ b/libs/kernel/include/kernel/events.hpp
@@ -52,7 +52,7 @@
     transfer_waits = 1312,
     switch_planned = 1313,
     engine_order_accepted = 1314,
-    drawer_silent = 1315,
+    fetcher_silent = 1315,
     request_refused = 1401,
     request_retried = 1402,
     request_failed = 1403,
--- a/libs/weights/include/weights/receive_window.hpp
+++ b/libs/weights/include/weights/receive_window.hpp
@@ -17,17 +17,17 @@
 // without a pause and delay a request by at most 100 ms on a link of 7.6
 // Mbit/s. A fetch that takes long does not count as one of the three while
 // chunks from other agents arrive fast: it is held up at the sender by a
-// squeezed link, that is, one with a fraction of its usual bandwidth, and does
+// narrowed link, that is, one with a fraction of its usual bandwidth, and does
 // not fill the agent's own link.
 //
-// Failure: one machine in five had a squeezed link. Sooner or later all three
+// Failure: one machine in five had a narrowed link. Sooner or later all three
 // places of an agent were taken by chunks from such machines, for two seconds
 // and more each time, and added engines got their weights only after ten
 // seconds.
 //
 // Chunks count as arriving fast from others only if one arrived after the slow
 // fetch began; until then, one extra fetch at a time is tried. Failure: the
-// agent's own link was squeezed to a twentieth. Because chunks had arrived fast
+// agent's own link was narrowed to a twentieth. Because chunks had arrived fast
 // in the two seconds before, ten more fetches filled the link for seven
 // seconds, and requests behind them reached the engine after their callers had
 // disconnected.
@@ -44,11 +44,11 @@
     // When a chunk last arrived at the speed of an unimpaired link, by source.
     std::map<std::string, base::time_point> last_fast;
     // No fetch begins before this time, because the agent's own link is
-    // squeezed.
+    // narrowed.
     base::time_point not_before;
-    // The agent's own link is squeezed, and fetches run one at a time until a
+    // The agent's own link is narrowed, and fetches run one at a time until a
     // chunk arrives fast.
-    bool squeezed = false;
+    bool narrowed = false;
 };
 
 // Whether another fetch may begin.
@@ -59,16 +59,16 @@
     receive_window& window, std::string const& agent, base::time_point now);
 
 // Records the end of a fetch. If it was slow and no chunk arrives fast from
-// other agents, the agent's own link is squeezed: the next fetch begins only
+// other agents, the agent's own link is narrowed: the next fetch begins only
 // after a pause as long as this fetch, so that requests to the engine get half
 // of the link.
 void end_fetch(
     receive_window& window, std::uint64_t number, base::time_point now);
 
 // Fetches that take long while chunks arrive fast from other agents: the
-// source's link is squeezed, and the chunk arrives sooner from another source.
+// source's link is narrowed, and the chunk arrives sooner from another source.
 std::vector<std::uint64_t>
-squeezed_fetches(receive_window const& window, base::time_point now);
+narrowed_fetches(receive_window const& window, base::time_point now);
 
 } // namespace foxtailvale::weights
 
--- a/libs/weights/include/weights/send_window.hpp
+++ b/libs/weights/include/weights/send_window.hpp
@@ -16,7 +16,7 @@
 // source or wait, and no link is idle.
 //
 // Failure: when every request was accepted, a dozen chunks queued up at one
-// agent. The requesters took its link for a squeezed one and avoided the agent
+// agent. The requesters took its link for a narrowed one and avoided the agent
 // for up to half a minute, one after the other, until no source was left: added
 // engines got their weights in ten seconds instead of three.
 struct send_window
--- a/libs/weights/src/chunk_transfer.cpp
+++ b/libs/weights/src/chunk_transfer.cpp
@@ -655,7 +655,7 @@
         break;
     case chunk_loss::not_yet:
         // The source still waits for the chunk itself. If that lasts, it may be
-        // behind a squeezed link; its ancestors in the tree may already have
+        // behind a narrowed link; its ancestors in the tree may already have
         // the chunk.
         if (asks_earlier_fetcher || now > state.begun + usual_transfer_time)
         {
--- a/libs/weights/src/receive_window.cpp
+++ b/libs/weights/src/receive_window.cpp
@@ -21,7 +21,7 @@
 constexpr milliseconds slow_fetch_time{250};
 
 // How long a fast chunk from another agent shows that the agent's own link is
-// not squeezed.
+// not narrowed.
 constexpr milliseconds fast_source_lifetime{2000};
 
 bool others_are_fast(
@@ -63,7 +63,7 @@
     {
         return false;
     }
-    if (window.squeezed)
+    if (window.narrowed)
     {
         return std::ranges::none_of(
             window.running,
@@ -105,18 +105,18 @@
     if (!is_slow(fetch, now))
     {
         window.last_fast[fetch.agent] = now;
-        window.squeezed = false;
+        window.narrowed = false;
         return;
     }
     if (!others_were_fast(window, fetch))
     {
-        window.squeezed = true;
+        window.narrowed = true;
         window.not_before = now + (now - fetch.begun);
     }
 }
 
 std::vector<std::uint64_t>
-squeezed_fetches(receive_window const& window, base::time_point now)
+narrowed_fetches(receive_window const& window, base::time_point now)
 {
     std::vector<std::uint64_t> found;
     for (auto const& [number, fetch] : window.running)
--- a/libs/weights/tests/burst_tests.cpp
+++ b/libs/weights/tests/burst_tests.cpp
@@ -155,17 +155,17 @@
     }
 }
 
-// Engines are added under load, and one machine in five has a squeezed link.
+// Engines are added under load, and one machine in five has a narrowed link.
 // The added agents request chunks from those beside serving engines; an agent
-// that waits for the squeezed ones gets its weights only after ten seconds.
-TEST(burst, added_engines_are_filled_past_squeezed_links)
+// that waits for the narrowed ones gets its weights only after ten seconds.
+TEST(burst, added_engines_are_filled_past_narrowed_links)
 {
     burst_scenario scenario;
     scenario.agents = 88;
     scenario.holders = 52;
     for (std::size_t number = 0; number < scenario.holders; number += 5)
     {
-        scenario.squeezed[number] = 20;
+        scenario.narrowed[number] = 20;
     }
     auto const outcome = run_burst(scenario);
     record_outcome(outcome);
--- a/libs/weights/tests/burst_world.cpp
+++ b/libs/weights/tests/burst_world.cpp
@@ -145,8 +145,8 @@
         {
             made.begins += late->second;
         }
-        if (auto const narrow = scenario.squeezed.find(number);
-            narrow != scenario.squeezed.end())
+        if (auto const narrow = scenario.narrowed.find(number);
+            narrow != scenario.narrowed.end())
         {
             made.rate /= narrow->second;
         }
@@ -323,7 +323,7 @@
 void fetch_ready(simulation& state, std::size_t number)
 {
     auto& own = state.agents[number];
-    for (auto const slow : squeezed_fetches(own.receive_limit, state.now))
+    for (auto const slow : narrowed_fetches(own.receive_limit, state.now))
     {
         avoid_after_failure(
             own.table, own.receive_limit.running.at(slow).agent, state.now);
--- a/libs/weights/tests/burst_world.hpp
+++ b/libs/weights/tests/burst_world.hpp
@@ -43,7 +43,7 @@
     // Number of agents whose engines serve the version already.
     std::size_t holders = 0;
     // Agents whose links are narrower by this factor.
-    std::map<std::size_t, double> squeezed;
+    std::map<std::size_t, double> narrowed;
 };
 
 struct burst_outcome
--- a/libs/weights/tests/line_tests.cpp
+++ b/libs/weights/tests/line_tests.cpp
@@ -21,10 +21,10 @@
 // An agent's link that receives the chunks of a version one after the other.
 struct link_scenario
 {
-    // Time that a chunk takes on the link, before and after `squeezed_from`.
+    // Time that a chunk takes on the link, before and after `narrowed_from`.
     milliseconds chunk{34};
-    milliseconds squeezed_chunk{34};
-    milliseconds squeezed_from{0};
+    milliseconds narrowed_chunk{34};
+    milliseconds narrowed_from{0};
 };
 
 struct link_outcome
@@ -32,7 +32,7 @@
     // When all chunks had arrived.
     milliseconds completed_after{0};
     // The longest time that a request would have waited behind chunks, later
-    // than five seconds after the link was squeezed.
+    // than five seconds after the link was narrowed.
     milliseconds lasting_wait{0};
 };
 
@@ -46,7 +46,7 @@
     std::size_t begun = 0;
     for (auto now = start; held < chunks; now += milliseconds(1))
     {
-        auto const squeezed = now >= start + scenario.squeezed_from;
+        auto const narrowed = now >= start + scenario.narrowed_from;
         for (auto next = arrivals.begin(); next != arrivals.end();)
         {
             if (next->second > now)
@@ -63,12 +63,12 @@
             auto const source = "agent" + std::to_string(begun++ % 7);
             auto const number = begin_fetch(window, source, now);
             free_at = std::max(free_at, now) +
-                      (squeezed ? scenario.squeezed_chunk : scenario.chunk);
+                      (narrowed ? scenario.narrowed_chunk : scenario.chunk);
             arrivals[number] = free_at;
         }
         auto const wait =
             std::chrono::duration_cast<milliseconds>(free_at - now);
-        if (now >= start + scenario.squeezed_from + std::chrono::seconds(5))
+        if (now >= start + scenario.narrowed_from + std::chrono::seconds(5))
         {
             outcome.lasting_wait = std::max(outcome.lasting_wait, wait);
         }
@@ -81,15 +81,15 @@
 } // namespace
 
 // Guards against requests that reach the engine after their callers have
-// disconnected, because several chunks were ahead of them on a squeezed link.
-TEST(receive_line, few_chunks_are_on_their_way_over_a_squeezed_link)
+// disconnected, because several chunks were ahead of them on a narrowed link.
+TEST(receive_line, few_chunks_are_on_their_way_over_a_narrowed_link)
 {
-    auto const squeezed = milliseconds(690);
+    auto const narrowed = milliseconds(690);
     for (auto const from : {milliseconds(0), milliseconds(700)})
     {
-        link_scenario const scenario{milliseconds(34), squeezed, from};
+        link_scenario const scenario{milliseconds(34), narrowed, from};
         auto const outcome = fetch_all(scenario, 40);
-        EXPECT_LE(outcome.lasting_wait, squeezed) << from.count();
+        EXPECT_LE(outcome.lasting_wait, narrowed) << from.count();
     }
 }
 
@@ -99,10 +99,10 @@
     EXPECT_LE(completed_after, milliseconds(64 * 34 + 100));
 }
 
-// One machine in five has a squeezed link. If chunks from such machines took
+// One machine in five has a narrowed link. If chunks from such machines took
 // all places of the receive window, nothing would arrive for seconds although
 // other machines could send at once.
-TEST(receive_line, squeezed_sources_do_not_take_all_places)
+TEST(receive_line, narrowed_sources_do_not_take_all_places)
 {
     receive_window window;
     auto now = start;
@@ -112,17 +112,17 @@
     for (int number = 0; number < 3; ++number)
     {
         ASSERT_TRUE(may_fetch(window, now));
-        begin_fetch(window, "squeezed" + std::to_string(number), now);
+        begin_fetch(window, "narrowed" + std::to_string(number), now);
     }
     EXPECT_FALSE(may_fetch(window, now));
     now += milliseconds(300);
     EXPECT_TRUE(may_fetch(window, now));
-    EXPECT_EQ(squeezed_fetches(window, now).size(), 3U);
+    EXPECT_EQ(narrowed_fetches(window, now).size(), 3U);
 }
 
-// The agent's own link is squeezed, so every chunk is slow. Callers' requests
+// The agent's own link is narrowed, so every chunk is slow. Callers' requests
 // to the engine need the link too.
-TEST(receive_line, half_of_an_own_squeezed_link_is_left_to_requests)
+TEST(receive_line, half_of_an_own_narrowed_link_is_left_to_requests)
 {
     receive_window window;
     auto now = start;
@@ -131,7 +131,7 @@
     begin_fetch(window, "three", now);
     now += milliseconds(900);
     EXPECT_FALSE(may_fetch(window, now));
-    EXPECT_TRUE(squeezed_fetches(window, now).empty());
+    EXPECT_TRUE(narrowed_fetches(window, now).empty());
     end_fetch(window, first, now);
     EXPECT_FALSE(may_fetch(window, now + milliseconds(800)));
     EXPECT_TRUE(may_fetch(window, now + milliseconds(1000)));
@@ -139,7 +139,7 @@
 
 // Many new agents request chunks from the same few. If all requests were
 // accepted, a dozen requesters would wait for one link, and each would take
-// that link for a squeezed one.
+// that link for a narrowed one.
 TEST(send_line, no_more_is_promised_than_is_sent_soon)
 {
     send_window window;
