Gateway: which agents an entry follows and asks moves to a file of its own

Selecting is now agent_contacts: free functions over the entry's context, no sockets. Conclusion: moves and smaller functions only.

--- a/libs/gateway/include/gateway/peer_link.hpp
+++ b/libs/gateway/include/gateway/peer_link.hpp
@@ -1,11 +1,11 @@
 #ifndef FOXTAILVALE_GATEWAY_PEER_LINK_HPP
 #define FOXTAILVALE_GATEWAY_PEER_LINK_HPP
 
+#include <gateway/agent_contacts.hpp>
 #include <gateway/entry_context.hpp>
 #include <net/datagram_socket.hpp>
 
 #include <functional>
-#include <map>
 #include <set>
 #include <string>
 #include <vector>
@@ -78,31 +78,14 @@
     // agents.
     void add_models(google::protobuf::RepeatedPtrField<wire::ServedModel>&
                         served_models) const;
-    // Returns the addresses of the agents to whose reports this entry
-    // subscribes, and discards the reports of others.
-    std::set<net::udp_endpoint> followed_agents() const;
-    std::set<net::udp_endpoint>
-    followed_agents(std::string const& service) const;
-    // Adds the address of the agent beside the endpoint.
-    void add_agent(
-        std::set<net::udp_endpoint>& agents,
-        direct::endpoint_state const& state) const;
-    // Agents that know the entries of their failure domain, by domain.
-    std::map<std::string, std::vector<net::udp_endpoint>> directory() const;
     // Announces this entry at the directory of its failure domain.
     void announce_presence(
         wire::Subscribe const& subscription,
         std::vector<net::udp_endpoint> const& agents,
         std::set<net::udp_endpoint> const& followed);
-    // Failure domains whose directory is asked now.
-    std::vector<std::string>
-    domains_to_ask(std::map<std::string, std::vector<net::udp_endpoint>> const&
-                       directories) const;
     // Asks the directories for the entries they know, different agents each
     // time: two of this failure domain, one of another.
-    void request_entry_names(
-        std::map<std::string, std::vector<net::udp_endpoint>> const&
-            directories);
+    void request_entry_names(agent_directories const& directories);
     void handle_entries_notice(wire::EntriesNotice const& notice);
     void
     send_to(std::set<std::string> const& entries, std::string const& bytes);
--- a/libs/gateway/src/peer_link.cpp
+++ b/libs/gateway/src/peer_link.cpp
@@ -1,5 +1,5 @@
 #include <base/digest.hpp>
-#include <direct/followed_endpoints.hpp>
+#include <direct/endpoint_table.hpp>
 #include <gateway/peer_link.hpp>
 #include <proto/foxtailvale.pb.h>
 
@@ -120,12 +120,13 @@
     }
     this->add_models(*asked.mutable_models());
     auto const bytes = message.SerializeAsString();
-    auto const followed = this->followed_agents();
+    auto const followed =
+        followed_agents(*this->context, this->directly_polled_domains());
     for (auto const& agent : followed)
     {
         this->socket->send(agent, bytes);
     }
-    auto const directories = this->directory();
+    auto const directories = find_directories(*this->context);
     if (!directories.empty())
     {
         // A failure domain without agents uses the directory of another one.
@@ -139,89 +140,6 @@
     this->request_entry_names(directories);
 }
 
-std::set<net::udp_endpoint> peer_link::followed_agents() const
-{
-    std::set<net::udp_endpoint> found;
-    std::set<std::string> services;
-    for (auto const& [id, state] : this->context->book.endpoints)
-    {
-        auto const& service = state.listed.service;
-        if (has_agents(*this->context, service) &&
-            services.insert(service).second)
-        {
-            found.merge(this->followed_agents(service));
-        }
-    }
-    return found;
-}
-
-std::set<net::udp_endpoint>
-peer_link::followed_agents(std::string const& service) const
-{
-    auto& shared = *this->context;
-    std::set<net::udp_endpoint> found;
-    if (!is_divided(shared, service))
-    {
-        auto const domains = this->directly_polled_domains();
-        for (auto const& [id, state] : shared.book.endpoints)
-        {
-            if (state.listed.service == service &&
-                domains.contains(state.listed.failure_domain))
-            {
-                this->add_agent(found, state);
-            }
-        }
-        return found;
-    }
-    auto query =
-        query_for(shared, service, shared.configuration->services.at(service));
-    query.parts = &shared.parts;
-    auto const followed = direct::followed_endpoints(shared.book, query);
-    direct::discard_other_reports(shared.book, service, followed);
-    for (auto const& id : followed)
-    {
-        this->add_agent(found, shared.book.endpoints.at(id));
-    }
-    return found;
-}
-
-void peer_link::add_agent(
-    std::set<net::udp_endpoint>& agents,
-    direct::endpoint_state const& state) const
-{
-    if (auto const address = net::parse_endpoint(state.listed.address))
-    {
-        agents.emplace(address->address(), this->context->settings.peer_port);
-    }
-}
-
-std::map<std::string, std::vector<net::udp_endpoint>>
-peer_link::directory() const
-{
-    std::map<std::string, std::set<std::string>> agents;
-    for (auto const& [id, state] : this->context->book.endpoints)
-    {
-        auto const address = net::parse_endpoint(state.listed.address);
-        if (address && has_agents(*this->context, state.listed.service))
-        {
-            agents[state.listed.failure_domain].insert(
-                address->address().to_string());
-        }
-    }
-    std::map<std::string, std::vector<net::udp_endpoint>> found;
-    for (auto const& [domain, known] : agents)
-    {
-        for (auto const& agent :
-             direct::choose_directory({known.begin(), known.end()}))
-        {
-            found[domain].emplace_back(
-                boost::asio::ip::make_address(agent),
-                this->context->settings.peer_port);
-        }
-    }
-    return found;
-}
-
 void peer_link::announce_presence(
     wire::Subscribe const& subscription,
     std::vector<net::udp_endpoint> const& agents,
@@ -241,31 +159,7 @@
     }
 }
 
-std::vector<std::string> peer_link::domains_to_ask(
-    std::map<std::string, std::vector<net::udp_endpoint>> const& directories)
-    const
-{
-    constexpr std::size_t others_per_request = 2;
-    std::vector<std::string> others;
-    std::vector<std::string> chosen;
-    for (auto const& [domain, agents] : directories)
-    {
-        auto const is_own = domain == this->context->settings.failure_domain;
-        (is_own ? chosen : others).push_back(domain);
-    }
-    auto const all = direct::is_newcomer(this->context->entries, clock::now());
-    auto const count =
-        all ? others.size() : std::min(others_per_request, others.size());
-    for (std::size_t next = 0; next < count; ++next)
-    {
-        auto const turn = this->name_requests_sent * others_per_request + next;
-        chosen.push_back(others[turn % others.size()]);
-    }
-    return chosen;
-}
-
-void peer_link::request_entry_names(
-    std::map<std::string, std::vector<net::udp_endpoint>> const& directories)
+void peer_link::request_entry_names(agent_directories const& directories)
 {
     constexpr std::size_t agents_per_request = 2;
     wire::Datagram message;
@@ -275,7 +169,8 @@
     auto const bytes = message.SerializeAsString();
     auto const start = base::stable_hash(this->context->settings.ip) +
                        agents_per_request * this->name_requests_sent;
-    for (auto const& domain : this->domains_to_ask(directories))
+    for (auto const& domain :
+         domains_to_ask(*this->context, directories, this->name_requests_sent))
     {
         auto const& agents = directories.at(domain);
         auto const is_own = domain == asked.failure_domain();
