Comments of the new selection: what fails without it, in plain words

Cause: read as a newcomer would; two comments told figures of a fleet, one sentence of peer_link was not to be understood. Conclusion: comments only.

--- a/libs/direct/include/direct/endpoint_table.hpp
+++ b/libs/direct/include/direct/endpoint_table.hpp
@@ -136,8 +136,9 @@
     // By endpoint id. Endpoints are added and removed by the functions below,
     // which keep the fields after it in step.
     std::map<std::string, endpoint_state> endpoints;
-    // Ids of the endpoints at each IP address. Failure: reports and the removal
-    // of endpoints looked at all of them, tens of times a second.
+    // Ids of the endpoints at each IP address. Failure: each report was looked
+    // up among all endpoints, which took most of an entry's processor time in a
+    // large fleet.
     std::map<std::string, std::set<std::string>> ids_by_ip;
     // No endpoint's removal is due before this time.
     std::optional<base::time_point> next_removal;
--- a/libs/direct/include/direct/followed_endpoints.hpp
+++ b/libs/direct/include/direct/followed_endpoints.hpp
@@ -11,11 +11,10 @@
 // Selects the agents with which an entry exchanges messages in a fleet whose
 // entries outnumber the shares of an endpoint.
 //
-// Failure: each of 508 entries received the reports of all 474 engines, relayed
-// from the other failure domains. The reports filled the links between regions,
-// entries that heard no relay any more subscribed to every agent beyond the
-// link, and the links stayed full: four of five regions lost the platform's
-// store and served nobody.
+// Failure: each of hundreds of entries received the reports of all engines. The
+// reports filled the links between regions, and entries that then heard nothing
+// subscribed to every agent beyond the link, so that the links stayed full:
+// most regions lost the platform's store and served nobody.
 namespace foxtailvale::direct
 {
 
--- a/libs/gateway/include/gateway/peer_link.hpp
+++ b/libs/gateway/include/gateway/peer_link.hpp
@@ -33,10 +33,10 @@
 {
 
 // The datagrams that an entry exchanges with agents and other entries. It
-// subscribes to the reports of the agents of its failure domain, or of the
-// endpoints of which it has a share if it has none of others. A few agents of
-// each domain hear of all its entries and tell others of them, so that entries
-// find each other without a registry.
+// subscribes to the reports of agents (see followed_agents) and announces
+// itself at the directory of its failure domain: a few agents there that know
+// all entries of the domain and tell others of them, so that entries find each
+// other without a registry.
 class peer_link : public std::enable_shared_from_this<peer_link>
 {
 public:
