A restarted entry retires older versions in time where the bound is long

Cause: an entry that starts cannot know when a named version was accepted and assumed five seconds before its start, which with the three seconds in which a new process does not count keeps a bound of 8 s. Now the assumed age is the bound less those three seconds: 5 s at 8 s as before, 7.3 s at 10.3 s. Figures: platform_outage_tests over three bounds and all ages, red before.

--- a/libs/direct/include/direct/platform_outage.hpp
+++ b/libs/direct/include/direct/platform_outage.hpp
@@ -52,6 +52,18 @@
 base::boot_time
 accepted_since(platform_outage const& state, base::boot_time confirmed_before);
 
+// Returns the assumed age of a version that is already announced when this
+// process starts. `bound` is the time after a version's acceptance in which
+// requests may start on older ones. Older versions are then retired at most
+// startup_grace after the start, whenever the version was accepted.
+//
+// Failure: the age was the same for all bounds. Where the bound is longer,
+// entries that restarted late in it used the older version beyond its end.
+std::chrono::milliseconds unseen_age(std::chrono::milliseconds bound);
+
+// A process that has just started is not held to the bound for this long.
+inline constexpr std::chrono::milliseconds startup_grace{3000};
+
 } // namespace foxtailvale::direct
 
 #endif
--- a/libs/direct/src/platform_outage.cpp
+++ b/libs/direct/src/platform_outage.cpp
@@ -33,4 +33,9 @@
                               : confirmed_before;
 }
 
+std::chrono::milliseconds unseen_age(std::chrono::milliseconds bound)
+{
+    return std::max(bound - startup_grace, std::chrono::milliseconds(0));
+}
+
 } // namespace foxtailvale::direct
--- a/libs/direct/tests/platform_outage_tests.cpp
+++ b/libs/direct/tests/platform_outage_tests.cpp
@@ -72,4 +72,21 @@
     EXPECT_EQ(accepted_since(outage, at(seconds(20))), at(seconds(20)));
 }
 
+// Failure: an entry restarts late in a long bound and uses the older version
+// beyond its end.
+TEST(platform_outage, an_older_version_is_retired_in_time_after_a_restart)
+{
+    for (auto const bound :
+         {milliseconds(2000), milliseconds(8000), milliseconds(10300)})
+    {
+        for (auto age = milliseconds(0); age <= bound; age += milliseconds(100))
+        {
+            // The version was accepted this long before the start.
+            auto const retired = bound - unseen_age(bound);
+            auto const allowed = std::max(bound - age, startup_grace);
+            EXPECT_LE(retired, allowed) << bound.count() << " " << age.count();
+        }
+    }
+}
+
 } // namespace foxtailvale::direct
--- a/libs/gateway/src/entry_views.cpp
+++ b/libs/gateway/src/entry_views.cpp
@@ -34,11 +34,6 @@
 // that a request may wait at the endpoint is accounted for by the placement.
 constexpr milliseconds version_margin{400};
 
-// Assumed age of a version that is already announced when this process starts.
-// Older versions are then retired that much earlier than their time; a process
-// that has just started does not count in its first three seconds.
-constexpr milliseconds max_unseen_age{5000};
-
 char const* name_of(platform::object_kind kind)
 {
     switch (kind)
@@ -321,8 +316,10 @@
              // since the last confirmation. Failure: the first listing arrived
              // late, its transit time was not counted, and an older version was
              // used for that much longer.
-             auto const since = self->versions_known ? self->versions_confirmed
-                                                     : began - max_unseen_age;
+             auto const bound = self->context->settings.promised.version;
+             auto const since = self->versions_known
+                                    ? self->versions_confirmed
+                                    : began - direct::unseen_age(bound);
              for (auto const& object : objects)
              {
                  self->apply_version(
