--- a/libs/direct/tests/endpoint_book_tests.cpp
+++ b/libs/direct/tests/endpoint_book_tests.cpp
@@ -256,7 +256,6 @@
 TEST(endpoint_book, endpoints_are_removed_when_their_time_has_come)
 {
     endpoint_table table;
-    base::time_point const start{std::chrono::seconds(100)};
     for (auto const* id : {"a", "b", "c"})
     {
         endpoint_record record;
