Logs tell which ended endpoints count against a request

Each record made or cleared now leaves a line with the fingerprint, the endpoint and the entry that noticed it, and the lines of retried, failed, cut and left requests bear the fingerprint. The records move from the entry's context to a file of their own; what is decided stays.

--- /dev/null
+++ b/libs/gateway/include/gateway/crash_records.hpp
@@ -0,0 +1,41 @@
+#ifndef FOXTAILVALE_GATEWAY_CRASH_RECORDS_HPP
+#define FOXTAILVALE_GATEWAY_CRASH_RECORDS_HPP
+
+#include <request/suspects.hpp>
+
+#include <string>
+
+// Which requests ran at endpoints as these crashed, as this entry has seen it
+// and as the other entries have told it.
+namespace foxtailvale::gateway
+{
+
+struct entry_context;
+
+// Records that the request ran at the endpoint as that crashed. The reporter is
+// the name of the entry that noticed it.
+void note_crash(
+    entry_context& context,
+    request::fingerprint print,
+    std::string const& endpoint,
+    std::string const& reporter);
+
+// Records that the request was answered and did not cause the crashes beside
+// which it ran. The reporter is the name of the entry that has the answer.
+void note_crash_answered(
+    entry_context& context,
+    request::fingerprint print,
+    std::string const& reporter);
+
+// Handles an endpoint that was found to be gone: requests whose answers were
+// cut off there shortly before may have crashed it. They are recorded and the
+// other entries are notified.
+void note_gone(entry_context& context, std::string const& endpoint);
+
+// The same for all endpoints at the IP address, whose agent reports that its
+// engine is unreachable.
+void note_gone_at(entry_context& context, std::string const& ip);
+
+} // namespace foxtailvale::gateway
+
+#endif
--- a/libs/gateway/include/gateway/entry_context.hpp
+++ b/libs/gateway/include/gateway/entry_context.hpp
@@ -114,15 +114,6 @@
 // machine was suspended since the last call.
 void note_suspend(entry_context& context);
 
-// Handles an endpoint that was found to be gone: requests whose answers were
-// cut off there shortly before may have crashed it. They are recorded as
-// suspects and the other entries are notified.
-void note_gone(entry_context& context, std::string const& endpoint);
-
-// The same for all endpoints at the IP address, whose agent reports that its
-// engine is unreachable.
-void note_gone_at(entry_context& context, std::string const& ip);
-
 // Whether agents run beside the service's endpoints. They do where the service
 // is configured with an engine; before the first configuration it is assumed.
 bool has_agents(entry_context const& context, std::string const& service);
--- a/libs/gateway/include/gateway/peer_link.hpp
+++ b/libs/gateway/include/gateway/peer_link.hpp
@@ -95,7 +95,8 @@
     // Sends an agent the list of agents beside engines of its service.
     void
     send_fleet(net::udp_endpoint const& agent, wire::FleetAsk const& asked);
-    void handle_crash_notice(wire::CrashNotice const& notice);
+    void handle_crash_notice(
+        std::string const& reporter, wire::CrashNotice const& notice);
     void notify_crash(
         request::fingerprint print, std::string const& endpoint, bool answered);
 
--- a/libs/gateway/src/call_attempt.cpp
+++ b/libs/gateway/src/call_attempt.cpp
@@ -2,6 +2,7 @@
 #include "call.hpp"
 #include "reach.hpp"
 
+#include <gateway/crash_records.hpp>
 #include <kernel/events.hpp>
 
 #include <algorithm>
--- a/libs/gateway/src/call_end.cpp
+++ b/libs/gateway/src/call_end.cpp
@@ -1,6 +1,7 @@
 #include "answer_status.hpp"
 #include "call.hpp"
 
+#include <gateway/crash_records.hpp>
 #include <kernel/events.hpp>
 
 namespace foxtailvale::gateway
@@ -107,7 +108,8 @@
     this->log_answer(status);
     if (request::has_crash_record(this->context->suspects, this->print))
     {
-        request::note_answered(this->context->suspects, this->print);
+        note_crash_answered(
+            *this->context, this->print, this->context->settings.name);
         this->context->notify_crash(
             this->print, running_attempt.endpoint, true);
     }
@@ -186,6 +188,7 @@
             : -1;
     nlohmann::json fields{
         {"request", this->parsed.attempt},
+        {"fingerprint", this->print},
         {"kind", base::row_of(kind).name},
         {"reason", reason},
         {"service", this->service_name},
--- a/libs/gateway/src/domain_reports.cpp
+++ b/libs/gateway/src/domain_reports.cpp
@@ -1,5 +1,6 @@
 #include "domain_reports.hpp"
 
+#include <gateway/crash_records.hpp>
 #include <proto/foxtailvale.pb.h>
 
 #include <boost/asio/ip/address_v4.hpp>
--- a/libs/gateway/src/entry_context.cpp
+++ b/libs/gateway/src/entry_context.cpp
@@ -1,7 +1,6 @@
 #include "call.hpp"
 
 #include <gateway/entry_context.hpp>
-#include <kernel/events.hpp>
 
 #include <vector>
 
@@ -39,32 +38,6 @@
     }
 }
 
-void note_gone(entry_context& context, std::string const& endpoint)
-{
-    auto const now = std::chrono::steady_clock::now();
-    for (auto const print :
-         direct::take_lost_answers(context.book, endpoint, now))
-    {
-        auto const marked =
-            request::note_crash(context.suspects, print, endpoint, now);
-        context.notify_crash(print, endpoint, false);
-        if (marked)
-        {
-            kernel::log_event(
-                kernel::event_id::suspect_marked,
-                {{"fingerprint", print}, {"endpoint", endpoint}});
-        }
-    }
-}
-
-void note_gone_at(entry_context& context, std::string const& ip)
-{
-    for (auto const& id : direct::endpoints_at(context.book, ip))
-    {
-        note_gone(context, id);
-    }
-}
-
 bool has_agents(entry_context const& context, std::string const& service)
 {
     if (!context.configuration)
--- a/libs/gateway/src/entry_views.cpp
+++ b/libs/gateway/src/entry_views.cpp
@@ -1,4 +1,5 @@
 #include <direct/store_restore.hpp>
+#include <gateway/crash_records.hpp>
 #include <gateway/entry_views.hpp>
 #include <kernel/events.hpp>
 
--- a/libs/gateway/src/peer_link.cpp
+++ b/libs/gateway/src/peer_link.cpp
@@ -1,5 +1,6 @@
 #include <base/digest.hpp>
 #include <direct/endpoint_table.hpp>
+#include <gateway/crash_records.hpp>
 #include <gateway/peer_link.hpp>
 #include <proto/foxtailvale.pb.h>
 
@@ -233,7 +234,7 @@
         this->handle_engine_state(from, message.engine_state());
         break;
     case wire::Datagram::kCrashNotice:
-        this->handle_crash_notice(message.crash_notice());
+        this->handle_crash_notice(message.from(), message.crash_notice());
         break;
     case wire::Datagram::kRefusalNotice:
         for (auto const print : message.refusal_notice().fingerprints())
@@ -316,16 +317,16 @@
     }
 }
 
-void peer_link::handle_crash_notice(wire::CrashNotice const& notice)
+void peer_link::handle_crash_notice(
+    std::string const& reporter, wire::CrashNotice const& notice)
 {
-    auto& suspects = this->context->suspects;
     if (notice.answered())
     {
-        request::note_answered(suspects, notice.fingerprint());
+        note_crash_answered(*this->context, notice.fingerprint(), reporter);
         return;
     }
-    request::note_crash(
-        suspects, notice.fingerprint(), notice.endpoint(), clock::now());
+    note_crash(
+        *this->context, notice.fingerprint(), notice.endpoint(), reporter);
 }
 
 void peer_link::handle_entries_notice(wire::EntriesNotice const& notice)
--- a/libs/kernel/include/kernel/events.hpp
+++ b/libs/kernel/include/kernel/events.hpp
@@ -63,6 +63,8 @@
     request_cut = 1408,
     request_left = 1409,
     request_placed = 1410,
+    crash_recorded = 1411,
+    crash_record_cleared = 1412,
     domain_out = 1501,
     domain_in = 1502,
 };
--- a/libs/kernel/src/events.cpp
+++ b/libs/kernel/src/events.cpp
@@ -64,6 +64,8 @@
     event_row{event_id::request_cut, "request_cut"},
     event_row{event_id::request_left, "request_left"},
     event_row{event_id::request_placed, "request_placed"},
+    event_row{event_id::crash_recorded, "crash_recorded"},
+    event_row{event_id::crash_record_cleared, "crash_record_cleared"},
     event_row{event_id::domain_out, "domain_out"},
     event_row{event_id::domain_in, "domain_in"},
 };
--- a/libs/request/include/request/suspects.hpp
+++ b/libs/request/include/request/suspects.hpp
@@ -62,6 +62,9 @@
 // Whether the request is refused: enough different endpoints crashed under it.
 bool is_suspect(suspect_list const& state, fingerprint request);
 
+// Returns the number of endpoints that crashed while running the request.
+std::size_t crashed_endpoints(suspect_list const& state, fingerprint request);
+
 // Whether at least one endpoint crashed while running the request. Such a
 // request is placed on the least loaded endpoint, where another crash affects
 // the fewest other requests.
--- a/libs/request/src/suspects.cpp
+++ b/libs/request/src/suspects.cpp
@@ -56,6 +56,12 @@
     return found != state.records.end() && is_suspect(found->second);
 }
 
+std::size_t crashed_endpoints(suspect_list const& state, fingerprint request)
+{
+    auto const found = state.records.find(request);
+    return found != state.records.end() ? found->second.endpoints.size() : 0;
+}
+
 bool has_crash_record(suspect_list const& state, fingerprint request)
 {
     return state.records.contains(request);
