A request counts for its endpoint's end however far its answer had come

Cause: an attempt whose answer's head, or an event, had come was left out of the records of crashes, on the assumption that a request crashes an endpoint as it starts to run. An engine sends the head as the run starts; this request crashes it 60 to 110 ms later.

The answer's progress says nothing about what ended the endpoint, so it is not asked any more. What keeps innocent ones out stays: two endpoints, found gone, and no answer since.

--- a/libs/direct/include/direct/endpoint_table.hpp
+++ b/libs/direct/include/direct/endpoint_table.hpp
@@ -100,7 +100,7 @@
     // rejected request.
     base::time_point avoid_until;
     std::uint32_t connect_faults = 0;
-    // Requests whose connection broke before the answer began, with the time.
+    // Requests whose connection broke before the answer ended, with the time.
     std::vector<std::pair<std::uint64_t, base::time_point>> lost_answers;
     // Set when the endpoint left the list while the list was unreliable; the
     // endpoint is removed at this time.
@@ -260,8 +260,8 @@
     request_outcome outcome,
     base::time_point now);
 
-// Records that the connection broke before the answer began. Either the request
-// crashed the endpoint or only its answer was lost.
+// Records that the connection broke before the answer ended, whatever of it had
+// come. Either the request crashed the endpoint or only its answer was lost.
 void note_lost_answer(
     endpoint_table& table,
     std::string const& id,
--- a/libs/gateway/src/call.hpp
+++ b/libs/gateway/src/call.hpp
@@ -128,6 +128,8 @@
     bool is_current(std::uint64_t number) const;
     void end_attempt(direct::request_outcome how);
     // Records a lost answer and checks whether the endpoint is still reachable.
+    // It counts however much of the answer came: a request may crash its
+    // endpoint at any moment of its run.
     void note_lost_answer();
     // Sends the request again if that is allowed, or fails it.
     void after_failure(base::ran_state ran, char const* reason);
--- a/libs/gateway/src/call_attempt.cpp
+++ b/libs/gateway/src/call_attempt.cpp
@@ -303,11 +303,6 @@
 
 void call::note_lost_answer()
 {
-    if (this->current->events_sent > 0 || this->current->facts.head_seen)
-    {
-        // A request that crashes an endpoint does so when it starts to run.
-        return;
-    }
     direct::note_lost_answer(
         this->context->book, this->current->endpoint, this->print,
         clock::now());
