--- a/libs/entry_core/src/attempt_flow.cpp
+++ b/libs/entry_core/src/attempt_flow.cpp
@@ -286,7 +286,10 @@
     auto const was_detached = open.detached;
     if (output.last())
     {
-        request::note_answered(state.requests.suspects, open.fingerprint);
+        if (output.status() < 500)
+        {
+            request::note_answered(state.requests.suspects, open.fingerprint);
+        }
         request::note(
             pool_of(state, open).queue.service,
             std::chrono::duration_cast<std::chrono::microseconds>(
--- a/libs/entry_core/tests/request_flow_tests.cpp
+++ b/libs/entry_core/tests/request_flow_tests.cpp
@@ -83,6 +83,16 @@
     return message;
 }
 
+core::message_received
+crash_notice(std::uint64_t fingerprint, std::string const& agent)
+{
+    core::message_received notice{agent, {}};
+    auto* const body = notice.envelope.mutable_suspect_notice();
+    body->set_fingerprint(fingerprint);
+    body->set_endpoint(agent);
+    return notice;
+}
+
 } // namespace
 
 TEST(entry_requests, answers_and_drops_what_comes_late)
@@ -227,6 +237,28 @@
         find<refuse>(late)->error.kind, base::error_kind::deadline_passed);
 }
 
+// Guards against a crash record that the failure of an endpoint clears, so that
+// the request is never refused.
+TEST(entry_requests, a_failure_of_an_endpoint_does_not_clear_a_crash_record)
+{
+    auto entry = make_entry();
+    auto crashing = chat(1);
+    crashing.body = "crash";
+    auto const sent = step(entry, crashing, {});
+    auto const* const run = find<core::send_message>(sent);
+    auto const fingerprint = run->envelope.run().fingerprint();
+    step(entry, crash_notice(fingerprint, "agent-1"), {});
+    auto failed = answer_to(*run, 0, "");
+    failed.envelope.mutable_run_output()->set_status(500);
+    step(entry, failed, {});
+    step(entry, crash_notice(fingerprint, "agent-2"), {});
+    crashing.caller = 2;
+    auto const refused = step(entry, crashing, {});
+    ASSERT_NE(find<refuse>(refused), nullptr);
+    EXPECT_EQ(
+        find<refuse>(refused)->error.kind, base::error_kind::suspect_request);
+}
+
 // Failure: a prompt crashes each engine that runs it, and its caller sends it
 // again and again. After two engines the entry must refuse it until an operator
 // releases it, while other requests are served.
@@ -240,11 +272,7 @@
         find<core::send_message>(sent)->envelope.run().fingerprint();
     for (auto const* const agent : {"agent-1", "agent-2"})
     {
-        core::message_received notice{agent, {}};
-        auto* const body = notice.envelope.mutable_suspect_notice();
-        body->set_fingerprint(fingerprint);
-        body->set_endpoint(agent);
-        step(entry, notice, {});
+        step(entry, crash_notice(fingerprint, agent), {});
     }
     crashing.caller = 2;
     auto const refused = step(entry, crashing, {});
--- a/libs/gateway/src/call_end.cpp
+++ b/libs/gateway/src/call_end.cpp
@@ -106,7 +106,9 @@
             running_attempt.body);
     }
     this->log_answer(status);
-    if (request::has_crash_record(this->context->suspects, this->print))
+    // An endpoint that fails may not have run the request to its end.
+    if (status < 500 &&
+        request::has_crash_record(this->context->suspects, this->print))
     {
         note_crash_answered(
             *this->context, this->print, this->context->settings.name);
--- a/libs/request/include/request/suspects.hpp
+++ b/libs/request/include/request/suspects.hpp
@@ -53,10 +53,11 @@
     std::string const& endpoint,
     base::time_point now);
 
-// Records that the request was answered and clears its crash record. Without
-// this, a common prompt that happens to run beside the crashing request on two
-// endpoints would be refused for all its callers. A request that crashes
-// endpoints is never answered, so an answered one is not the cause.
+// Records that the request was answered, not with a failure of the endpoint,
+// and clears its crash record. Without this, a common prompt that happens to
+// run beside the crashing request on two endpoints would be refused for all its
+// callers. A request that crashes endpoints is never answered, so an answered
+// one is not the cause.
 void note_answered(suspect_list& state, fingerprint request);
 
 // Whether the request is refused: enough different endpoints crashed under it.
