--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -25,6 +25,8 @@
 // For requests whose caller and route set no time limit.
 constexpr milliseconds default_timeout{60000};
 
+constexpr char const* suspect_reason = "request crashed endpoints";
+
 std::string owner_name(routing::permission const& allowed)
 {
     return allowed.owner != nullptr ? allowed.owner->name : "";
@@ -81,6 +83,11 @@
     return refused && this->arrived - *refused > goal;
 }
 
+bool call::is_suspect() const
+{
+    return request::is_suspect(this->context->suspects, this->print);
+}
+
 bool call::is_still_allowed()
 {
     auto const newest = this->context->configuration;
@@ -137,9 +144,9 @@
         return false;
     }
     this->service = &found->second;
-    if (request::is_suspect(this->context->suspects, this->print))
+    if (this->is_suspect())
     {
-        this->refuse(error_kind::suspect_request, "request crashed endpoints");
+        this->refuse(error_kind::suspect_request, suspect_reason);
         return false;
     }
     this->last_event = this->parsed.last_event;
@@ -209,6 +216,15 @@
             "request is no longer allowed");
         return true;
     }
+    if (this->is_suspect())
+    {
+        this->fail(
+            this->ran_so_far == ran_state::no
+                ? error_kind::suspect_request
+                : direct::final_error(this->ran_so_far, false),
+            suspect_reason);
+        return true;
+    }
     auto const ask = this->placement();
     auto const now = clock::now();
     auto const chosen =
--- a/libs/gateway/src/call.hpp
+++ b/libs/gateway/src/call.hpp
@@ -88,6 +88,9 @@
     // check. Failure: a key was withdrawn while a request waited, and the
     // permission from its arrival let it run seconds later.
     bool is_still_allowed();
+    // Whether the request crashed too many endpoints, as is known now. Asked
+    // before each attempt.
+    bool is_suspect() const;
     // Whether the request was refused before, longer ago than its goal.
     bool has_goal_expired(std::chrono::milliseconds goal) const;
     bool has_queue() const;
--- a/libs/gateway/src/call_attempt.cpp
+++ b/libs/gateway/src/call_attempt.cpp
@@ -350,9 +350,7 @@
         .most_attempts = this->allowed.chosen->most_attempts,
         .sends = this->sends,
         .answer_begun = this->answer_begun};
-    auto const suspect =
-        request::is_suspect(this->context->suspects, this->print);
-    if (time_is_up || suspect || !direct::is_retry_allowed(ask))
+    if (time_is_up || this->is_suspect() || !direct::is_retry_allowed(ask))
     {
         this->fail(direct::final_error(this->ran_so_far, time_is_up), reason);
         return;
--- a/libs/gateway/src/call_end.cpp
+++ b/libs/gateway/src/call_end.cpp
@@ -62,7 +62,8 @@
         ++this->runs;
         this->ran_so_far = ran_state::yes;
         auto const spent =
-            this->time_left() > milliseconds(0) && this->is_still_allowed() &&
+            this->time_left() > milliseconds(0) && !this->is_suspect() &&
+            this->is_still_allowed() &&
             direct::spend_retry(
                 this->context->retry_windows[this->service_name],
                 {this->context->settings.promised.retry_ratio,
