Crash records expire, and a suspect outlasts those of other requests

The entry on the users' platform never let its records expire, though ten minutes are meant: two crashes any time apart made a request suspect. And a full list gave up the record that expires first, so that a suspect was forgotten when later crashes filled it with the requests of their batches. Both new tests failed before (in the first, the suspect was gone after 4,096 others).

--- a/libs/gateway/src/entry.cpp
+++ b/libs/gateway/src/entry.cpp
@@ -299,6 +299,7 @@
             kernel::event_id::settings_reloaded, {{"node", changed->name}});
     }
     this->context->pool.sweep();
+    request::expire(this->context->suspects, clock::now());
     flush_traffic(
         this->context->traffic, this->context->book,
         this->context->settings.failure_domain, this->context->counters);
--- a/libs/request/include/request/suspects.hpp
+++ b/libs/request/include/request/suspects.hpp
@@ -41,8 +41,8 @@
 inline constexpr std::size_t min_crashed_endpoints = 2;
 
 // Maximum number of records; beyond it the record that expires first is
-// evicted. An engine crash ends its whole batch, so a single crash adds up to a
-// hundred records.
+// evicted, one that is not suspect before one that is. An engine crash ends its
+// whole batch, so a single crash adds up to a hundred records.
 inline constexpr std::size_t max_crash_records = 4096;
 
 // Records that the request was running on the endpoint when it crashed. Returns
--- a/libs/request/src/suspects.cpp
+++ b/libs/request/src/suspects.cpp
@@ -1,6 +1,7 @@
 #include <request/suspects.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace foxtailvale::request
 {
@@ -23,7 +24,7 @@
         state.records, {},
         [](auto const& entry)
         {
-            return entry.second.expires_at;
+            return std::pair(is_suspect(entry.second), entry.second.expires_at);
         });
     state.records.erase(first);
 }
@@ -37,6 +38,12 @@
     base::time_point now)
 {
     auto& record = state.records[request];
+    std::erase_if(
+        record.endpoints,
+        [now](auto const& crash)
+        {
+            return crash.second + suspect_duration <= now;
+        });
     auto const before = is_suspect(record);
     record.endpoints[endpoint] = now;
     record.expires_at = now + suspect_duration;
--- a/libs/request/tests/suspects_tests.cpp
+++ b/libs/request/tests/suspects_tests.cpp
@@ -36,6 +36,36 @@
     EXPECT_FALSE(is_suspect(list, 1));
 }
 
+// Guards against a suspect that is forgotten, and crashes endpoints again,
+// since crashes of whole batches filled the list with requests that ran beside
+// it.
+TEST(suspects, a_suspect_outlasts_records_of_other_requests)
+{
+    suspect_list list;
+    base::time_point now{};
+    note_crash(list, 0, "a", now);
+    note_crash(list, 0, "b", now);
+    for (fingerprint request = 1; request < 2 * max_crash_records; ++request)
+    {
+        now += std::chrono::milliseconds(1);
+        note_crash(list, request, "c", now);
+    }
+    EXPECT_TRUE(is_suspect(list, 0));
+    EXPECT_EQ(list.records.size(), max_crash_records);
+}
+
+// Guards against a common prompt that is refused because it ran at two
+// endpoints whose crashes have nothing in common, hours apart.
+TEST(suspects, crashes_far_apart_do_not_make_a_suspect)
+{
+    suspect_list list;
+    note_crash(list, 1, "a", {});
+    auto const later = base::time_point{} + suspect_duration;
+    EXPECT_FALSE(note_crash(list, 1, "b", later));
+    EXPECT_FALSE(is_suspect(list, 1));
+    EXPECT_TRUE(note_crash(list, 1, "c", later + std::chrono::seconds(1)));
+}
+
 TEST(suspects, the_number_of_records_is_bounded)
 {
     suspect_list list;
