Entries relay the records of suspect requests to a few others each second

One that started, was frozen or cut off, or was not known yet lets the request crash two more endpoints; with eight entries that come back one after the other that is sixteen. Now each entry with suspects sends their records to three entries a second, drawn at random, with the ages of the crashes, so that they expire everywhere as before and an answer outweighs older crashes.

--- a/libs/entry_core/src/attempt_flow.cpp
+++ b/libs/entry_core/src/attempt_flow.cpp
@@ -288,7 +288,8 @@
     {
         if (output.status() < 500)
         {
-            request::note_answered(state.requests.suspects, open.fingerprint);
+            request::note_answered(
+                state.requests.suspects, open.fingerprint, now);
         }
         request::note(
             pool_of(state, open).queue.service,
--- a/libs/gateway/include/gateway/crash_records.hpp
+++ b/libs/gateway/include/gateway/crash_records.hpp
@@ -7,6 +7,11 @@
 
 // Which requests ran at endpoints as these crashed, as this entry has seen it
 // and as the other entries have told it.
+namespace foxtailvale::wire
+{
+class CrashRecords;
+} // namespace foxtailvale::wire
+
 namespace foxtailvale::gateway
 {
 
@@ -27,6 +32,18 @@
     request::fingerprint print,
     std::string const& reporter);
 
+// Takes over the records of another entry, with the times of the crashes.
+// Failure: an entry that started or was cut off as the notices were sent let a
+// request crash two more endpoints.
+void note_crash_records(
+    entry_context& context,
+    wire::CrashRecords const& records,
+    std::string const& reporter);
+
+// Adds the records of requests that this entry refuses, as many as fit into a
+// datagram, others each time when there are more.
+void add_suspects(entry_context& context, wire::CrashRecords& records);
+
 // Handles an endpoint that was found to be gone: requests whose answers were
 // cut off there shortly before may have crashed it. They are recorded and the
 // other entries are notified.
--- a/libs/gateway/include/gateway/peer_link.hpp
+++ b/libs/gateway/include/gateway/peer_link.hpp
@@ -53,6 +53,10 @@
     // call.
     void send_refusals();
 
+    // Sends a few other entries the records of the requests that this entry
+    // refuses. Called once a second.
+    void share_crash_records();
+
     // Sends the bytes of a datagram to one entry.
     void send(std::string const& entry, std::string const& bytes);
 
--- a/libs/gateway/src/entry.cpp
+++ b/libs/gateway/src/entry.cpp
@@ -304,6 +304,7 @@
         this->context->traffic, this->context->book,
         this->context->settings.failure_domain, this->context->counters);
     this->peers->subscribe();
+    this->peers->share_crash_records();
     this->maintenance_timer.expires_after(maintenance_interval);
     this->maintenance_timer.async_wait(
         [self = this->shared_from_this()](boost::system::error_code error)
--- a/libs/gateway/src/peer_link.cpp
+++ b/libs/gateway/src/peer_link.cpp
@@ -7,6 +7,8 @@
 #include <boost/asio/ip/address_v4.hpp>
 
 #include <algorithm>
+#include <iterator>
+#include <random>
 #include <utility>
 
 namespace foxtailvale::gateway
@@ -57,6 +59,8 @@
         return "report_ask";
     case wire::Datagram::kPassedReports:
         return "passed_reports";
+    case wire::Datagram::kCrashRecords:
+        return "crash_records";
     case wire::Datagram::kFleetNotice:
     case wire::Datagram::kSubscribe:
     case wire::Datagram::BODY_NOT_SET:
@@ -260,6 +264,10 @@
     case wire::Datagram::kPassedReports:
         this->on_passed_reports(from, message.passed_reports());
         break;
+    case wire::Datagram::kCrashRecords:
+        note_crash_records(
+            *this->context, message.crash_records(), message.from());
+        break;
     case wire::Datagram::kFleetNotice:
     case wire::Datagram::kSubscribe:
     case wire::Datagram::BODY_NOT_SET:
@@ -393,6 +401,32 @@
     }
 }
 
+void peer_link::share_crash_records()
+{
+    // With this many of the entries each second, one that missed the notices
+    // has heard of them within two seconds, in a fleet of any size.
+    constexpr std::size_t entries_per_round = 3;
+    wire::Datagram message;
+    message.set_from(this->context->settings.name);
+    add_suspects(*this->context, *message.mutable_crash_records());
+    if (message.crash_records().records().empty())
+    {
+        return;
+    }
+    auto others = this->context->entry_addresses;
+    others.erase(this->context->settings.ip);
+    std::vector<std::string> chosen;
+    std::ranges::sample(
+        others, std::back_inserter(chosen), entries_per_round,
+        std::minstd_rand(
+            static_cast<unsigned>(base::next_random(this->context->random))));
+    auto const bytes = message.SerializeAsString();
+    for (auto const& entry : chosen)
+    {
+        this->send(entry, bytes);
+    }
+}
+
 void peer_link::send_to(
     std::set<std::string> const& entries, std::string const& bytes)
 {
--- a/libs/request/include/request/suspects.hpp
+++ b/libs/request/include/request/suspects.hpp
@@ -29,6 +29,9 @@
 struct suspect_list
 {
     std::map<fingerprint, crash_record> records;
+    // When a request was last answered, for the time in which another entry may
+    // relay older crashes.
+    std::map<fingerprint, base::time_point> answered;
 };
 
 // Time after the last crash at which a record expires. By then the request or
@@ -53,12 +56,23 @@
     std::string const& endpoint,
     base::time_point now);
 
+// The same for a crash at an earlier time that another entry relays. Returns
+// false and changes nothing if it is on record already, has expired, or came
+// before the request was last answered.
+bool note_relayed_crash(
+    suspect_list& state,
+    fingerprint request,
+    std::string const& endpoint,
+    base::time_point at,
+    base::time_point now);
+
 // Records that the request was answered, not with a failure of the endpoint,
 // and clears its crash record. Without this, a common prompt that happens to
 // run beside the crashing request on two endpoints would be refused for all its
 // callers. A request that crashes endpoints is never answered, so an answered
 // one is not the cause.
-void note_answered(suspect_list& state, fingerprint request);
+void note_answered(
+    suspect_list& state, fingerprint request, base::time_point now);
 
 // Whether the request is refused: enough different endpoints crashed under it.
 bool is_suspect(suspect_list const& state, fingerprint request);
--- a/libs/request/src/suspects.cpp
+++ b/libs/request/src/suspects.cpp
@@ -52,9 +52,43 @@
     return after && !before;
 }
 
-void note_answered(suspect_list& state, fingerprint request)
+bool note_relayed_crash(
+    suspect_list& state,
+    fingerprint request,
+    std::string const& endpoint,
+    base::time_point at,
+    base::time_point now)
+{
+    auto const answered = state.answered.find(request);
+    auto const known = state.records.find(request);
+    if (at + suspect_duration <= now ||
+        (answered != state.answered.end() && at <= answered->second) ||
+        (known != state.records.end() &&
+         known->second.endpoints.contains(endpoint)))
+    {
+        return false;
+    }
+    auto& record = state.records[request];
+    record.endpoints[endpoint] = at;
+    record.expires_at = std::max(record.expires_at, at + suspect_duration);
+    enforce_record_limit(state);
+    return true;
+}
+
+void note_answered(
+    suspect_list& state, fingerprint request, base::time_point now)
 {
     state.records.erase(request);
+    state.answered[request] = now;
+    if (state.answered.size() > max_crash_records)
+    {
+        state.answered.erase(std::ranges::min_element(
+            state.answered, {},
+            [](auto const& entry)
+            {
+                return entry.second;
+            }));
+    }
 }
 
 bool is_suspect(suspect_list const& state, fingerprint request)
@@ -87,6 +121,12 @@
         {
             return now >= entry.second.expires_at;
         });
+    std::erase_if(
+        state.answered,
+        [now](auto const& entry)
+        {
+            return now >= entry.second + suspect_duration;
+        });
 }
 
 std::vector<fingerprint> suspects(suspect_list const& state)
--- a/libs/request/tests/suspects_tests.cpp
+++ b/libs/request/tests/suspects_tests.cpp
@@ -31,7 +31,7 @@
 {
     suspect_list list;
     note_crash(list, 1, "a", {});
-    note_answered(list, 1);
+    note_answered(list, 1, {});
     note_crash(list, 1, "b", {});
     EXPECT_FALSE(is_suspect(list, 1));
 }
@@ -66,6 +66,24 @@
     EXPECT_TRUE(note_crash(list, 1, "c", later + std::chrono::seconds(1)));
 }
 
+// Guards against a request that was answered, and becomes suspect again by the
+// records of an entry that did not hear of the answer.
+TEST(suspects, older_crashes_do_not_outweigh_an_answer)
+{
+    using std::chrono::seconds;
+    suspect_list list;
+    base::time_point const now{seconds(100)};
+    EXPECT_TRUE(note_relayed_crash(list, 1, "a", now - seconds(9), now));
+    EXPECT_FALSE(note_relayed_crash(list, 1, "a", now - seconds(8), now));
+    note_answered(list, 1, now - seconds(2));
+    EXPECT_FALSE(note_relayed_crash(list, 1, "a", now - seconds(9), now));
+    EXPECT_FALSE(note_relayed_crash(list, 1, "b", now - seconds(3), now));
+    EXPECT_FALSE(has_crash_record(list, 1));
+    EXPECT_TRUE(note_relayed_crash(list, 1, "c", now - seconds(1), now));
+    EXPECT_TRUE(note_relayed_crash(list, 1, "d", now, now));
+    EXPECT_TRUE(is_suspect(list, 1));
+}
+
 TEST(suspects, the_number_of_records_is_bounded)
 {
     suspect_list list;
