The bound that entries divide is named for any kind of rate limit

cold_bound becomes rate_bound, and the cache of shares notices another number of shares at the same endpoint: the limits that endpoints name are divided by the same rule as the cold ones, and differ from endpoint to endpoint. No change of what is decided.

--- a/libs/direct/include/direct/placement.hpp
+++ b/libs/direct/include/direct/placement.hpp
@@ -28,7 +28,7 @@
     // Number of requests that an endpoint may hold beyond its slots; negative
     // values leave slots free.
     std::int32_t depth = 0;
-    cold_bound cold;
+    rate_bound cold;
     std::size_t entries = 1;
     // Names of all entries and of this entry; null while the other entries are
     // unknown.
--- a/libs/direct/include/direct/shares.hpp
+++ b/libs/direct/include/direct/shares.hpp
@@ -49,8 +49,8 @@
     std::size_t domains,
     base::time_point now);
 
-// Rate limit of a cold endpoint.
-struct cold_bound
+// Limit on the requests to one endpoint over all entries, as while it is cold.
+struct rate_bound
 {
     // Requests in any second, over all entries.
     double per_second = 0;
@@ -60,12 +60,12 @@
 
 // Whether there are more entries than an endpoint has shares, so that each
 // entry sends to some of the endpoints only (see has_share).
-bool is_divided(std::size_t entries, cold_bound const& bound);
+bool is_divided(std::size_t entries, rate_bound const& bound);
 
 // Returns how many of the entries to reckon with at one endpoint: those that
 // have a share of it, and as many again, since entries that do not know all
 // others yet may take themselves for one of them.
-std::size_t entries_per_endpoint(std::size_t entries, cold_bound const& bound);
+std::size_t entries_per_endpoint(std::size_t entries, rate_bound const& bound);
 
 // Entries that take precedence at one endpoint.
 struct entry_ranks
@@ -99,12 +99,12 @@
     entry_ranks const& ranks,
     std::string const& own,
     std::string const& endpoint,
-    cold_bound const& bound);
+    rate_bound const& bound);
 
 // Caches results of has_share for the entries known at the time, so that a
 // placement does not rank all entries for all endpoints. Names of entries are
 // only ever added, both overall and for each domain, so that the counts show
-// whether the sets have changed.
+// whether the sets have changed. One cache serves one kind of bound.
 struct share_cache
 {
     struct cached_share
@@ -112,6 +112,8 @@
         std::size_t entries = 0;
         std::size_t near = 0;
         std::uint64_t without_key = 0;
+        // Shares of the endpoint's bound.
+        std::size_t shares = 0;
         bool has = false;
     };
 
@@ -121,15 +123,15 @@
     std::size_t evaluations = 0;
 };
 
-// Cached form of has_share. `own` and `bound` must be the same in all calls for
-// an endpoint.
+// Cached form of has_share. `own` must be the same in all calls for an
+// endpoint.
 bool has_share(
     share_cache& cache,
     std::set<std::string> const& entries,
     entry_ranks const& ranks,
     std::string const& own,
     std::string const& endpoint,
-    cold_bound const& bound);
+    rate_bound const& bound);
 
 // Least number of entries assumed while no agent has reported any: twice the
 // number in the largest fleet.
@@ -150,7 +152,7 @@
 bool has_estimated_share(
     std::string const& own,
     std::string const& endpoint,
-    cold_bound const& bound,
+    rate_bound const& bound,
     std::size_t assumed);
 
 // Time from the first report on other entries until an entry knows all of them:
@@ -176,7 +178,7 @@
 // entry.
 bool may_send_within_share(
     std::deque<base::time_point> const& recent,
-    cold_bound const& bound,
+    rate_bound const& bound,
     std::size_t entries,
     base::time_point now);
 
--- a/libs/direct/src/shares.cpp
+++ b/libs/direct/src/shares.cpp
@@ -18,7 +18,7 @@
 constexpr double assigned_fraction = 0.8;
 
 // Returns the number of shares, in requests per second; at least one.
-std::size_t share_count(cold_bound const& bound)
+std::size_t share_count(rate_bound const& bound)
 {
     auto const shares =
         assigned_fraction * (bound.per_second + bound.tolerance);
@@ -101,12 +101,12 @@
     count.max_seen = std::max({count.max_seen, alive, in_own_domain * domains});
 }
 
-bool is_divided(std::size_t entries, cold_bound const& bound)
+bool is_divided(std::size_t entries, rate_bound const& bound)
 {
     return bound.per_second > 0 && entries > share_count(bound);
 }
 
-std::size_t entries_per_endpoint(std::size_t entries, cold_bound const& bound)
+std::size_t entries_per_endpoint(std::size_t entries, rate_bound const& bound)
 {
     constexpr std::size_t margin = 2;
     return is_divided(entries, bound)
@@ -119,7 +119,7 @@
     entry_ranks const& ranks,
     std::string const& own,
     std::string const& endpoint,
-    cold_bound const& bound)
+    rate_bound const& bound)
 {
     auto const shares = share_count(bound);
     if (!is_divided(entries.size(), bound))
@@ -170,16 +170,17 @@
     entry_ranks const& ranks,
     std::string const& own,
     std::string const& endpoint,
-    cold_bound const& bound)
+    rate_bound const& bound)
 {
     auto const near = ranks.near == nullptr ? 0 : ranks.near->size();
     auto& known = cache.by_endpoint[endpoint];
+    auto const shares = share_count(bound);
     if (known.entries != entries.size() || known.near != near ||
-        known.without_key != ranks.without_key)
+        known.without_key != ranks.without_key || known.shares != shares)
     {
         ++cache.evaluations;
         known = {
-            entries.size(), near, ranks.without_key,
+            entries.size(), near, ranks.without_key, shares,
             has_share(entries, ranks, own, endpoint, bound)};
     }
     return known.has;
@@ -199,7 +200,7 @@
 bool has_estimated_share(
     std::string const& own,
     std::string const& endpoint,
-    cold_bound const& bound,
+    rate_bound const& bound,
     std::size_t assumed)
 {
     if (!is_divided(assumed, bound))
@@ -220,7 +221,7 @@
 
 bool may_send_within_share(
     std::deque<base::time_point> const& recent,
-    cold_bound const& bound,
+    rate_bound const& bound,
     std::size_t entries,
     base::time_point now)
 {
--- a/libs/direct/tests/followed_endpoints_tests.cpp
+++ b/libs/direct/tests/followed_endpoints_tests.cpp
@@ -17,7 +17,7 @@
 
 constexpr std::size_t domains = 5;
 constexpr base::time_point now{std::chrono::seconds(100)};
-constexpr cold_bound engine_bound{21, 5};
+constexpr rate_bound engine_bound{21, 5};
 
 std::string domain_name(std::size_t number)
 {
--- a/libs/direct/tests/shares_tests.cpp
+++ b/libs/direct/tests/shares_tests.cpp
@@ -19,7 +19,7 @@
 using std::chrono::seconds;
 
 base::time_point const start{std::chrono::hours(1)};
-cold_bound const engines{54, 5};
+rate_bound const engines{54, 5};
 
 struct entry_names
 {
@@ -42,7 +42,7 @@
 
 // Returns the maximum number of requests in any second if this many entries
 // send whenever they may.
-std::size_t most_in_a_second(std::size_t entries, cold_bound const& bound)
+std::size_t most_in_a_second(std::size_t entries, rate_bound const& bound)
 {
     std::set<std::string> names;
     for (std::size_t entry = 0; entry < entries; ++entry)
@@ -92,7 +92,7 @@
 // cold endpoint gets in a second from this many entries if each of them assumes
 // that there are `assumed` entries.
 extremes sent_by_newcomers(
-    std::size_t entries, std::size_t assumed, cold_bound const& bound)
+    std::size_t entries, std::size_t assumed, rate_bound const& bound)
 {
     extremes found{.least = entries, .most = 0};
     for (auto number = 0; number < 200; ++number)
@@ -137,7 +137,7 @@
 // the same cold endpoint as if there were only those.
 TEST(cold_share, entries_that_have_just_started_stay_below_the_bound)
 {
-    cold_bound const bound{33, 5};
+    rate_bound const bound{33, 5};
     for (auto const entries : {8UL, 45UL, 148UL, 410UL, 1000UL})
     {
         entry_count const few_known{.max_seen = 5};
@@ -207,7 +207,7 @@
     for (auto scenario = 0; scenario < 40; ++scenario)
     {
         auto const entries = 1 + base::random_below(random, 60);
-        cold_bound const bound{
+        rate_bound const bound{
             4.0 + static_cast<double>(base::random_below(random, 80)),
             static_cast<double>(base::random_below(random, 8))};
         std::set<std::string> names;
@@ -249,7 +249,7 @@
 // answers cross the links between regions.
 TEST(cold_share, entries_use_all_engines_of_their_own_domain)
 {
-    cold_bound const bound{21, 5};
+    rate_bound const bound{21, 5};
     auto const [names, domains] = forty_entries();
     std::map<std::string, std::size_t> near;
     std::map<std::string, std::size_t> far;
@@ -278,7 +278,7 @@
 // second each, all of which have to go elsewhere.
 TEST(cold_share, entries_without_engines_come_before_those_with_their_own)
 {
-    cold_bound const bound{21, 5};
+    rate_bound const bound{21, 5};
     auto const [names, domains] = forty_entries();
     std::map<std::string, std::size_t> open;
     for (std::size_t engine = 0; engine < 58; ++engine)
@@ -301,7 +301,7 @@
 // domain are lost; the shares add up to more than an endpoint can handle.
 TEST(cold_share, entries_of_a_domain_without_engines_have_parts_at_any_size)
 {
-    cold_bound const bound{21, 5};
+    rate_bound const bound{21, 5};
     for (std::size_t const entries : {8UL, 40UL, 148UL, 410UL})
     {
         constexpr std::size_t domains = 5;
@@ -441,7 +441,7 @@
 TEST(endpoint_shares, each_endpoint_is_shared_by_as_many_entries_as_it_bears)
 {
     constexpr std::size_t domains = 5;
-    cold_bound const bound{21, 5};
+    rate_bound const bound{21, 5};
     // Four fifths of what a cold endpoint bears in a second.
     constexpr std::size_t all_shares = 20;
     for (auto const size : {34UL, 148UL, 508UL, 1000UL})
@@ -486,7 +486,7 @@
 // knows the others, and has to learn about them anew.
 TEST(endpoint_shares, an_estimated_share_is_a_share)
 {
-    cold_bound const bound{21, 5};
+    rate_bound const bound{21, 5};
     std::set<std::string> entries;
     for (auto number = 0; number < 500; ++number)
     {
