Entries keep together to the rate limits that endpoints name

What was seen: engines that had named limits of 1 and 2.2 requests a second got 27 and 22 in 4 s from entries that they had told (11 and 18 are allowed), as nothing read the limit and a limited engine looks idle.

The sum over all entries holds as the cold bound does, by the same rule of dividing: as many entries send to the endpoint as its excess (half of four seconds' worth, and four) has shares, each evenly, with eight tenths of the limit between them. An entry that has no share sends nothing while it hears of the limit. A limit ends by an answer without it to a request that was sent after the last answer with it; other entries are told of both at once, and some again each second. What can't be read is a limit of one a second, never none. A request that only limits keep from all endpoints, for longer than it may wait, is refused at once.

--- a/libs/direct/include/direct/endpoint_table.hpp
+++ b/libs/direct/include/direct/endpoint_table.hpp
@@ -2,6 +2,7 @@
 #define FOXTAILVALE_DIRECT_ENDPOINT_TABLE_HPP
 
 #include <base/ids.hpp>
+#include <direct/rate_limit.hpp>
 
 #include <chrono>
 #include <cstdint>
@@ -100,6 +101,7 @@
     // rejected request.
     base::time_point avoid_until;
     std::uint32_t connect_faults = 0;
+    rate_limit limit;
     // Requests whose connection broke before the answer ended, with the time.
     std::vector<std::pair<std::uint64_t, base::time_point>> lost_answers;
     // Set when the endpoint left the list while the list was unreliable; the
--- a/libs/direct/include/direct/placement.hpp
+++ b/libs/direct/include/direct/placement.hpp
@@ -30,12 +30,16 @@
     std::int32_t depth = 0;
     rate_bound cold;
     std::size_t entries = 1;
+    // All entries, between which the limits that endpoints name are divided.
+    std::size_t all_sharers = 1;
     // Names of all entries and of this entry; null while the other entries are
     // unknown.
     std::set<std::string> const* all_entries = nullptr;
     std::string own_entry;
     // Cached shares of this entry; null disables the cache.
     share_cache* parts = nullptr;
+    // The same for the limits that endpoints name.
+    share_cache* limit_parts = nullptr;
     // This entry may not know all other entries yet, and assumes the number
     // below.
     bool newcomer = false;
@@ -80,6 +84,9 @@
 {
     endpoint_state const* chosen = nullptr;
     no_endpoint_reason why = no_endpoint_reason::none_listed;
+    // When the first endpoint has room, if nothing but the limits that they
+    // name keeps the request from all that have the weights.
+    std::optional<base::time_point> room_at;
     // Version on which the request must start; zero for a plain service.
     std::uint64_t version = 0;
     placement_estimate expected;
--- a/libs/direct/src/endpoint_shares.cpp
+++ b/libs/direct/src/endpoint_shares.cpp
@@ -74,6 +74,32 @@
 }
 
 bool endpoint_shares::includes(endpoint_state const& state) const
+{
+    return this->has_share_of(state, this->query.cold, this->query.parts);
+}
+
+limit_part endpoint_shares::part_of_limit(endpoint_state const& state) const
+{
+    auto const bound = shared_bound(state.limit.per_second.value_or(0));
+    auto const& own = this->query.own_entry;
+    auto const& id = state.listed.id;
+    limit_part part;
+    part.ticket = base::stable_hash(own + "/" + id);
+    if (this->query.newcomer)
+    {
+        part.entries = this->query.assumed_entries;
+        part.has_share = has_estimated_share(own, id, bound, part.entries);
+        return part;
+    }
+    part.entries = this->query.all_sharers;
+    part.has_share = this->has_share_of(state, bound, this->query.limit_parts);
+    return part;
+}
+
+bool endpoint_shares::has_share_of(
+    endpoint_state const& state,
+    rate_bound const& bound,
+    share_cache* cache) const
 {
     if (this->query.all_entries == nullptr)
     {
@@ -86,9 +112,8 @@
         &this->without_endpoints, this->without_key};
     share_cache none;
     return has_share(
-        this->query.parts != nullptr ? *this->query.parts : none,
-        *this->query.all_entries, ranks, this->query.own_entry, state.listed.id,
-        this->query.cold);
+        cache != nullptr ? *cache : none, *this->query.all_entries, ranks,
+        this->query.own_entry, state.listed.id, bound);
 }
 
 } // namespace foxtailvale::direct
--- a/libs/direct/src/endpoint_shares.hpp
+++ b/libs/direct/src/endpoint_shares.hpp
@@ -26,7 +26,15 @@
     // while the other entries are unknown.
     bool includes(endpoint_state const& state) const;
 
+    // Returns this entry's part in the limit that the endpoint names.
+    limit_part part_of_limit(endpoint_state const& state) const;
+
 private:
+    bool has_share_of(
+        endpoint_state const& state,
+        rate_bound const& bound,
+        share_cache* cache) const;
+
     endpoint_table const& table;
     placement_query const& query;
     // Entries of failure domains without an endpoint for the query.
--- a/libs/direct/src/endpoint_table.cpp
+++ b/libs/direct/src/endpoint_table.cpp
@@ -356,6 +356,7 @@
     }
     ++state.own_running;
     ++state.own_delta;
+    state.limit.last_sent = now;
     state.recent.push_back(now);
     while (state.recent.front() + recent_time < now)
     {
--- a/libs/direct/src/placement.cpp
+++ b/libs/direct/src/placement.cpp
@@ -285,6 +285,37 @@
            state.fault_share > max_fault_share;
 }
 
+// Returns until when the limit that the endpoint names keeps this entry from
+// sending to it; the epoch if it names none.
+base::time_point
+limited_until(endpoint_state const& state, endpoint_shares const& shares)
+{
+    return state.limit.per_second
+               ? next_send(state.limit, shares.part_of_limit(state))
+               : base::time_point();
+}
+
+double cost_of(
+    endpoint_state const& state,
+    placement_query const& query,
+    base::time_point now)
+{
+    auto const pace = is_fresh(state, now) ? state.report->pace : 1.0;
+    auto cost = pace * (1.0 + work_at(state, query.entries, now)) /
+                std::max<std::uint32_t>(1, state.listed.slots);
+    cost += state.listed.failure_domain == query.own_domain ? 0 : remote_cost;
+    cost += is_distrusted(state, now) ? distrust_cost : 0;
+    return cost;
+}
+
+void note_busy(choice& found)
+{
+    if (found.why != no_endpoint_reason::no_weights)
+    {
+        found.why = no_endpoint_reason::all_busy;
+    }
+}
+
 } // namespace
 
 std::uint32_t
@@ -382,6 +413,8 @@
 {
     choice found;
     auto best = std::numeric_limits<double>::max();
+    auto first_room = base::time_point::max();
+    auto are_all_limited = true;
     endpoint_shares const shares(table, query);
     for (auto const& [id, state] : table.endpoints)
     {
@@ -399,21 +432,21 @@
             }
             continue;
         }
+        auto const room_at = limited_until(state, shares);
+        if (room_at > now)
+        {
+            note_busy(found);
+            first_room = std::min(first_room, room_at);
+            continue;
+        }
         if (!can_accept(state, query, shares, now))
         {
-            if (found.why != no_endpoint_reason::no_weights)
-            {
-                found.why = no_endpoint_reason::all_busy;
-            }
+            note_busy(found);
+            are_all_limited = false;
             continue;
         }
-        auto const pace = is_fresh(state, now) ? state.report->pace : 1.0;
-        auto cost = pace * (1.0 + work_at(state, query.entries, now)) /
-                    std::max<std::uint32_t>(1, state.listed.slots);
-        cost +=
-            state.listed.failure_domain == query.own_domain ? 0 : remote_cost;
-        cost += is_distrusted(state, now) ? distrust_cost : 0;
-        cost += random_share * random_fraction(random);
+        auto const cost =
+            cost_of(state, query, now) + random_share * random_fraction(random);
         if (cost < best)
         {
             best = cost;
@@ -422,6 +455,10 @@
     }
     if (found.chosen == nullptr)
     {
+        if (are_all_limited && first_room < base::time_point::max())
+        {
+            found.room_at = first_room;
+        }
         return found;
     }
     found.expected = estimate(table, *found.chosen, query, now);
--- a/libs/gateway/include/gateway/entry_context.hpp
+++ b/libs/gateway/include/gateway/entry_context.hpp
@@ -68,6 +68,11 @@
     std::chrono::milliseconds suspended{0};
     direct::entry_count entries;
     direct::share_cache parts;
+    // The same for the rate limits that endpoints name.
+    direct::share_cache limit_parts;
+    // Endpoints whose rate limit came into force or ended by an answer to this
+    // entry, which the other entries were not told yet.
+    std::set<std::string> changed_limits;
     // IP addresses of all entries seen so far, including this one.
     std::set<std::string> entry_addresses;
     // Number of entries per failure domain in the last notice that listed the
--- a/libs/gateway/include/gateway/peer_link.hpp
+++ b/libs/gateway/include/gateway/peer_link.hpp
@@ -20,6 +20,7 @@
 {
 class ServedModel;
 class CrashNotice;
+class Datagram;
 class EngineState;
 class EntriesNotice;
 class FleetAsk;
@@ -54,8 +55,13 @@
     void send_refusals();
 
     // Sends a few other entries the records of the requests that this entry
-    // refuses. Called once a second.
-    void share_crash_records();
+    // refuses and the rate limits that endpoints named to it. Called once a
+    // second.
+    void share_with_some_entries();
+
+    // Tells all other entries of rate limits that came into force or ended
+    // since the last call.
+    void send_changed_limits();
 
     // Sends the bytes of a datagram to one entry.
     void send(std::string const& entry, std::string const& bytes);
@@ -93,6 +99,7 @@
     void handle_entries_notice(wire::EntriesNotice const& notice);
     void
     send_to(std::set<std::string> const& entries, std::string const& bytes);
+    void send_to_some(wire::Datagram message);
     void receive(net::udp_endpoint const& source, std::string_view bytes);
     void handle_engine_state(
         std::string const& agent, wire::EngineState const& state);
--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -185,6 +185,7 @@
             direct::depth_for_expired_goal(this->service->engine->slots);
     }
     ask.parts = &this->context->parts;
+    ask.limit_parts = &this->context->limit_parts;
     ask.newcomer = direct::is_newcomer(this->context->entries, clock::now());
     if (ask.newcomer)
     {
@@ -234,7 +235,10 @@
         this->send(chosen);
         return true;
     }
-    if (may_wait && chosen.why != direct::no_endpoint_reason::none_listed)
+    auto const is_limited =
+        chosen.room_at && *chosen.room_at > this->wait_until;
+    if (may_wait && !is_limited &&
+        chosen.why != direct::no_endpoint_reason::none_listed)
     {
         return false;
     }
@@ -244,7 +248,8 @@
             ? "no endpoint is listed"
         : chosen.why == direct::no_endpoint_reason::no_weights
             ? "no endpoint has the weights"
-            : "all endpoints are busy");
+        : is_limited ? "all endpoints are at their rate limits"
+                     : "all endpoints are busy");
     return true;
 }
 
--- a/libs/gateway/src/call_attempt.cpp
+++ b/libs/gateway/src/call_attempt.cpp
@@ -3,6 +3,7 @@
 #include "reach.hpp"
 
 #include <gateway/crash_records.hpp>
+#include <gateway/rate_limits.hpp>
 #include <kernel/events.hpp>
 
 #include <algorithm>
@@ -66,6 +67,11 @@
     this->current->last_byte = now;
     this->current->endpoint_deadline =
         direct::endpoint_deadline(chosen, this->deadline);
+    if (chosen.chosen->limit.per_second)
+    {
+        this->context->counters.count(
+            "foxtailvale_rate_limited_sends_total", {});
+    }
     direct::note_request_begun(this->context->book, target.id, now);
     this->note_placed(chosen);
     auto const number = this->attempt_number;
@@ -139,6 +145,8 @@
     direct::note_heard(
         this->context->book, running_attempt.endpoint,
         running_attempt.last_byte);
+    note_answered_limit(
+        *this->context, running_attempt.endpoint, read, running_attempt.begun);
     running_attempt.head = head;
     running_attempt.parsed = read;
     running_attempt.facts.head_seen = true;
--- a/libs/gateway/src/entry.cpp
+++ b/libs/gateway/src/entry.cpp
@@ -285,6 +285,7 @@
             self->views->expire_domains();
             request::expire(self->context->refusals, clock::now());
             self->peers->send_refusals();
+            self->peers->send_changed_limits();
             serve_all_waiting(*self->context);
             self->run_tick();
         });
@@ -304,7 +305,7 @@
         this->context->traffic, this->context->book,
         this->context->settings.failure_domain, this->context->counters);
     this->peers->subscribe();
-    this->peers->share_crash_records();
+    this->peers->share_with_some_entries();
     this->maintenance_timer.expires_after(maintenance_interval);
     this->maintenance_timer.async_wait(
         [self = this->shared_from_this()](boost::system::error_code error)
--- a/libs/gateway/src/entry_context.cpp
+++ b/libs/gateway/src/entry_context.cpp
@@ -75,6 +75,7 @@
     ask.cold.tolerance = bounds.cold_tolerance;
     ask.entries = direct::entries_per_endpoint(
         direct::sharers(context.entries), ask.cold);
+    ask.all_sharers = direct::sharers(context.entries);
     ask.all_entries = &context.entry_addresses;
     ask.own_entry = context.settings.ip;
     return ask;
--- a/libs/gateway/src/peer_link.cpp
+++ b/libs/gateway/src/peer_link.cpp
@@ -2,6 +2,7 @@
 #include <direct/endpoint_table.hpp>
 #include <gateway/crash_records.hpp>
 #include <gateway/peer_link.hpp>
+#include <gateway/rate_limits.hpp>
 #include <proto/foxtailvale.pb.h>
 
 #include <boost/asio/ip/address_v4.hpp>
@@ -61,6 +62,8 @@
         return "passed_reports";
     case wire::Datagram::kCrashRecords:
         return "crash_records";
+    case wire::Datagram::kRateLimits:
+        return "rate_limits";
     case wire::Datagram::kFleetNotice:
     case wire::Datagram::kSubscribe:
     case wire::Datagram::BODY_NOT_SET:
@@ -268,6 +271,9 @@
         note_crash_records(
             *this->context, message.crash_records(), message.from());
         break;
+    case wire::Datagram::kRateLimits:
+        note_rate_limits(*this->context, message.rate_limits(), message.from());
+        break;
     case wire::Datagram::kFleetNotice:
     case wire::Datagram::kSubscribe:
     case wire::Datagram::BODY_NOT_SET:
@@ -401,18 +407,40 @@
     }
 }
 
-void peer_link::share_crash_records()
+void peer_link::share_with_some_entries()
+{
+    wire::Datagram crashes;
+    add_suspects(*this->context, *crashes.mutable_crash_records());
+    if (!crashes.crash_records().records().empty())
+    {
+        this->send_to_some(std::move(crashes));
+    }
+    wire::Datagram limits;
+    add_known_limits(*this->context, *limits.mutable_rate_limits());
+    if (!limits.rate_limits().limits().empty())
+    {
+        this->send_to_some(std::move(limits));
+    }
+}
+
+void peer_link::send_changed_limits()
+{
+    if (this->context->changed_limits.empty())
+    {
+        return;
+    }
+    wire::Datagram message;
+    message.set_from(this->context->settings.name);
+    add_changed_limits(*this->context, *message.mutable_rate_limits());
+    this->send_to(this->context->entry_addresses, message.SerializeAsString());
+}
+
+void peer_link::send_to_some(wire::Datagram message)
 {
     // With this many of the entries each second, one that missed the notices
     // has heard of them within two seconds, in a fleet of any size.
     constexpr std::size_t entries_per_round = 3;
-    wire::Datagram message;
     message.set_from(this->context->settings.name);
-    add_suspects(*this->context, *message.mutable_crash_records());
-    if (message.crash_records().records().empty())
-    {
-        return;
-    }
     auto others = this->context->entry_addresses;
     others.erase(this->context->settings.ip);
     std::vector<std::string> chosen;
--- a/libs/kernel/include/kernel/events.hpp
+++ b/libs/kernel/include/kernel/events.hpp
@@ -65,6 +65,9 @@
     request_placed = 1410,
     crash_recorded = 1411,
     crash_record_cleared = 1412,
+    rate_limit_named = 1413,
+    rate_limit_ended = 1414,
+    rate_limit_unreadable = 1415,
     domain_out = 1501,
     domain_in = 1502,
 };
--- a/libs/kernel/src/events.cpp
+++ b/libs/kernel/src/events.cpp
@@ -66,6 +66,9 @@
     event_row{event_id::request_placed, "request_placed"},
     event_row{event_id::crash_recorded, "crash_recorded"},
     event_row{event_id::crash_record_cleared, "crash_record_cleared"},
+    event_row{event_id::rate_limit_named, "rate_limit_named"},
+    event_row{event_id::rate_limit_ended, "rate_limit_ended"},
+    event_row{event_id::rate_limit_unreadable, "rate_limit_unreadable"},
     event_row{event_id::domain_out, "domain_out"},
     event_row{event_id::domain_in, "domain_in"},
 };
