--- a/fuzz/src/document_targets.cpp
+++ b/fuzz/src/document_targets.cpp
@@ -1,5 +1,6 @@
 #include "targets.hpp"
 
+#include <platform/requests.hpp>
 #include <release/release_note.hpp>
 #include <release/settings.hpp>
 
@@ -55,6 +56,25 @@
     release::read_agent_settings(agent);
 }
 
+void named_rate_limit(std::string_view bytes)
+{
+    net::response_head head;
+    head.status = 200;
+    head.fields = {{"Server-Limit", std::string(bytes)}};
+    auto const read = platform::read_endpoint_head(head);
+    // Whatever is named is a limit that can be divided.
+    if (!read.rate_limit || !(*read.rate_limit >= 0) ||
+        *read.rate_limit > platform::max_rate_limit)
+    {
+        std::abort();
+    }
+}
+
+std::vector<std::string> rate_limit_seeds()
+{
+    return {"1.9", "0", "250", "1e9", "-1", "nan", "inf", "1e-400"};
+}
+
 std::vector<std::string> release_note_seeds()
 {
     return {
--- a/fuzz/src/targets.hpp
+++ b/fuzz/src/targets.hpp
@@ -20,6 +20,9 @@
 // of an entry and an agent.
 void frame(std::string_view bytes);
 
+// Takes the bytes for the rate limit that an endpoint names in its answer.
+void named_rate_limit(std::string_view bytes);
+
 // Decodes the bytes as a sequence of events for an entry's core: requests,
 // ticks, answers and errors of endpoints, failed sends, platform answers and
 // disconnects of callers.
@@ -32,6 +35,7 @@
 std::vector<std::string> release_note_seeds();
 std::vector<std::string> settings_seeds();
 std::vector<std::string> frame_seeds();
+std::vector<std::string> rate_limit_seeds();
 
 } // namespace foxtailvale::fuzz
 
--- a/fuzz/tests/fuzz_tests.cpp
+++ b/fuzz/tests/fuzz_tests.cpp
@@ -95,6 +95,12 @@
     run_mutated(frame_seeds(), frame);
 }
 
+TEST(fuzz, rate_limits)
+{
+    run_mutated(rate_limit_seeds(), named_rate_limit);
+    run_random(named_rate_limit);
+}
+
 TEST(fuzz, entry_event_sequences)
 {
     run_random(entry_events);
