--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -230,13 +230,13 @@
     auto const now = clock::now();
     auto const chosen =
         direct::choose(this->context->book, ask, now, this->context->random);
+    this->room_at = chosen.room_at;
     if (chosen.chosen != nullptr)
     {
         this->send(chosen);
         return true;
     }
-    auto const is_limited =
-        chosen.room_at && *chosen.room_at > this->wait_until;
+    auto const is_limited = this->room_at && *this->room_at > this->wait_until;
     if (may_wait && !is_limited &&
         chosen.why != direct::no_endpoint_reason::none_listed)
     {
--- a/libs/gateway/src/call.hpp
+++ b/libs/gateway/src/call.hpp
@@ -182,6 +182,9 @@
     std::optional<base::time_point> last_forwarded;
     base::time_point deadline;
     base::time_point wait_until;
+    // When the first endpoint has room, if at the last placement nothing but
+    // their rate limits kept the request from all of them.
+    std::optional<base::time_point> room_at;
     queue_position position_in_queue;
     bool is_queued = false;
     // The caller sent the request again after a refusal, and its goal has
--- a/libs/gateway/src/call_end.cpp
+++ b/libs/gateway/src/call_end.cpp
@@ -205,6 +205,10 @@
          this->configuration ? this->configuration->version : 0},
         {"view_age_ms", age},
         {"after_ms", since(this->arrived)}};
+    if (this->room_at)
+    {
+        fields["room_in_ms"] = -since(*this->room_at);
+    }
     this->add_endpoint_state(fields);
     this->add_first_event(fields);
     kernel::log_event(event, std::move(fields));
--- a/tools/ctl/src/explain.cpp
+++ b/tools/ctl/src/explain.cpp
@@ -113,11 +113,22 @@
            text_of(body, "first_ms") + " ms." + describe_first_event(body);
 }
 
+// Describes when an endpoint would have had room, for a request that only rate
+// limits kept from all of them; empty for others.
+std::string describe_room(json const& body)
+{
+    return body.contains("room_in_ms")
+               ? " The endpoints name how many requests a second they take; "
+                 "the first has room for this entry in " +
+                     text_of(body, "room_in_ms") + " ms."
+               : "";
+}
+
 std::string describe_refused(json const& body)
 {
     return "It was refused " + time_after_arrival(body) + ": " +
-           text_of(body, "reason") + ". " + std::string(row_of(body).title) +
-           " " + describe_run_state(body) +
+           text_of(body, "reason") + "." + describe_room(body) + " " +
+           std::string(row_of(body).title) + " " + describe_run_state(body) +
            (row_of(body).retry_after.count() > 0
                 ? " Its caller was told when to come back. "
                 : " To come back would not help its caller. ") +
--- a/tools/ctl/tests/explain_tests.cpp
+++ b/tools/ctl/tests/explain_tests.cpp
@@ -50,6 +50,17 @@
     EXPECT_TRUE(contains(explanation[1].text, "waited 3 ms"));
 }
 
+// Guards against a refusal that reads as if the endpoints were full.
+TEST(explain, a_rate_limit_is_named_as_the_reason)
+{
+    auto const explanation = explain_lines(
+        R"({"time":"2026-01-01T00:00:09.100Z","level":"INFO","body":{"after_ms":1,"configuration":3,"endpoint":"","event":1401,"kind":"no_endpoint","name":"request_refused","process":"edge-1","ran":"no","reason":"all endpoints are at their rate limits","request":"7a","room_in_ms":1900,"view_age_ms":40}})",
+        "7a");
+    ASSERT_EQ(explanation.size(), 1U);
+    EXPECT_TRUE(contains(explanation[0].text, "at their rate limits"));
+    EXPECT_TRUE(contains(explanation[0].text, "this entry in 1900 ms"));
+}
+
 // Guards against an explanation that reads as if a booking had not been run,
 // when it was sent and never answered.
 TEST(explain, an_unknown_outcome_is_reported_as_unknown)
