Shares of an endpoint are the same for routes with other regions

Found by looking at the other bounds on a sum that entries keep separately: which entries come first among those of other domains went by the regions of the request, so that routes with different regions gave shares of one endpoint to different entries. Now it goes by the service alone.

--- a/libs/direct/src/endpoint_shares.cpp
+++ b/libs/direct/src/endpoint_shares.cpp
@@ -10,14 +10,26 @@
 namespace
 {
 
-// Returns the entries of failure domains without an endpoint for the request.
+bool is_in_service(
+    endpoint_table const& table,
+    endpoint_state const& state,
+    std::string const& service)
+{
+    auto const& listed = state.listed;
+    return listed.service == service && !listed.draining &&
+           !table.domains_out.contains(listed.failure_domain);
+}
+
+// Returns the entries of failure domains without an endpoint of the service.
+// The regions of the request don't matter: the shares of an endpoint are the
+// same for all routes.
 std::set<std::string> entries_without_endpoints(
-    endpoint_table const& table, placement_query const& query)
+    endpoint_table const& table, std::string const& service)
 {
     std::set<std::string_view> served;
     for (auto const& [id, state] : table.endpoints)
     {
-        if (is_listed_for(table, state, query))
+        if (is_in_service(table, state, service))
         {
             served.insert(state.listed.failure_domain);
         }
@@ -50,9 +62,7 @@
     endpoint_state const& state,
     placement_query const& query)
 {
-    auto const& listed = state.listed;
-    if (listed.service != query.service || listed.draining ||
-        table.domains_out.contains(listed.failure_domain))
+    if (!is_in_service(table, state, query.service))
     {
         return false;
     }
@@ -60,7 +70,7 @@
     {
         return true;
     }
-    auto const region = table.regions.find(listed.failure_domain);
+    auto const region = table.regions.find(state.listed.failure_domain);
     return region != table.regions.end() &&
            query.regions.contains(region->second);
 }
@@ -68,7 +78,7 @@
 endpoint_shares::endpoint_shares(
     endpoint_table const& known, placement_query const& wanted)
     : table(known), query(wanted),
-      without_endpoints(entries_without_endpoints(known, wanted)),
+      without_endpoints(entries_without_endpoints(known, wanted.service)),
       without_key(key_of(this->without_endpoints))
 {
 }
--- a/libs/direct/src/endpoint_shares.hpp
+++ b/libs/direct/src/endpoint_shares.hpp
@@ -37,7 +37,7 @@
 
     endpoint_table const& table;
     placement_query const& query;
-    // Entries of failure domains without an endpoint for the query.
+    // Entries of failure domains without an endpoint of the service.
     std::set<std::string> without_endpoints;
     // Identifies the set above.
     std::uint64_t without_key = 0;
