--- a/libs/gateway/src/crash_records.cpp
+++ b/libs/gateway/src/crash_records.cpp
@@ -4,7 +4,6 @@
 #include <proto/foxtailvale.pb.h>
 
 #include <algorithm>
-#include <ranges>
 
 namespace foxtailvale::gateway
 {
@@ -91,10 +90,14 @@
         auto const print = known[(start + next) % known.size()];
         auto& record = *records.add_records();
         record.set_fingerprint(print);
-        auto const& crashes = context.suspects.records.at(print).endpoints;
         for (auto const& [endpoint, at] :
-             crashes | std::views::take(request::min_crashed_endpoints))
+             context.suspects.records.at(print).endpoints)
         {
+            if (static_cast<std::size_t>(record.crashes_size()) ==
+                request::min_crashed_endpoints)
+            {
+                break;
+            }
             auto& crash = *record.add_crashes();
             crash.set_endpoint(endpoint);
             crash.set_age_ms(static_cast<std::uint64_t>(
