Agents tell entries that begin to listen of crashes before

The same class as an entry of the users' platform that missed a notice: in the interface of our own an agent told which requests ran as its endpoint crashed once, to the entries that listened then. One that started later was told nothing (the new test, red before) and let the request crash two more endpoints. The agent keeps what it told for as long as entries remember it and tells it again, with the time that is left; what an operator releases is forgotten.

--- a/libs/agent_core/include/agent_core/agent_core.hpp
+++ b/libs/agent_core/include/agent_core/agent_core.hpp
@@ -81,6 +81,9 @@
     std::deque<base::attempt_id> outcome_order;
     std::size_t outcome_bytes = 0;
     std::deque<lost_attempt> lost_attempts;
+    // Requests that ran as the endpoint crashed, with the time of the last
+    // crash, for entries that begin to listen later.
+    std::map<std::uint64_t, base::time_point> reported_crashes;
 };
 
 // A chunk that was requested and has not arrived yet.
--- a/libs/agent_core/src/control_flow.cpp
+++ b/libs/agent_core/src/control_flow.cpp
@@ -212,6 +212,7 @@
     {
         to.detail_hash = 0;
         send_heartbeat(state, message.peer, to, now, out);
+        report_former_crashes(state, message.peer, now, out);
     }
     auto const same =
         digest.generation() == state.control.configuration.generation &&
--- a/libs/agent_core/src/flows.hpp
+++ b/libs/agent_core/src/flows.hpp
@@ -129,8 +129,13 @@
 // Handles a crash of the endpoint: notifies the entries of the requests that
 // ran on it.
 void report_crash(state& state, base::time_point now, actions& out);
+
+// Tells an entry that begins to listen which requests ran on the endpoint as it
+// crashed, as long as they are remembered anywhere.
+void report_former_crashes(
+    state& state, std::string const& entry, base::time_point now, actions& out);
 void on_suspect_notice(
-    state const& state,
+    state& state,
     std::string const& peer,
     wire::SuspectNotice const& notice,
     actions& out);
--- a/libs/agent_core/src/suspect_flow.cpp
+++ b/libs/agent_core/src/suspect_flow.cpp
@@ -1,5 +1,7 @@
 #include "flows.hpp"
 
+#include <request/suspects.hpp>
+
 #include <algorithm>
 
 // Tracks which requests ran when the endpoint crashed.
@@ -17,6 +19,30 @@
 // endpoint crashes again and again.
 constexpr std::size_t max_lost_attempts = 256;
 
+// Of several crashes. The entries that listen know the rest, too.
+constexpr std::size_t max_reported_crashes = 1024;
+
+void expire_crashes(state& state, base::time_point now)
+{
+    std::erase_if(
+        state.requests.reported_crashes,
+        [now](auto const& crash)
+        {
+            return crash.second + request::suspect_duration <= now;
+        });
+}
+
+wire::SuspectNotice crash_notice(
+    state const& state, std::uint64_t fingerprint, base::duration valid)
+{
+    wire::SuspectNotice notice;
+    notice.set_fingerprint(fingerprint);
+    notice.set_endpoint(state.self.name);
+    notice.set_valid_ms(static_cast<std::uint32_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(valid).count()));
+    return notice;
+}
+
 void notify_listeners(
     state const& state,
     wire::SuspectNotice const& notice,
@@ -65,17 +91,34 @@
         fingerprints.insert(running.fingerprint);
     }
     state.requests.lost_attempts.clear();
+    expire_crashes(state, now);
     for (auto const fingerprint : fingerprints)
     {
-        wire::SuspectNotice notice;
-        notice.set_fingerprint(fingerprint);
-        notice.set_endpoint(state.self.name);
-        notify_listeners(state, notice, "", out);
+        if (state.requests.reported_crashes.size() < max_reported_crashes)
+        {
+            state.requests.reported_crashes[fingerprint] = now;
+        }
+        notify_listeners(
+            state, crash_notice(state, fingerprint, request::suspect_duration),
+            "", out);
+    }
+}
+
+void report_former_crashes(
+    state& state, std::string const& entry, base::time_point now, actions& out)
+{
+    expire_crashes(state, now);
+    for (auto const& [fingerprint, at] : state.requests.reported_crashes)
+    {
+        core::send_message message{entry, {}};
+        *message.envelope.mutable_suspect_notice() = crash_notice(
+            state, fingerprint, at + request::suspect_duration - now);
+        out.push_back(std::move(message));
     }
 }
 
 void on_suspect_notice(
-    state const& state,
+    state& state,
     std::string const& peer,
     wire::SuspectNotice const& notice,
     actions& out)
@@ -85,6 +128,7 @@
     // cannot circulate.
     if (notice.released())
     {
+        state.requests.reported_crashes.erase(notice.fingerprint());
         notify_listeners(state, notice, peer, out);
     }
 }
--- a/libs/agent_core/tests/request_flow_tests.cpp
+++ b/libs/agent_core/tests/request_flow_tests.cpp
@@ -1,4 +1,5 @@
 #include <agent_core/agent_core.hpp>
+#include <request/suspects.hpp>
 
 #include <core/wire_ids.hpp>
 #include <gtest/gtest.h>
@@ -57,6 +58,22 @@
         });
 }
 
+std::vector<wire::SuspectNotice>
+suspect_notices(std::vector<action> const& ordered, std::string const& entry)
+{
+    std::vector<wire::SuspectNotice> found;
+    for (auto const& one : ordered)
+    {
+        auto const* const sent = std::get_if<core::send_message>(&one);
+        if (sent != nullptr && sent->peer == entry &&
+            sent->envelope.has_suspect_notice())
+        {
+            found.push_back(sent->envelope.suspect_notice());
+        }
+    }
+    return found;
+}
+
 } // namespace
 
 TEST(agent_requests, relays_pieces_in_order_and_frees_the_slot)
@@ -106,6 +123,40 @@
     EXPECT_TRUE(has_finished(agent, milliseconds(2000)));
 }
 
+// Guards against an entry that starts after the crashes, is told nothing of
+// them, and lets the request crash two more endpoints.
+TEST(agent_requests, an_entry_that_listens_later_is_told_of_crashes)
+{
+    using std::chrono::seconds;
+    auto agent = make_agent();
+    step(agent, endpoint_report{true, "i1", false, {{"assistant", "d1"}}}, {});
+    for (std::uint64_t number = 1; number <= 2; ++number)
+    {
+        auto run = run_message(number, "d1");
+        run.envelope.mutable_run()->set_fingerprint(76 + number);
+        step(agent, run, {});
+    }
+    step(agent, endpoint_report{true, "i2", true, {{"assistant", "d1"}}}, {});
+    core::message_received release{"entry-1", {}};
+    release.envelope.mutable_suspect_notice()->set_fingerprint(78);
+    release.envelope.mutable_suspect_notice()->set_released(true);
+    step(agent, release, {});
+    core::message_received greeting{"entry-2", {}};
+    greeting.envelope.set_from_incarnation(1);
+    greeting.envelope.mutable_configuration_digest();
+    auto const later = base::time_point{} + seconds(60);
+    auto const told = suspect_notices(step(agent, greeting, later), "entry-2");
+    ASSERT_EQ(told.size(), 1U);
+    EXPECT_EQ(told[0].fingerprint(), 77U);
+    EXPECT_EQ(seconds(told[0].valid_ms() / 1000), seconds(540));
+    EXPECT_TRUE(
+        suspect_notices(step(agent, greeting, later), "entry-2").empty());
+    greeting.peer = "entry-3";
+    auto const expired = base::time_point{} + request::suspect_duration;
+    EXPECT_TRUE(
+        suspect_notices(step(agent, greeting, expired), "entry-3").empty());
+}
+
 // The engine crashes on a prompt and comes back as another instance. The
 // entries must be told what ran on it, or the prompt is sent from engine to
 // engine.
@@ -121,17 +172,9 @@
     step(agent, attempt_output{{1, 0}, 0, "", "", true, lost}, {});
     auto const actions = step(
         agent, endpoint_report{true, "i2", true, {{"assistant", "d1"}}}, {});
-    auto notified = 0;
-    for (auto const& ordered : actions)
-    {
-        auto const* const sent = std::get_if<core::send_message>(&ordered);
-        if (sent != nullptr && sent->envelope.has_suspect_notice())
-        {
-            EXPECT_EQ(sent->envelope.suspect_notice().fingerprint(), 77U);
-            ++notified;
-        }
-    }
-    EXPECT_EQ(notified, 1);
+    auto const told = suspect_notices(actions, "entry-1");
+    ASSERT_EQ(told.size(), 1U);
+    EXPECT_EQ(told[0].fingerprint(), 77U);
 }
 
 } // namespace foxtailvale::agent_core
--- a/libs/entry_core/src/suspect_flow.cpp
+++ b/libs/entry_core/src/suspect_flow.cpp
@@ -36,6 +36,26 @@
     }
 }
 
+// Returns whether the request became suspect.
+bool note_noticed_crash(
+    request::suspect_list& suspects,
+    wire::SuspectNotice const& notice,
+    base::time_point now)
+{
+    constexpr std::chrono::milliseconds whole{request::suspect_duration};
+    auto const print = notice.fingerprint();
+    std::chrono::milliseconds const valid{notice.valid_ms()};
+    // Agents of an earlier version of the program set no time.
+    if (valid.count() == 0 || valid >= whole)
+    {
+        return request::note_crash(suspects, print, notice.endpoint(), now);
+    }
+    auto const before = request::is_suspect(suspects, print);
+    request::note_relayed_crash(
+        suspects, print, notice.endpoint(), now - (whole - valid), now);
+    return !before && request::is_suspect(suspects, print);
+}
+
 void release_locally(state& state, request::fingerprint suspect, actions& out)
 {
     if (request::release(state.requests.suspects, suspect))
@@ -63,9 +83,7 @@
         release_locally(state, notice.fingerprint(), out);
         return;
     }
-    auto const became_suspect = request::note_crash(
-        state.requests.suspects, notice.fingerprint(), notice.endpoint(), now);
-    if (!became_suspect)
+    if (!note_noticed_crash(state.requests.suspects, notice, now))
     {
         return;
     }
--- a/libs/entry_core/tests/request_flow_tests.cpp
+++ b/libs/entry_core/tests/request_flow_tests.cpp
@@ -259,6 +259,24 @@
         find<refuse>(refused)->error.kind, base::error_kind::suspect_request);
 }
 
+// Guards against a crash that an agent relates long afterwards and that counts
+// as if it had just happened.
+TEST(entry_requests, a_crash_told_late_is_forgotten_as_soon_as_elsewhere)
+{
+    auto entry = make_entry();
+    auto request = chat(1);
+    auto const sent = step(entry, request, {});
+    auto const fingerprint =
+        find<core::send_message>(sent)->envelope.run().fingerprint();
+    auto late = crash_notice(fingerprint, "agent-1");
+    late.envelope.mutable_suspect_notice()->set_valid_ms(1000);
+    step(entry, late, {});
+    auto const later = base::time_point{} + std::chrono::seconds(2);
+    step(entry, crash_notice(fingerprint, "agent-2"), later);
+    request.caller = 2;
+    EXPECT_EQ(find<refuse>(step(entry, request, later)), nullptr);
+}
+
 // Failure: a prompt crashes each engine that runs it, and its caller sends it
 // again and again. After two engines the entry must refuse it until an operator
 // releases it, while other requests are served.
