--- /dev/null
+++ b/libs/gateway/src/peer_notices.cpp
@@ -0,0 +1,117 @@
+#include <gateway/crash_records.hpp>
+#include <gateway/peer_link.hpp>
+#include <gateway/rate_limits.hpp>
+#include <proto/foxtailvale.pb.h>
+
+#include <algorithm>
+#include <iterator>
+#include <random>
+#include <utility>
+
+// What an entry tells other entries.
+namespace foxtailvale::gateway
+{
+
+void peer_link::send_refusals()
+{
+    // This many fit into a datagram that no link fragments.
+    constexpr std::size_t max_fingerprints = 128;
+    auto& unsent = this->context->unsent_refusals;
+    while (!unsent.empty())
+    {
+        wire::Datagram message;
+        message.set_from(this->context->settings.name);
+        auto& notice = *message.mutable_refusal_notice();
+        for (std::size_t count = 0; count < max_fingerprints && !unsent.empty();
+             ++count)
+        {
+            notice.add_fingerprints(unsent.back());
+            unsent.pop_back();
+        }
+        this->send_to(this->context->neighbours, message.SerializeAsString());
+    }
+}
+
+void peer_link::share_with_some_entries()
+{
+    wire::Datagram crashes;
+    add_suspects(*this->context, *crashes.mutable_crash_records());
+    if (!crashes.crash_records().records().empty())
+    {
+        this->send_to_some(std::move(crashes));
+    }
+    wire::Datagram limits;
+    add_known_limits(*this->context, *limits.mutable_rate_limits());
+    if (!limits.rate_limits().limits().empty())
+    {
+        this->send_to_some(std::move(limits));
+    }
+}
+
+void peer_link::send_changed_limits()
+{
+    if (this->context->changed_limits.empty())
+    {
+        return;
+    }
+    wire::Datagram message;
+    message.set_from(this->context->settings.name);
+    add_changed_limits(*this->context, *message.mutable_rate_limits());
+    this->send_to(this->context->entry_addresses, message.SerializeAsString());
+}
+
+void peer_link::send_to_some(wire::Datagram message)
+{
+    // With this many of the entries each second, one that missed the notices
+    // has heard of them within two seconds, in a fleet of any size.
+    constexpr std::size_t entries_per_round = 3;
+    message.set_from(this->context->settings.name);
+    auto others = this->context->entry_addresses;
+    others.erase(this->context->settings.ip);
+    std::vector<std::string> chosen;
+    std::ranges::sample(
+        others, std::back_inserter(chosen), entries_per_round,
+        std::minstd_rand(
+            static_cast<unsigned>(base::next_random(this->context->random))));
+    auto const bytes = message.SerializeAsString();
+    for (auto const& entry : chosen)
+    {
+        this->send(entry, bytes);
+    }
+}
+
+void peer_link::send_to(
+    std::set<std::string> const& entries, std::string const& bytes)
+{
+    for (auto const& entry : entries)
+    {
+        if (entry != this->context->settings.ip)
+        {
+            this->send(entry, bytes);
+        }
+    }
+}
+
+void peer_link::send(std::string const& entry, std::string const& bytes)
+{
+    boost::system::error_code error;
+    auto const ip = boost::asio::ip::make_address(entry, error);
+    if (!error)
+    {
+        this->socket->send({ip, this->context->settings.peer_port}, bytes);
+    }
+}
+
+void peer_link::notify_crash(
+    request::fingerprint print, std::string const& endpoint, bool answered)
+{
+    wire::Datagram message;
+    message.set_from(this->context->settings.name);
+    auto& notice = *message.mutable_crash_notice();
+    notice.set_fingerprint(print);
+    notice.set_endpoint(endpoint);
+    notice.set_answered(answered);
+    this->send_to(this->context->entry_addresses, message.SerializeAsString());
+}
+
+} // namespace foxtailvale::gateway
