--- a/libs/gateway/src/rate_limits.cpp
+++ b/libs/gateway/src/rate_limits.cpp
@@ -18,12 +18,10 @@
 // This many fit into a datagram that no link fragments.
 constexpr std::size_t max_limits = 24;
 
-// How long entries are told again that a limit has ended. Longer than any entry
-// is cut off from all others without losing the platform, too.
+// How long other entries are told again that a limit has ended. One that hears
+// nothing for longer asks the endpoint.
 constexpr std::chrono::seconds ended_memory{30};
 
-constexpr char const* own_reading = "";
-
 void log_named(
     std::string const& endpoint, double per_second, std::string const& reporter)
 {
@@ -47,7 +45,8 @@
         kernel::event_id::rate_limit_unreadable, {{"endpoint", endpoint}});
 }
 
-// Nothing if this entry was not the last to read of it, or it is long ago.
+// Whether this entry was the last to read of the limit, or of an end that was
+// not long ago.
 bool is_worth_telling(direct::rate_limit const& limit, base::time_point now)
 {
     auto const ended_lately = limit.ended_at != base::time_point{} &&
@@ -98,7 +97,7 @@
                                : *answer.rate_limit;
         if (direct::note_named(limit, named, now, true))
         {
-            log_named(endpoint, named, own_reading);
+            log_named(endpoint, named, context.settings.name);
             if (!was_known)
             {
                 context.changed_limits.insert(endpoint);
@@ -109,7 +108,7 @@
     // A rejection does not tell whether the endpoint is still in need.
     if (answer.sealed && direct::note_not_named(limit, sent, now))
     {
-        log_ended(endpoint, own_reading);
+        log_ended(endpoint, context.settings.name);
         context.changed_limits.insert(endpoint);
     }
 }
