Log: how long a caller has had no event, and what the agent reports of the engine

Cause: the lines of given up and cut streams had the age of the agent's report but not what it says, so a lost engine, a preempted request and a long pass looked alike; and a stream that went on after a pause left no line at all.

Lines of requests have `event_ago_ms`, `running`, `waiting`, `pace` and `unreachable` now, and event 1416 tells that a stream continued after 700 ms or more.

--- a/libs/gateway/src/call.hpp
+++ b/libs/gateway/src/call.hpp
@@ -116,8 +116,11 @@
     void note_placed(direct::choice const& chosen);
     // Records the first event of an attempt.
     void note_first_event();
-    // Adds fields with when the last attempt was sent, and how long ago its
-    // endpoint and the agent beside it last sent anything.
+    // Logs the end of a long pause of a stream.
+    void log_pause(std::chrono::milliseconds pause) const;
+    // Adds fields with when the last attempt was sent, how long ago its
+    // endpoint and the agent beside it last sent anything, and what the agent
+    // reported.
     void add_endpoint_state(nlohmann::json& fields) const;
     // Adds fields with the actual timing of an attempt that note_placed()
     // logged.
--- a/libs/gateway/src/call_attempt.cpp
+++ b/libs/gateway/src/call_attempt.cpp
@@ -26,6 +26,9 @@
 constexpr milliseconds max_idle_non_idempotent{400};
 constexpr milliseconds max_idle_repeatable{60000};
 
+// Pauses of a stream from this length on are logged.
+constexpr milliseconds long_pause{700};
+
 constexpr std::size_t max_body_bytes = 16UL * 1024 * 1024;
 
 } // namespace
@@ -249,10 +252,13 @@
     auto const now = clock::now();
     if (running_attempt.events_sent > 0)
     {
-        this->context->counters.observe(
-            "foxtailvale_event_gap_ms",
-            std::chrono::duration_cast<milliseconds>(
-                now - running_attempt.last_event));
+        auto const gap = std::chrono::duration_cast<milliseconds>(
+            now - running_attempt.last_event);
+        this->context->counters.observe("foxtailvale_event_gap_ms", gap);
+        if (gap >= long_pause)
+        {
+            this->log_pause(gap);
+        }
     }
     running_attempt.last_event = now;
     this->last_forwarded = now;
--- a/libs/gateway/src/call_observation.cpp
+++ b/libs/gateway/src/call_observation.cpp
@@ -116,6 +116,27 @@
         state.last_sent == never ? -1 : in_ms(now - state.last_sent).count();
     fields["report_age_ms"] =
         state.report ? in_ms(now - state.reported).count() : -1;
+    fields["event_ago_ms"] =
+        this->last_forwarded ? in_ms(now - *this->last_forwarded).count() : -1;
+    if (state.report)
+    {
+        fields["running"] = state.report->running;
+        fields["waiting"] = state.report->waiting;
+        fields["pace"] = state.report->pace;
+        fields["unreachable"] = state.report->unreachable;
+    }
+}
+
+void call::log_pause(milliseconds pause) const
+{
+    nlohmann::json fields{
+        {"request", this->parsed.attempt},
+        {"endpoint", this->last_endpoint},
+        {"version", this->version},
+        {"pause_ms", pause.count()},
+        {"events", this->current->events_sent}};
+    this->add_endpoint_state(fields);
+    kernel::log_event(kernel::event_id::stream_continued, std::move(fields));
 }
 
 void call::add_first_event(nlohmann::json& fields) const
