--- a/libs/gateway/src/call.hpp
+++ b/libs/gateway/src/call.hpp
@@ -139,6 +139,8 @@
     void note_lost_answer();
     // Sends the request again if that is allowed, or fails it.
     void after_failure(base::ran_state ran, char const* reason);
+    // Takes one retry out of the shared budget; returns false if it is spent.
+    bool spend_retry();
     void answer();
     void begin_answer();
     void note_first_answer();
--- a/libs/gateway/src/call_attempt.cpp
+++ b/libs/gateway/src/call_attempt.cpp
@@ -369,11 +369,7 @@
         this->fail(direct::final_error(this->ran_so_far, time_is_up), reason);
         return;
     }
-    auto const& bounds = this->context->settings.promised;
-    if (!direct::spend_retry(
-            this->context->retry_windows[this->service_name],
-            {bounds.retry_ratio, bounds.retry_window, bounds.retry_slack},
-            direct::sharers(this->context->entries), clock::now()))
+    if (!this->spend_retry())
     {
         this->fail(
             this->ran_so_far == ran_state::no ? error_kind::retry_budget_spent
@@ -395,4 +391,13 @@
     }
 }
 
+bool call::spend_retry()
+{
+    auto const& bounds = this->context->settings.promised;
+    return direct::spend_retry(
+        this->context->retry_windows[this->service_name],
+        {bounds.retry_ratio, bounds.retry_window, bounds.retry_slack},
+        direct::sharers(this->context->entries), clock::now());
+}
+
 } // namespace foxtailvale::gateway
--- a/libs/gateway/src/call_end.cpp
+++ b/libs/gateway/src/call_end.cpp
@@ -61,15 +61,9 @@
         this->end_attempt(direct::request_outcome::faulty);
         ++this->runs;
         this->ran_so_far = ran_state::yes;
-        auto const spent =
-            this->time_left() > milliseconds(0) && !this->is_suspect() &&
-            this->is_still_allowed() &&
-            direct::spend_retry(
-                this->context->retry_windows[this->service_name],
-                {this->context->settings.promised.retry_ratio,
-                 this->context->settings.promised.retry_window,
-                 this->context->settings.promised.retry_slack},
-                direct::sharers(this->context->entries), clock::now());
+        auto const spent = this->time_left() > milliseconds(0) &&
+                           !this->is_suspect() && this->is_still_allowed() &&
+                           this->spend_retry();
         auto const chosen = spent ? direct::choose(
                                         this->context->book, this->placement(),
                                         clock::now(), this->context->random)
--- /dev/null
+++ b/libs/gateway/src/call_timer.cpp
@@ -0,0 +1,163 @@
+#include "call.hpp"
+
+#include <direct/attempt_limit.hpp>
+
+#include <algorithm>
+
+namespace foxtailvale::gateway
+{
+
+namespace
+{
+
+using base::ran_state;
+using std::chrono::milliseconds;
+using clock = std::chrono::steady_clock;
+
+} // namespace
+
+milliseconds call::time_left() const
+{
+    return std::chrono::duration_cast<milliseconds>(
+        this->deadline - clock::now());
+}
+
+void call::set_timer()
+{
+    auto next = this->deadline;
+    if (this->is_queued)
+    {
+        next = std::min(next, this->wait_until);
+    }
+    if (this->current)
+    {
+        // The endpoint may be lost at any time, which moves the limit forward,
+        // so the limit is computed again at this interval.
+        constexpr milliseconds recheck_interval{150};
+        if (auto const limit = this->attempt_limit())
+        {
+            next = std::min(
+                next, std::min(*limit, clock::now() + recheck_interval));
+        }
+        if (this->current->waits_for_caller)
+        {
+            next = std::min(next, clock::now() + recheck_interval);
+        }
+        if (this->service->engine && !this->current->facts.head_seen)
+        {
+            // A new version may be announced meanwhile, which retires the one
+            // in use.
+            constexpr milliseconds version_check_interval{1000};
+            next = std::min(next, clock::now() + version_check_interval);
+        }
+        if (auto const limit = this->start_limit())
+        {
+            next = std::min(next, *limit);
+        }
+    }
+    this->timer.expires_at(next);
+    this->timer.async_wait(
+        [self = this->shared_from_this()](boost::system::error_code error)
+        {
+            if (!error && !self->done)
+            {
+                self->on_timer();
+            }
+        });
+}
+
+void call::on_timer()
+{
+    auto const now = clock::now();
+    if (this->is_queued && now >= this->wait_until)
+    {
+        this->end_wait();
+        return;
+    }
+    if (!this->current)
+    {
+        this->set_timer();
+        return;
+    }
+    if (this->current->waits_for_caller)
+    {
+        // The caller is slow, not the endpoint.
+        this->current->last_byte = now;
+        direct::note_heard(this->context->book, this->current->endpoint, now);
+    }
+    auto const connected = this->current->is_dispatched;
+    if (now >= this->deadline)
+    {
+        auto const ran = connected ? ran_state::unknown : ran_state::no;
+        // An endpoint that sent nothing for the stall time before the deadline
+        // counts as faulty; one that was still sending does not.
+        auto const silent = now - this->current->last_byte > direct::stall_time;
+        this->end_attempt(
+            silent ? direct::request_outcome::faulty
+                   : direct::request_outcome::cancelled);
+        this->after_failure(ran, "time is up");
+        return;
+    }
+    auto const limit = this->attempt_limit();
+    if (limit && now >= *limit)
+    {
+        auto const ran = connected ? ran_state::unknown : ran_state::no;
+        this->end_attempt(
+            connected ? direct::request_outcome::faulty
+                      : direct::request_outcome::not_connected);
+        this->after_failure(ran, "endpoint is silent");
+        return;
+    }
+    auto const start_by = this->start_limit();
+    if (start_by && now >= *start_by)
+    {
+        this->end_attempt(direct::request_outcome::cancelled);
+        this->after_failure(
+            connected ? ran_state::unknown : ran_state::no,
+            "version was retired before the request started");
+        return;
+    }
+    this->set_timer();
+}
+
+bool call::is_endpoint_lost() const
+{
+    auto const& known = this->context->book.endpoints;
+    auto const found = known.find(this->current->endpoint);
+    return found == known.end() || direct::is_lost(found->second, clock::now());
+}
+
+std::optional<base::time_point> call::attempt_limit() const
+{
+    auto const& running_attempt = *this->current;
+    auto const& chosen = *this->allowed.chosen;
+    if (!running_attempt.connection->is_open())
+    {
+        return running_attempt.begun + connect_limit;
+    }
+    return direct::attempt_deadline(
+        {.repeats = chosen.repeats,
+         .streams = chosen.streams,
+         .goal = chosen.goal,
+         .gap_goal = chosen.gap_goal,
+         .runs = this->runs,
+         .most_attempts = chosen.most_attempts,
+         .events = running_attempt.events_sent,
+         .begun = running_attempt.begun,
+         .last_byte = running_attempt.last_byte,
+         .caller_heard = this->last_forwarded.value_or(this->arrived),
+         .lost = this->is_endpoint_lost()});
+}
+
+std::optional<base::time_point> call::start_limit() const
+{
+    if (!this->service->engine || this->current->facts.head_seen)
+    {
+        return std::nullopt;
+    }
+    return direct::must_begin_by(
+        this->context->book, this->parsed.model, this->version,
+        this->current->endpoint_deadline);
+}
+
+} // namespace foxtailvale::gateway
