An engine that its agent reaches is not lost, however long it is silent

Cause: an endpoint counts as lost to an attempt once it owes answers and has been silent for 0.5 s, also if its agent has just reported that it reaches it. A pass of an engine is as long as what it reads: five steps of 2,048 prompt tokens at 19.1 tokens a ms take 0.58 s at the published speed and 1.46 s at pace 2.5, and nothing is sent meanwhile. So each pass of a slow engine that reads much was taken for a loss, in each of its streams at once.

Mend: `is_unreachable`, what attempts go by, asks for more than silence when there is a fresh report that the agent reaches the engine. A machine that stands still has no such report after 0.7 s, and a process that is gone none after the agent's next poll.

--- a/libs/direct/include/direct/attempt_limit.hpp
+++ b/libs/direct/include/direct/attempt_limit.hpp
@@ -32,7 +32,7 @@
     base::time_point last_byte;
     // Time of the caller's request or of the last event sent to the caller.
     base::time_point caller_heard;
-    // The endpoint no longer sends to any caller (see is_lost).
+    // The endpoint no longer sends to any caller (see is_unreachable).
     bool lost = false;
 };
 
@@ -41,6 +41,13 @@
 // it.
 bool is_lost(endpoint_state const& state, base::time_point now);
 
+// Whether the endpoint is lost and its agent did not report lately that it
+// reaches it. Failure: a pass of an engine that works at less than half of its
+// published speed and reads long prompts lasts for over a second, in which it
+// sends nothing. It counted as lost, its streams were broken off and the
+// requests in its queue failed.
+bool is_unreachable(endpoint_state const& state, base::time_point now);
+
 // Returns the time at which the attempt times out unless the endpoint sends
 // something before then; nothing if the attempt may wait until the request's
 // own deadline.
--- a/libs/direct/include/direct/endpoint_table.hpp
+++ b/libs/direct/include/direct/endpoint_table.hpp
@@ -302,6 +302,9 @@
 // Whether the agent's last report is no older than report_timeout.
 bool is_fresh(endpoint_state const& state, base::time_point now);
 
+// Whether such a report says that the agent reaches the endpoint.
+bool is_reported_reachable(endpoint_state const& state, base::time_point now);
+
 } // namespace foxtailvale::direct
 
 #endif
--- a/libs/direct/src/attempt_limit.cpp
+++ b/libs/direct/src/attempt_limit.cpp
@@ -77,6 +77,11 @@
     return is_stalled(state, now) || agent_unresponsive || engine_unreachable;
 }
 
+bool is_unreachable(endpoint_state const& state, base::time_point now)
+{
+    return is_lost(state, now) && !is_reported_reachable(state, now);
+}
+
 std::optional<base::time_point>
 attempt_deadline(attempt_progress const& attempt)
 {
--- a/libs/direct/src/endpoint_table.cpp
+++ b/libs/direct/src/endpoint_table.cpp
@@ -473,12 +473,16 @@
            now - state.last_sent > report_timeout;
 }
 
+bool is_reported_reachable(endpoint_state const& state, base::time_point now)
+{
+    return is_fresh(state, now) && !state.report->unreachable;
+}
+
 served_weights const&
 weights_of(endpoint_state const& state, base::time_point now)
 {
-    return is_fresh(state, now) && !state.report->unreachable
-               ? state.report->weights
-               : state.listed.weights;
+    return is_reported_reachable(state, now) ? state.report->weights
+                                             : state.listed.weights;
 }
 
 } // namespace foxtailvale::direct
--- a/libs/direct/tests/attempt_limit_tests.cpp
+++ b/libs/direct/tests/attempt_limit_tests.cpp
@@ -122,4 +122,21 @@
     EXPECT_TRUE(is_lost(state, start));
 }
 
+// Failure: an engine's pass lasts longer than usual, and all that it has is
+// broken off or fails although its agent reports that it is reachable.
+TEST(attempt_limit, an_endpoint_that_its_agent_reaches_may_be_silent)
+{
+    endpoint_state state;
+    state.own_running = 1;
+    state.last_heard = start - seconds(3);
+    EXPECT_TRUE(is_unreachable(state, start));
+    state.report.emplace();
+    state.reported = start - report_timeout;
+    EXPECT_FALSE(is_unreachable(state, start));
+    EXPECT_TRUE(is_unreachable(state, start + milliseconds(1)));
+    state.reported = start;
+    state.report->unreachable = true;
+    EXPECT_TRUE(is_unreachable(state, start));
+}
+
 } // namespace foxtailvale::direct
--- a/libs/direct/tests/engine_world.cpp
+++ b/libs/direct/tests/engine_world.cpp
@@ -188,11 +188,12 @@
     std::ostringstream text;
     text << "requests " << outcome.requests << ", answered " << outcome.answered
          << ", within goal " << outcome.in_time << ", interrupted "
-         << outcome.interrupted << ", refused " << outcome.refused
-         << ", callers left " << outcome.left << ", still at work "
-         << outcome.still_at_work << " of " << outcome.at_work_when_left
-         << ", started on older " << outcome.begun_on_older
-         << ", least time left " << outcome.min_time_left.count()
+         << outcome.interrupted << ", broken off " << outcome.broken_off
+         << ", refused " << outcome.refused << ", callers left " << outcome.left
+         << ", still at work " << outcome.still_at_work << " of "
+         << outcome.at_work_when_left << ", started on older "
+         << outcome.begun_on_older << ", least time left "
+         << outcome.min_time_left.count()
          << " ms, longest wait with a free slot "
          << outcome.max_wait_with_slot.count() << " ms, late starts "
          << outcome.late.size();
--- a/libs/direct/tests/engine_world.hpp
+++ b/libs/direct/tests/engine_world.hpp
@@ -97,6 +97,8 @@
     // Answered requests whose first event arrived within the goal.
     std::size_t in_time = 0;
     std::size_t interrupted = 0;
+    // Interrupted streams that had begun and whose deadline had not passed.
+    std::size_t broken_off = 0;
     std::size_t refused = 0;
     // Requests that started on a version older than the newest announced one.
     std::size_t begun_on_older = 0;
--- a/libs/direct/tests/played_callers.cpp
+++ b/libs/direct/tests/played_callers.cpp
@@ -150,6 +150,7 @@
 {
     if (call.answer_begun)
     {
+        state.outcome.broken_off += state.now < call.deadline ? 1 : 0;
         end_request(state, call.number, final_outcome::interrupted);
         return;
     }
--- a/libs/direct/tests/played_entries.cpp
+++ b/libs/direct/tests/played_entries.cpp
@@ -210,7 +210,7 @@
          .begun = call.decided,
          .last_byte = call.last_byte,
          .caller_heard = call.last_heard,
-         .lost = is_lost(known, state.now)});
+         .lost = is_unreachable(known, state.now)});
 }
 
 void check_timeout(simulation& state, caller_request& call)
--- a/libs/gateway/src/call_timer.cpp
+++ b/libs/gateway/src/call_timer.cpp
@@ -124,7 +124,8 @@
 {
     auto const& known = this->context->book.endpoints;
     auto const found = known.find(this->current->endpoint);
-    return found == known.end() || direct::is_lost(found->second, clock::now());
+    return found == known.end() ||
+           direct::is_unreachable(found->second, clock::now());
 }
 
 std::optional<base::time_point> call::attempt_limit() const
