Last attempts look for the loss of their endpoint all the time

Callers saw: a stream that had begun in its last attempt, at an endpoint that was lost afterwards, ended by the caller's own time-out or the request's, 4.0 s in the test.

Cause: a call looked again at the limits of an attempt only if it had one at that moment. A last attempt has none before its endpoint is lost, so once its head had come nothing looked at it before the deadline.

Mend: while an attempt runs its limits are looked at every 150 ms, as was done for all attempts but those.

--- a/libs/gateway/src/call_timer.cpp
+++ b/libs/gateway/src/call_timer.cpp
@@ -31,24 +31,13 @@
     }
     if (this->current)
     {
-        // The endpoint may be lost at any time, which moves the limit forward,
-        // so the limit is computed again at this interval.
+        // At any time the endpoint may be lost or its version retired, which
+        // moves the limits forward.
         constexpr milliseconds recheck_interval{150};
+        next = std::min(next, clock::now() + recheck_interval);
         if (auto const limit = this->attempt_limit())
         {
-            next = std::min(
-                next, std::min(*limit, clock::now() + recheck_interval));
-        }
-        if (this->current->waits_for_caller)
-        {
-            next = std::min(next, clock::now() + recheck_interval);
-        }
-        if (this->service->engine && !this->current->facts.head_seen)
-        {
-            // A new version may be announced meanwhile, which retires the one
-            // in use.
-            constexpr milliseconds version_check_interval{1000};
-            next = std::min(next, clock::now() + version_check_interval);
+            next = std::min(next, *limit);
         }
         if (auto const limit = this->start_limit())
         {
