A stream is kept at its silent endpoint until another endpoint sends

Cause: at a silent endpoint a begun stream was given up first and a place elsewhere looked for afterwards.

Mend: a begun stream is resumed elsewhere only where another endpoint has room, and its attempt is kept until the other one sends an event: whichever sends first goes on. If the other declines, breaks off or stays silent, nothing is lost, and no retry is spent without a place. It is resumed in the first half of its caller's patience, so that the caller is still there when the other begins. A begun stream ends for silence only at an endpoint that is lost, 0.3 s before its caller would disconnect.

--- a/libs/direct/include/direct/attempt_limit.hpp
+++ b/libs/direct/include/direct/attempt_limit.hpp
@@ -28,6 +28,9 @@
     std::uint32_t most_attempts = 1;
     // Events of this attempt that were forwarded to the caller.
     std::uint32_t events = 0;
+    // The caller has received the beginning of the answer, from this attempt or
+    // an earlier one.
+    bool answer_begun = false;
     base::time_point begun;
     base::time_point last_byte;
     // Time of the caller's request or of the last event sent to the caller.
@@ -57,9 +60,18 @@
 // second paused machine waited there until their callers disconnected, and the
 // engines then ran the requests that they had read although nobody waited for
 // the answers. A caller that is notified in time can send the request again.
+//
+// An answer that has begun times out only at a lost endpoint, just before its
+// caller would disconnect. Failure: an endpoint sent nothing for over a second,
+// and streams that it was about to continue were broken off.
 std::optional<base::time_point>
 attempt_deadline(attempt_progress const& attempt);
 
+// Whether a stream that has begun is to be resumed at another endpoint now if
+// one has room: its endpoint is lost, and there is time left for the other one
+// to continue before the caller disconnects.
+bool is_resume_due(attempt_progress const& attempt, base::time_point now);
+
 } // namespace foxtailvale::direct
 
 #endif
--- a/libs/direct/src/attempt_limit.cpp
+++ b/libs/direct/src/attempt_limit.cpp
@@ -57,14 +57,18 @@
            (attempt.lost ? first_byte : std::max(first_byte, max_first_byte));
 }
 
+milliseconds caller_timeout(attempt_progress const& attempt)
+{
+    return std::max(
+        {min_caller_timeout, attempt.goal * caller_timeout_goals,
+         attempt.gap_goal * caller_timeout_gaps});
+}
+
 // Returns the latest time at which the caller of a stream must be told that the
 // endpoint is lost.
 base::time_point notify_by(attempt_progress const& attempt)
 {
-    auto const caller_timeout = std::max(
-        {min_caller_timeout, attempt.goal * caller_timeout_goals,
-         attempt.gap_goal * caller_timeout_gaps});
-    return attempt.caller_heard + caller_timeout - notify_margin;
+    return attempt.caller_heard + caller_timeout(attempt) - notify_margin;
 }
 
 } // namespace
@@ -85,6 +89,10 @@
 std::optional<base::time_point>
 attempt_deadline(attempt_progress const& attempt)
 {
+    if (attempt.answer_begun)
+    {
+        return attempt.lost ? std::optional(notify_by(attempt)) : std::nullopt;
+    }
     auto const is_last = is_last_attempt(attempt);
     if (is_last && !attempt.lost)
     {
@@ -103,4 +111,13 @@
                : silent_until;
 }
 
+bool is_resume_due(attempt_progress const& attempt, base::time_point now)
+{
+    auto const is_resumable =
+        attempt.repeats == retry_safety::resumable && attempt.answer_begun;
+    return is_resumable && attempt.lost && !is_last_attempt(attempt) &&
+           now >= silence_deadline(attempt) &&
+           now < attempt.caller_heard + caller_timeout(attempt) / 2;
+}
+
 } // namespace foxtailvale::direct
--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -301,6 +301,7 @@
         return;
     }
     this->leave_queue();
+    this->end_silent(direct::request_outcome::cancelled);
     if (this->current)
     {
         this->end_attempt(direct::request_outcome::cancelled);
@@ -315,6 +316,7 @@
 void call::finish()
 {
     this->done = true;
+    this->end_silent(direct::request_outcome::cancelled);
     this->timer.cancel();
     this->session->on_client_disconnected({});
 }
--- a/libs/gateway/src/call.hpp
+++ b/libs/gateway/src/call.hpp
@@ -1,6 +1,7 @@
 #ifndef FOXTAILVALE_GATEWAY_CALL_HPP
 #define FOXTAILVALE_GATEWAY_CALL_HPP
 
+#include <direct/attempt_limit.hpp>
 #include <direct/placement.hpp>
 #include <direct/retry.hpp>
 #include <gateway/entry_context.hpp>
@@ -27,6 +28,8 @@
 // One attempt to run a request at an endpoint.
 struct endpoint_attempt
 {
+    // Counts the attempts of the request.
+    std::uint64_t number = 0;
     std::string endpoint;
     std::string address;
     std::shared_ptr<net::client_connection> connection;
@@ -63,6 +66,17 @@
     std::optional<base::duration> before_end;
 };
 
+// An attempt whose stream has fallen silent, kept while the stream is resumed
+// at another endpoint. The first of both that sends an event continues the
+// answer. Failure: a stream was given up for a place at another endpoint that
+// turned out to be full, and its caller lost what the first endpoint was about
+// to send.
+struct silent_attempt
+{
+    endpoint_attempt attempt;
+    std::optional<attempt_observation> observation;
+};
+
 // One request of a caller from arrival to answer: admitted, placed or queued,
 // sent to an endpoint and answered. The object stays alive while it is queued
 // or running or its timer is set.
@@ -133,12 +147,28 @@
     void on_end(std::uint64_t number, net::exchange_result const& result);
     bool is_current(std::uint64_t number) const;
     void end_attempt(direct::request_outcome how);
+    // Frees the attempt's place at its endpoint.
+    void release(endpoint_attempt const& ended, direct::request_outcome how);
+    // If a stream is to be resumed elsewhere and another endpoint has room,
+    // sends it there, keeps the silent attempt and returns true.
+    bool resume_elsewhere(base::time_point now);
+    bool is_silent(std::uint64_t number) const;
+    // Ends the current attempt, if any, and continues with the silent one.
+    void return_to_silent();
+    // Ends the silent attempt, if any.
+    void end_silent(direct::request_outcome how);
+    // Handles the end of the silent attempt's exchange. Returns false if the
+    // exchange is another one or has ended the answer.
+    bool ends_silent(std::uint64_t number, net::exchange_result const& result);
     // Records a lost answer and checks whether the endpoint is still reachable.
     // It counts however much of the answer came: a request may crash its
     // endpoint at any moment of its run.
-    void note_lost_answer();
-    // Sends the request again if that is allowed, or fails it.
+    void note_lost_answer(endpoint_attempt const& ended);
+    // Continues with the silent attempt if there is one. Otherwise sends the
+    // request again if that is allowed, or fails it.
     void after_failure(base::ran_state ran, char const* reason);
+    // The same after an attempt that was ended for its silence.
+    void after_silence(base::ran_state ran);
     // Takes one retry out of the shared budget; returns false if it is spent.
     bool spend_retry();
     void answer();
@@ -153,10 +183,14 @@
     void finish();
     void on_caller_gone();
     void set_timer();
+    // Time by which the current attempt is to be looked at again.
+    base::time_point next_check() const;
     void on_timer();
-    // Whether the attempt's endpoint is no longer listed or no longer sends to
-    // any entry.
-    bool is_endpoint_lost() const;
+    void end_at_deadline(base::time_point now);
+    // Ends the attempt if one of its limits has passed; returns false if none
+    // has.
+    bool end_at_limit(base::time_point now);
+    direct::attempt_progress progress() const;
     std::optional<base::time_point> attempt_limit() const;
     // Time by which the endpoint must have started the request; nothing when it
     // has, or when no limit applies.
@@ -200,7 +234,8 @@
     std::string last_endpoint;
     std::optional<endpoint_attempt> current;
     std::optional<attempt_observation> observation;
-    std::uint64_t attempt_number = 0;
+    std::optional<silent_attempt> silent;
+    std::uint64_t attempts = 0;
     std::set<std::string> tried;
     std::uint32_t sends = 0;
     std::uint32_t runs = 0;
--- a/libs/gateway/src/call_attempt.cpp
+++ b/libs/gateway/src/call_attempt.cpp
@@ -50,7 +50,6 @@
         return;
     }
     ++this->sends;
-    ++this->attempt_number;
     if (this->sends == 1)
     {
         this->first_sent = now;
@@ -61,6 +60,7 @@
     this->tried.insert(target.id);
     this->version = chosen.version;
     this->current.emplace();
+    this->current->number = ++this->attempts;
     this->current->endpoint = target.id;
     this->last_endpoint = target.id;
     this->current->address = target.address;
@@ -77,7 +77,7 @@
     }
     direct::note_request_begun(this->context->book, target.id, now);
     this->note_placed(chosen);
-    auto const number = this->attempt_number;
+    auto const number = this->current->number;
     auto const self = this->shared_from_this();
     connection->start(
         [self, number]
@@ -126,7 +126,7 @@
 
 bool call::is_current(std::uint64_t number) const
 {
-    return !this->done && this->current && this->attempt_number == number;
+    return !this->done && this->current && this->current->number == number;
 }
 
 net::head_verdict
@@ -164,6 +164,10 @@
 
 void call::on_data(std::uint64_t number, std::string_view data)
 {
+    if (this->is_silent(number))
+    {
+        this->return_to_silent();
+    }
     if (!this->is_current(number))
     {
         return;
@@ -216,6 +220,7 @@
     {
         return;
     }
+    this->end_silent(direct::request_outcome::faulty);
     this->begin_answer();
     this->session->send(passed);
     this->pause_for_slow_caller();
@@ -234,7 +239,7 @@
     this->current->connection->pause_reading();
     std::weak_ptr<call> const weak = this->shared_from_this();
     this->session->on_written(
-        [weak, number = this->attempt_number]
+        [weak, number = this->current->number]
         {
             auto const held = weak.lock();
             if (held && held->is_current(number))
@@ -267,11 +272,11 @@
 
 void call::on_end(std::uint64_t number, net::exchange_result const& result)
 {
-    if (!this->is_current(number))
+    auto const keep = this->shared_from_this();
+    if (this->ends_silent(number, result) || !this->is_current(number))
     {
         return;
     }
-    auto const keep = this->shared_from_this();
     auto& running_attempt = *this->current;
     running_attempt.facts.written = result.written;
     running_attempt.facts.whole = result.end == net::exchange_end::whole &&
@@ -310,20 +315,18 @@
         this->after_failure(ran_state::no, "connection to the endpoint failed");
         return;
     }
-    this->note_lost_answer();
+    this->note_lost_answer(running_attempt);
     this->end_attempt(direct::request_outcome::faulty);
     this->after_failure(ran, "answer was cut");
 }
 
-void call::note_lost_answer()
+void call::note_lost_answer(endpoint_attempt const& ended)
 {
     direct::note_lost_answer(
-        this->context->book, this->current->endpoint, this->print,
-        clock::now());
+        this->context->book, ended.endpoint, this->print, clock::now());
     probe_connection(
-        this->context->loop, this->current->address,
-        [shared = this->context,
-         endpoint = this->current->endpoint](bool reached)
+        this->context->loop, ended.address,
+        [shared = this->context, endpoint = ended.endpoint](bool reached)
         {
             if (!reached)
             {
@@ -336,6 +339,11 @@
 {
     auto const ended = std::move(*this->current);
     this->current.reset();
+    this->release(ended, how);
+}
+
+void call::release(endpoint_attempt const& ended, direct::request_outcome how)
+{
     direct::note_request_ended(
         this->context->book, ended.endpoint, how, clock::now());
     if (ended.connection->is_idle())
@@ -356,6 +364,11 @@
         ++this->runs;
         this->ran_so_far = ran;
     }
+    if (this->silent)
+    {
+        this->return_to_silent();
+        return;
+    }
     auto const time_is_up = this->time_left() <= milliseconds(0);
     direct::retry_query const ask{
         .repeats = this->allowed.chosen->repeats,
--- a/libs/gateway/src/call_end.cpp
+++ b/libs/gateway/src/call_end.cpp
@@ -91,6 +91,12 @@
         // A stream that began at another endpoint cannot continue with a
         // complete answer.
         this->end_attempt(direct::request_outcome::answered);
+        if (this->silent)
+        {
+            ++this->runs;
+            this->return_to_silent();
+            return;
+        }
         this->cut_answer("endpoint did not resume the stream");
         return;
     }
--- a/libs/gateway/src/call_timer.cpp
+++ b/libs/gateway/src/call_timer.cpp
@@ -14,6 +14,10 @@
 using std::chrono::milliseconds;
 using clock = std::chrono::steady_clock;
 
+// At any time the endpoint may be lost or its version retired, which moves the
+// limits of an attempt forward, or another endpoint may have room.
+constexpr milliseconds recheck_interval{150};
+
 } // namespace
 
 milliseconds call::time_left() const
@@ -31,18 +35,7 @@
     }
     if (this->current)
     {
-        // At any time the endpoint may be lost or its version retired, which
-        // moves the limits forward.
-        constexpr milliseconds recheck_interval{150};
-        next = std::min(next, clock::now() + recheck_interval);
-        if (auto const limit = this->attempt_limit())
-        {
-            next = std::min(next, *limit);
-        }
-        if (auto const limit = this->start_limit())
-        {
-            next = std::min(next, *limit);
-        }
+        next = std::min(next, this->next_check());
     }
     this->timer.expires_at(next);
     this->timer.async_wait(
@@ -55,6 +48,20 @@
         });
 }
 
+base::time_point call::next_check() const
+{
+    auto next = clock::now() + recheck_interval;
+    if (auto const limit = this->attempt_limit())
+    {
+        next = std::min(next, *limit);
+    }
+    if (auto const limit = this->start_limit())
+    {
+        next = std::min(next, *limit);
+    }
+    return next;
+}
+
 void call::on_timer()
 {
     auto const now = clock::now();
@@ -74,69 +81,87 @@
         this->current->last_byte = now;
         direct::note_heard(this->context->book, this->current->endpoint, now);
     }
-    auto const connected = this->current->is_dispatched;
     if (now >= this->deadline)
     {
-        auto const ran = connected ? ran_state::unknown : ran_state::no;
-        // An endpoint that sent nothing for the stall time before the deadline
-        // counts as faulty; one that was still sending does not.
-        auto const silent = now - this->current->last_byte > direct::stall_time;
-        this->end_attempt(
-            silent ? direct::request_outcome::faulty
-                   : direct::request_outcome::cancelled);
-        this->after_failure(ran, "time is up");
+        this->end_at_deadline(now);
         return;
     }
+    if (this->resume_elsewhere(now))
+    {
+        return;
+    }
+    if (!this->end_at_limit(now))
+    {
+        this->set_timer();
+    }
+}
+
+void call::end_at_deadline(base::time_point now)
+{
+    auto const ran =
+        this->current->is_dispatched ? ran_state::unknown : ran_state::no;
+    // An endpoint that sent nothing for the stall time before the deadline
+    // counts as faulty; one that was still sending does not.
+    auto const is_stalled = now - this->current->last_byte > direct::stall_time;
+    this->end_silent(direct::request_outcome::faulty);
+    this->end_attempt(
+        is_stalled ? direct::request_outcome::faulty
+                   : direct::request_outcome::cancelled);
+    this->after_failure(ran, "time is up");
+}
+
+bool call::end_at_limit(base::time_point now)
+{
+    auto const connected = this->current->is_dispatched;
+    auto const ran = connected ? ran_state::unknown : ran_state::no;
     auto const limit = this->attempt_limit();
     if (limit && now >= *limit)
     {
-        auto const ran = connected ? ran_state::unknown : ran_state::no;
         this->end_attempt(
             connected ? direct::request_outcome::faulty
                       : direct::request_outcome::not_connected);
-        this->after_failure(ran, "endpoint is silent");
-        return;
+        this->after_silence(ran);
+        return true;
     }
     auto const start_by = this->start_limit();
     if (start_by && now >= *start_by)
     {
         this->end_attempt(direct::request_outcome::cancelled);
         this->after_failure(
-            connected ? ran_state::unknown : ran_state::no,
-            "version was retired before the request started");
-        return;
+            ran, "version was retired before the request started");
+        return true;
     }
-    this->set_timer();
+    return false;
 }
 
-bool call::is_endpoint_lost() const
+direct::attempt_progress call::progress() const
 {
+    auto const& running_attempt = *this->current;
+    auto const& chosen = *this->allowed.chosen;
+    direct::attempt_progress state{
+        .repeats = chosen.repeats,
+        .streams = chosen.streams,
+        .goal = chosen.goal,
+        .gap_goal = chosen.gap_goal,
+        .runs = this->runs,
+        .most_attempts = chosen.most_attempts,
+        .events = running_attempt.events_sent,
+        .answer_begun = this->answer_begun,
+        .begun = running_attempt.begun,
+        .last_byte = running_attempt.last_byte,
+        .caller_heard = this->last_forwarded.value_or(this->arrived)};
     auto const& known = this->context->book.endpoints;
-    auto const found = known.find(this->current->endpoint);
-    return found == known.end() ||
-           direct::is_unreachable(found->second, clock::now());
+    auto const found = known.find(running_attempt.endpoint);
+    state.lost = found == known.end() ||
+                 direct::is_unreachable(found->second, clock::now());
+    return state;
 }
 
 std::optional<base::time_point> call::attempt_limit() const
 {
-    auto const& running_attempt = *this->current;
-    auto const& chosen = *this->allowed.chosen;
-    if (!running_attempt.connection->is_open())
-    {
-        return running_attempt.begun + connect_limit;
-    }
-    return direct::attempt_deadline(
-        {.repeats = chosen.repeats,
-         .streams = chosen.streams,
-         .goal = chosen.goal,
-         .gap_goal = chosen.gap_goal,
-         .runs = this->runs,
-         .most_attempts = chosen.most_attempts,
-         .events = running_attempt.events_sent,
-         .begun = running_attempt.begun,
-         .last_byte = running_attempt.last_byte,
-         .caller_heard = this->last_forwarded.value_or(this->arrived),
-         .lost = this->is_endpoint_lost()});
+    return this->current->connection->is_open()
+               ? direct::attempt_deadline(this->progress())
+               : this->current->begun + connect_limit;
 }
 
 std::optional<base::time_point> call::start_limit() const
