A caller that reads slowly is not taken for one that waits for a lost endpoint

Callers saw: nothing that was reported; found by reading while the limits of begun streams were gone through. A caller that leaves what it was sent unread for two seconds is cut off if the agent beside its engine is silent then, an agent that is restarted for instance.

Cause: the time until a caller of a stream must be told of a lost endpoint was counted from the last event forwarded, also while the entry itself has stopped reading from the engine because the caller has not read that.

Mend: while the entry waits for the caller, the caller waits for nothing; the time counts from when it has read what it was sent.

--- a/libs/gateway/src/call_attempt.cpp
+++ b/libs/gateway/src/call_attempt.cpp
@@ -246,6 +246,7 @@
             {
                 held->current->waits_for_caller = false;
                 held->current->last_byte = clock::now();
+                held->last_forwarded = held->current->last_byte;
                 held->current->connection->resume_reading();
             }
         });
--- a/libs/gateway/src/call_timer.cpp
+++ b/libs/gateway/src/call_timer.cpp
@@ -138,6 +138,12 @@
 {
     auto const& running_attempt = *this->current;
     auto const& chosen = *this->allowed.chosen;
+    auto const now = clock::now();
+    // A caller that has not read what it was sent waits for nothing.
+    auto const caller_heard =
+        running_attempt.waits_for_caller
+            ? now
+            : this->last_forwarded.value_or(this->arrived);
     direct::attempt_progress state{
         .repeats = chosen.repeats,
         .streams = chosen.streams,
@@ -149,11 +155,11 @@
         .answer_begun = this->answer_begun,
         .begun = running_attempt.begun,
         .last_byte = running_attempt.last_byte,
-        .caller_heard = this->last_forwarded.value_or(this->arrived)};
+        .caller_heard = caller_heard};
     auto const& known = this->context->book.endpoints;
     auto const found = known.find(running_attempt.endpoint);
-    state.lost = found == known.end() ||
-                 direct::is_unreachable(found->second, clock::now());
+    state.lost =
+        found == known.end() || direct::is_unreachable(found->second, now);
     return state;
 }
 
