--- a/libs/gateway/src/call_resume.cpp
+++ b/libs/gateway/src/call_resume.cpp
@@ -32,9 +32,9 @@
     this->context->counters.count_retry(error_kind::endpoint_lost);
     this->log(
         kernel::event_id::request_retried, error_kind::endpoint_lost, reason);
-    this->silent.emplace(
+    this->silent = silent_attempt{
         std::move(*this->current),
-        std::exchange(this->observation, std::nullopt));
+        std::exchange(this->observation, std::nullopt)};
     this->current.reset();
     this->send(chosen);
     return true;
