Lines of a silent stream say that its attempt goes on

Cause: the line of a stream that is sent to a second endpoint read as if the first attempt had come to nothing, and `foxtailvalectl explain` said so.

1402 has `kept` then; `explain` tells of it and of event 1416 in words.

--- a/libs/gateway/src/call_end.cpp
+++ b/libs/gateway/src/call_end.cpp
@@ -209,6 +209,10 @@
     {
         fields["room_in_ms"] = -since(*this->room_at);
     }
+    if (this->silent)
+    {
+        fields["kept"] = true;
+    }
     this->add_endpoint_state(fields);
     this->add_first_event(fields);
     kernel::log_event(event, std::move(fields));
--- a/libs/gateway/src/call_resume.cpp
+++ b/libs/gateway/src/call_resume.cpp
@@ -29,13 +29,11 @@
     {
         return false;
     }
+    this->silent = silent_attempt{std::move(*this->current), this->observation};
+    this->current.reset();
     this->context->counters.count_retry(error_kind::endpoint_lost);
     this->log(
         kernel::event_id::request_retried, error_kind::endpoint_lost, reason);
-    this->silent = silent_attempt{
-        std::move(*this->current),
-        std::exchange(this->observation, std::nullopt)};
-    this->current.reset();
     this->send(chosen);
     return true;
 }
--- a/tools/ctl/src/explain.cpp
+++ b/tools/ctl/src/explain.cpp
@@ -137,6 +137,14 @@
 
 std::string describe_retried(json const& body)
 {
+    if (body.value("kept", false))
+    {
+        return "Nothing came from " + endpoint_of(body) + " after event " +
+               text_of(body, "last_event") + " of its answer, " +
+               time_after_arrival(body) +
+               ". It was sent to another endpoint as well; the first to send "
+               "goes on.";
+    }
     return "The attempt at " + endpoint_of(body) + " came to nothing " +
            time_after_arrival(body) + ": " + text_of(body, "reason") +
            ". It was sent once more, after event " +
@@ -161,6 +169,12 @@
            describe_first_event(body);
 }
 
+std::string describe_continued(json const& body)
+{
+    return "The stream from " + endpoint_of(body) + " went on after " +
+           text_of(body, "pause_ms") + " ms without an event.";
+}
+
 std::string describe_caller_left(json const& body)
 {
     return "Its caller left " + time_after_arrival(body) +
@@ -179,7 +193,8 @@
         {"request_retried", describe_retried},
         {"request_failed", describe_failed},
         {"request_cut", describe_cut},
-        {"request_left", describe_caller_left}};
+        {"request_left", describe_caller_left},
+        {"stream_continued", describe_continued}};
     return formatters;
 }
 
--- a/tools/ctl/tests/explain_tests.cpp
+++ b/tools/ctl/tests/explain_tests.cpp
@@ -178,6 +178,21 @@
     EXPECT_TRUE(contains(explanation[0].text, "No event came from there"));
 }
 
+// An endpoint is not said to have failed while its attempt goes on.
+TEST(explain, a_silent_stream_that_is_kept_is_reported_as_such)
+{
+    auto const explanation = explain_lines(
+        R"({"time":"t1","body":{"after_ms":900,"endpoint":"i-7","kept":true,"kind":"endpoint_lost","last_event":4,"name":"request_retried","process":"edge-1","reason":"endpoint is silent","request":"a7","sends":1,"version":1}})"
+        "\n"
+        R"({"time":"t2","body":{"endpoint":"i-7","name":"stream_continued","pause_ms":1300,"process":"edge-1","request":"a7"}})",
+        "a7");
+    ASSERT_EQ(explanation.size(), 2U);
+    EXPECT_TRUE(
+        contains(explanation[0].text, "Nothing came from endpoint i-7"));
+    EXPECT_TRUE(contains(explanation[0].text, "the first to send goes on"));
+    EXPECT_TRUE(contains(explanation[1].text, "went on after 1300 ms"));
+}
+
 TEST(explain, a_request_without_log_lines_has_no_explanation)
 {
     EXPECT_TRUE(explain_lines(log_lines, "ffff").empty());
