Tests run three programs at a time

Each program has loopback addresses of its own, by its process id, and three of eight cores leave the clocks of those with a real loop alone.

--- a/Makefile
+++ b/Makefile
@@ -75,9 +75,10 @@
 	    --csv docs/measurements/weights.csv
 	@gnuplot benchmarks/weights/plot.gnuplot
 
+# Each test program has loopback addresses of its own.
 test: build
 	@ctest --test-dir $(BUILD) --output-on-failure --no-tests=error \
-	    -LE known_red
+	    -j 3 -LE known_red
 
 # Faults that KNOWN-RED.txt lists. Says which of them still fail; one that passes
 # is to be moved to the other tests.
