A request without an event leaves a silent engine as before

Cause: "An engine that its agent reaches is not lost" held for requests without an event, too.

Mend: `is_lost_for`: an answer that has begun goes by whether the agent reaches the engine, a request without an event by silence alone, as on, so that its caller hears in time.

--- a/libs/direct/include/direct/attempt_limit.hpp
+++ b/libs/direct/include/direct/attempt_limit.hpp
@@ -35,7 +35,7 @@
     base::time_point last_byte;
     // Time of the caller's request or of the last event sent to the caller.
     base::time_point caller_heard;
-    // The endpoint no longer sends to any caller (see is_unreachable).
+    // The endpoint no longer sends to any caller (see is_lost_for).
     bool lost = false;
 };
 
@@ -47,10 +47,17 @@
 // Whether the endpoint is lost and its agent did not report lately that it
 // reaches it. Failure: a pass of an engine that works at less than half of its
 // published speed and reads long prompts lasts for over a second, in which it
-// sends nothing. It counted as lost, its streams were broken off and the
-// requests in its queue failed.
+// sends nothing. It counted as lost, and its streams were broken off.
 bool is_unreachable(endpoint_state const& state, base::time_point now);
 
+// Whether an attempt at the endpoint is one at a lost endpoint. An answer that
+// has begun goes by is_unreachable, as it continues when the pass ends. A
+// request without an event goes by is_lost. Failure: requests waited in the
+// queues of engines in long passes until their callers disconnected, machines
+// were paused meanwhile, and the engines ran what they had read.
+bool is_lost_for(
+    endpoint_state const& state, bool answer_begun, base::time_point now);
+
 // Returns the time at which the attempt times out unless the endpoint sends
 // something before then; nothing if the attempt may wait until the request's
 // own deadline.
--- a/libs/direct/src/attempt_limit.cpp
+++ b/libs/direct/src/attempt_limit.cpp
@@ -86,6 +86,12 @@
     return is_lost(state, now) && !is_reported_reachable(state, now);
 }
 
+bool is_lost_for(
+    endpoint_state const& state, bool answer_begun, base::time_point now)
+{
+    return answer_begun ? is_unreachable(state, now) : is_lost(state, now);
+}
+
 std::optional<base::time_point>
 attempt_deadline(attempt_progress const& attempt)
 {
--- a/libs/direct/tests/attempt_limit_tests.cpp
+++ b/libs/direct/tests/attempt_limit_tests.cpp
@@ -179,8 +179,23 @@
     EXPECT_TRUE(is_lost(state, start));
 }
 
-// Failure: an engine's pass lasts longer than usual, and all that it has is
-// broken off or fails although its agent reports that it is reachable.
+// Failure: a caller without an event waits at a silent endpoint that its agent
+// reaches until it disconnects.
+TEST(attempt_limit, an_endpoint_is_lost_sooner_for_a_request_without_an_event)
+{
+    endpoint_state state;
+    state.own_running = 1;
+    state.last_heard = start - seconds(3);
+    state.report.emplace();
+    state.reported = start;
+    EXPECT_TRUE(is_lost_for(state, false, start));
+    EXPECT_FALSE(is_lost_for(state, true, start));
+    state.report->unreachable = true;
+    EXPECT_TRUE(is_lost_for(state, true, start));
+}
+
+// Failure: an engine's pass lasts longer than usual, and its streams are broken
+// off although its agent reports that it is reachable.
 TEST(attempt_limit, an_endpoint_that_its_agent_reaches_may_be_silent)
 {
     endpoint_state state;
--- a/libs/direct/tests/played_entries.cpp
+++ b/libs/direct/tests/played_entries.cpp
@@ -206,7 +206,7 @@
         .begun = call.decided,
         .last_byte = call.last_byte,
         .caller_heard = call.last_heard,
-        .lost = is_unreachable(known, state.now)};
+        .lost = is_lost_for(known, call.answer_begun, state.now)};
 }
 
 // Returns when the entry abandons the current attempt.
--- a/libs/gateway/src/call_timer.cpp
+++ b/libs/gateway/src/call_timer.cpp
@@ -158,8 +158,8 @@
         .caller_heard = caller_heard};
     auto const& known = this->context->book.endpoints;
     auto const found = known.find(running_attempt.endpoint);
-    state.lost =
-        found == known.end() || direct::is_unreachable(found->second, now);
+    state.lost = found == known.end() ||
+                 direct::is_lost_for(found->second, this->answer_begun, now);
     return state;
 }
 
