Callers whose stream is resumed at a slow engine are told in time

Callers saw: nothing reported. Found by a course of callers_left with slow engines beside those that stand still: a stream is resumed at a slow engine, and its caller leaves before that sends, while the first engine works on.

Cause: once a stream was at its second endpoint, what its caller was told went by the second one alone, which was not lost.

--- a/libs/direct/tests/callers_left_tests.cpp
+++ b/libs/direct/tests/callers_left_tests.cpp
@@ -67,4 +67,15 @@
     }
 }
 
+// Failure: requests wait at engines in long passes until their machines are
+// paused, too.
+TEST(callers_left, engines_stand_still_and_the_others_are_slow)
+{
+    auto scenario = paused_engines(1.8, milliseconds(4000));
+    scenario.slow = {
+        {{2, 5, 7, 9, 11, 13}, {milliseconds(0), scenario.length}}};
+    scenario.slowdown = 3;
+    expect_work_stopped(scenario);
+}
+
 } // namespace foxtailvale::direct
--- a/libs/direct/tests/played_entries.cpp
+++ b/libs/direct/tests/played_entries.cpp
@@ -194,6 +194,7 @@
 {
     auto const& table = state.entries[call.entry].table;
     auto const& known = table.endpoints.at(id_of_engine(*call.engine));
+    auto const is_resumed_without_event = call.answer_begun && call.events == 0;
     return {
         .repeats = routing::retry_safety::resumable,
         .streams = true,
@@ -206,7 +207,8 @@
         .begun = call.decided,
         .last_byte = call.last_byte,
         .caller_heard = call.last_heard,
-        .lost = is_lost_for(known, call.answer_begun, state.now)};
+        .lost = is_lost_for(known, call.answer_begun, state.now) ||
+                is_resumed_without_event};
 }
 
 // Returns when the entry abandons the current attempt.
--- a/libs/gateway/src/call_timer.cpp
+++ b/libs/gateway/src/call_timer.cpp
@@ -158,7 +158,9 @@
         .caller_heard = caller_heard};
     auto const& known = this->context->book.endpoints;
     auto const found = known.find(running_attempt.endpoint);
-    state.lost = found == known.end() ||
+    // While a silent attempt is kept, the other endpoint has sent nothing
+    // either.
+    state.lost = this->silent || found == known.end() ||
                  direct::is_lost_for(found->second, this->answer_begun, now);
     return state;
 }
