The retry budget's state is in the log and at the metrics address

A refused retry said "retry budget is spent" without how much was spent, what was allowed and between how many entries it was divided, so that the hypotheses of the incident could not be told apart. Lines of requests that asked for a retry have these now, with how long the process has run; four metrics by service have the same. The budget stands in files of its own (direct/retry_budget, gateway/call_retry); nothing of what it decides has changed.

--- /dev/null
+++ b/libs/direct/include/direct/retry_budget.hpp
@@ -0,0 +1,74 @@
+#ifndef FOXTAILVALE_DIRECT_RETRY_BUDGET_HPP
+#define FOXTAILVALE_DIRECT_RETRY_BUDGET_HPP
+
+#include <base/ids.hpp>
+#include <direct/shares.hpp>
+
+#include <array>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+
+// The budget from which all entries together send requests of one service once
+// more. Each entry spends a part of its own that needs no messages.
+namespace foxtailvale::direct
+{
+
+// Limit on the retries of one service over all entries: a share of the requests
+// in the window plus a fixed number.
+struct retry_bound
+{
+    double ratio = 0.2;
+    std::chrono::seconds window{10};
+    double slack = 0;
+};
+
+// Requests of this entry in each second, and the times of its retries, oldest
+// first. Failure: retries that were also counted by whole seconds dropped out
+// of the count up to 1 s early, so that a window of 10 s could hold twice the
+// allowed number.
+struct retry_budget
+{
+    static constexpr std::size_t max_seconds = 32;
+
+    // When the process started.
+    base::time_point started;
+    std::array<std::uint32_t, max_seconds> requests{};
+    std::int64_t second = 0;
+    std::deque<base::time_point> retries;
+};
+
+// What a decision about a retry is based on.
+struct retry_budget_state
+{
+    // Retries and requests of this process in the window.
+    std::size_t spent = 0;
+    std::size_t requests = 0;
+    // Number of retries that this process may have in the window.
+    double allowed = 0;
+    // Number of entries between which the fixed number is divided.
+    std::size_t entries = 0;
+    // Time since the process started.
+    std::chrono::milliseconds running{0};
+};
+
+void note_request(retry_budget& budget, base::time_point now);
+
+// Returns the budget's state; drops what has left the window.
+retry_budget_state state_of(
+    retry_budget& budget,
+    retry_bound const& bound,
+    entry_count const& count,
+    base::time_point now);
+
+// Consumes one retry of this entry's part. Returns false if none is left.
+bool spend_retry(
+    retry_budget& budget,
+    retry_bound const& bound,
+    entry_count const& count,
+    base::time_point now);
+
+} // namespace foxtailvale::direct
+
+#endif
--- a/libs/direct/include/direct/shares.hpp
+++ b/libs/direct/include/direct/shares.hpp
@@ -3,7 +3,6 @@
 
 #include <base/ids.hpp>
 
-#include <array>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -19,6 +18,11 @@
 namespace foxtailvale::direct
 {
 
+// Fraction of a limit that is assigned as shares. The rest covers requests that
+// are sent in one second and arrive in the next, and entries that have just
+// started.
+inline constexpr double assigned_fraction = 0.8;
+
 // Number of entries that share a limit.
 struct entry_count
 {
@@ -182,36 +186,6 @@
     std::size_t entries,
     base::time_point now);
 
-// Limit on the retries of one service over all entries: a share of the requests
-// in the window plus a fixed number.
-struct retry_bound
-{
-    double ratio = 0.2;
-    std::chrono::seconds window{10};
-    double slack = 0;
-};
-
-// Requests of this entry in each second, and the times of its retries, oldest
-// first. Failure: retries that were also counted by whole seconds dropped out
-// of the count up to 1 s early, so that a window of 10 s could hold twice the
-// allowed number.
-struct retry_window
-{
-    static constexpr std::size_t max_seconds = 32;
-    std::array<std::uint32_t, max_seconds> requests{};
-    std::int64_t second = 0;
-    std::deque<base::time_point> retries;
-};
-
-void note_request(retry_window& state, base::time_point now);
-
-// Consumes one retry of this entry's budget. Returns false if none is left.
-bool spend_retry(
-    retry_window& state,
-    retry_bound const& bound,
-    std::size_t entries,
-    base::time_point now);
-
 } // namespace foxtailvale::direct
 
 #endif
--- a/libs/direct/src/shares.cpp
+++ b/libs/direct/src/shares.cpp
@@ -12,11 +12,6 @@
 namespace
 {
 
-// Fraction of a limit that is assigned as shares. The rest covers requests that
-// are sent in one second and arrive in the next, and entries that have just
-// started.
-constexpr double assigned_fraction = 0.8;
-
 // Returns the number of shares, in requests per second; at least one.
 std::size_t share_count(rate_bound const& bound)
 {
@@ -58,31 +53,6 @@
     return before < count;
 }
 
-std::int64_t second_of(base::time_point now)
-{
-    return std::chrono::duration_cast<std::chrono::seconds>(
-               now.time_since_epoch())
-        .count();
-}
-
-std::size_t slot_of(std::int64_t second)
-{
-    return static_cast<std::size_t>(second) % retry_window::max_seconds;
-}
-
-void advance(retry_window& state, base::time_point now)
-{
-    auto const second = second_of(now);
-    auto const first = std::max(
-        state.second + 1,
-        second - static_cast<std::int64_t>(retry_window::max_seconds) + 1);
-    for (auto passed = first; passed <= second; ++passed)
-    {
-        state.requests[slot_of(passed)] = 0;
-    }
-    state.second = std::max(state.second, second);
-}
-
 } // namespace
 
 std::size_t sharers(entry_count const& count)
@@ -241,38 +211,4 @@
     return static_cast<std::size_t>(begun) < allowed;
 }
 
-void note_request(retry_window& state, base::time_point now)
-{
-    advance(state, now);
-    ++state.requests[slot_of(state.second)];
-}
-
-bool spend_retry(
-    retry_window& state,
-    retry_bound const& bound,
-    std::size_t entries,
-    base::time_point now)
-{
-    advance(state, now);
-    double requests = 0;
-    for (std::int64_t back = 0; back < bound.window.count(); ++back)
-    {
-        requests += state.requests[slot_of(state.second - back)];
-    }
-    while (!state.retries.empty() &&
-           now - state.retries.front() >= bound.window)
-    {
-        state.retries.pop_front();
-    }
-    auto const allowed =
-        assigned_fraction *
-        (bound.ratio * requests + bound.slack / static_cast<double>(entries));
-    if (static_cast<double>(state.retries.size()) + 1 > allowed)
-    {
-        return false;
-    }
-    state.retries.push_back(now);
-    return true;
-}
-
 } // namespace foxtailvale::direct
--- a/libs/direct/tests/played_entries.cpp
+++ b/libs/direct/tests/played_entries.cpp
@@ -232,7 +232,8 @@
         entry.table, placement(state, entry, call), state.now, entry.random);
     if (chosen.chosen == nullptr ||
         !spend_retry(
-            entry.retries, retry_limit, state.entries.size(), state.now))
+            entry.retries, retry_limit, {.max_seen = state.entries.size()},
+            state.now))
     {
         return false;
     }
@@ -343,7 +344,8 @@
     auto& entry = state.entries[call.entry];
     if (call.deadline <= state.now || !is_retry_allowed(query) ||
         !spend_retry(
-            entry.retries, retry_limit, state.entries.size(), state.now))
+            entry.retries, retry_limit, {.max_seen = state.entries.size()},
+            state.now))
     {
         fail(state, call);
         return;
--- a/libs/direct/tests/played_fleet.hpp
+++ b/libs/direct/tests/played_fleet.hpp
@@ -6,6 +6,7 @@
 
 #include <base/random.hpp>
 #include <direct/endpoint_table.hpp>
+#include <direct/retry_budget.hpp>
 #include <direct/shares.hpp>
 #include <request/admission.hpp>
 #include <weights/switch_time.hpp>
@@ -97,7 +98,7 @@
     endpoint_table table;
     base::random_state random;
     request::measured_time first_answer;
-    retry_window retries;
+    retry_budget retries;
     std::map<queue_position, std::uint64_t> queue;
 };
 
--- /dev/null
+++ b/libs/direct/tests/retry_budget_tests.cpp
@@ -0,0 +1,86 @@
+#include <direct/retry_budget.hpp>
+
+#include <gtest/gtest.h>
+
+namespace foxtailvale::direct
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+base::time_point const start{std::chrono::hours(1)};
+
+// The count of an entry that has seen this many alive at a time.
+entry_count known(std::size_t entries)
+{
+    entry_count count;
+    note_entries(count, entries, 1, 1, start);
+    return count;
+}
+
+} // namespace
+
+// Failure: endpoints fail and every request is retried, which doubles the load
+// when there is the least capacity for it.
+TEST(retry_share, repeats_stay_a_share_of_the_requests)
+{
+    retry_budget budget{.started = start - minutes(1)};
+    retry_bound const bound{0.2, seconds(10), 104};
+    auto retries = 0;
+    for (auto second = 0; second < 10; ++second)
+    {
+        for (auto request = 0; request < 30; ++request)
+        {
+            auto const now = start + seconds(second) + milliseconds(request);
+            note_request(budget, now);
+            retries += spend_retry(budget, bound, known(8), now) ? 1 : 0;
+        }
+    }
+    EXPECT_LE(retries, 0.2 * 300 + 104 / 8.0);
+    EXPECT_GT(retries, 40);
+}
+
+TEST(retry_share, comes_back_when_the_window_has_passed)
+{
+    retry_budget budget{.started = start - minutes(1)};
+    retry_bound const bound{0.2, seconds(10), 16};
+    while (spend_retry(budget, bound, known(8), start))
+    {
+    }
+    EXPECT_FALSE(spend_retry(budget, bound, known(8), start + seconds(9)));
+    EXPECT_TRUE(spend_retry(budget, bound, known(8), start + seconds(10)));
+    EXPECT_TRUE(spend_retry(budget, bound, known(8), start + seconds(500)));
+}
+
+// Failure: endpoints fail twice, 9.1 s apart. Retries were counted by whole
+// seconds, and those of the first failure dropped out of the count when the
+// tenth second began. The retry budget of 10 s was spent twice within 10 s.
+TEST(retry_share, no_ten_seconds_have_more_repeats_than_allowed)
+{
+    retry_bound const bound{0, seconds(10), 100};
+    for (auto first = milliseconds(0); first < seconds(1);
+         first += milliseconds(50))
+    {
+        for (auto between = milliseconds(8000); between < seconds(10);
+             between += milliseconds(50))
+        {
+            retry_budget budget{.started = start - minutes(1)};
+            auto spent = 0;
+            for (auto const at : {first, first + between})
+            {
+                while (spend_retry(budget, bound, known(1), start + at))
+                {
+                    ++spent;
+                }
+            }
+            ASSERT_LE(spent, 100) << first.count() << " ms and "
+                                  << between.count() << " ms later";
+        }
+    }
+}
+
+} // namespace foxtailvale::direct
--- a/libs/direct/tests/shares_tests.cpp
+++ b/libs/direct/tests/shares_tests.cpp
@@ -377,65 +377,6 @@
     EXPECT_LE(sent, 59U);
 }
 
-// Failure: endpoints fail and every request is retried, which doubles the load
-// when there is the least capacity for it.
-TEST(retry_share, repeats_stay_a_share_of_the_requests)
-{
-    retry_window window;
-    retry_bound const bound{0.2, seconds(10), 104};
-    auto retries = 0;
-    for (auto second = 0; second < 10; ++second)
-    {
-        for (auto request = 0; request < 30; ++request)
-        {
-            auto const now = start + seconds(second) + milliseconds(request);
-            note_request(window, now);
-            retries += spend_retry(window, bound, 8, now) ? 1 : 0;
-        }
-    }
-    EXPECT_LE(retries, 0.2 * 300 + 104 / 8.0);
-    EXPECT_GT(retries, 40);
-}
-
-TEST(retry_share, comes_back_when_the_window_has_passed)
-{
-    retry_window window;
-    retry_bound const bound{0.2, seconds(10), 16};
-    while (spend_retry(window, bound, 8, start))
-    {
-    }
-    EXPECT_FALSE(spend_retry(window, bound, 8, start + seconds(9)));
-    EXPECT_TRUE(spend_retry(window, bound, 8, start + seconds(10)));
-    EXPECT_TRUE(spend_retry(window, bound, 8, start + seconds(500)));
-}
-
-// Failure: endpoints fail twice, 9.1 s apart. Retries were counted by whole
-// seconds, and those of the first failure dropped out of the count when the
-// tenth second began. The retry budget of 10 s was spent twice within 10 s.
-TEST(retry_share, no_ten_seconds_have_more_repeats_than_allowed)
-{
-    retry_bound const bound{0, seconds(10), 100};
-    for (auto first = milliseconds(0); first < seconds(1);
-         first += milliseconds(50))
-    {
-        for (auto between = milliseconds(8000); between < seconds(10);
-             between += milliseconds(50))
-        {
-            retry_window window;
-            auto spent = 0;
-            for (auto const at : {first, first + between})
-            {
-                while (spend_retry(window, bound, 1, start + at))
-                {
-                    ++spent;
-                }
-            }
-            ASSERT_LE(spent, 100) << first.count() << " ms and "
-                                  << between.count() << " ms later";
-        }
-    }
-}
-
 // Failure: the division of an endpoint leaves shares unused or assigns too
 // many.
 TEST(endpoint_shares, each_endpoint_is_shared_by_as_many_entries_as_it_bears)
--- a/libs/gateway/include/gateway/entry_context.hpp
+++ b/libs/gateway/include/gateway/entry_context.hpp
@@ -6,6 +6,7 @@
 #include <direct/endpoint_table.hpp>
 #include <direct/placement.hpp>
 #include <direct/process_pause.hpp>
+#include <direct/retry_budget.hpp>
 #include <direct/shares.hpp>
 #include <gateway/connection_pool.hpp>
 #include <gateway/traffic.hpp>
@@ -84,8 +85,10 @@
     // Number of entries per failure domain in the last notice that listed the
     // live ones.
     std::map<std::string, std::size_t> live_entries;
-    // Retry budget windows, by service.
-    std::map<std::string, direct::retry_window> retry_windows;
+    // When the process started.
+    base::time_point started;
+    // By service; see budget_of.
+    std::map<std::string, direct::retry_budget> retry_budgets;
     // Requests that wait for an endpoint, by service.
     std::map<std::string, request_queue> waiting;
     // Requests refused by this entry and its neighbours, and the fingerprints
@@ -123,6 +126,10 @@
 // machine was suspended since the last call.
 void note_suspend(entry_context& context);
 
+// Returns the service's retry budget, which begins with the process.
+direct::retry_budget&
+budget_of(entry_context& context, std::string const& service);
+
 // Whether agents run beside the service's endpoints. They do where the service
 // is configured with an engine; before the first configuration it is assumed.
 bool has_agents(entry_context const& context, std::string const& service);
--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -57,8 +57,8 @@
     {
         return;
     }
-    auto& window = this->context->retry_windows[this->service_name];
-    direct::note_request(window, this->arrived);
+    direct::note_request(
+        budget_of(*this->context, this->service_name), this->arrived);
     // A request that can no longer meet its goal does not overtake queued ones
     // that can.
     auto const yields_to_queue = this->goal_expired && this->has_queue();
--- a/libs/gateway/src/call.hpp
+++ b/libs/gateway/src/call.hpp
@@ -187,6 +187,11 @@
     void after_silence(base::ran_state ran);
     // Takes one retry out of the shared budget; returns false if it is spent.
     bool spend_retry();
+    // Exports the budget's state and whether it had one retry more.
+    void note_budget(bool spent) const;
+    // Adds fields with the budget's state before this request's last retry, if
+    // it asked for one.
+    void add_budget(nlohmann::json& fields) const;
     void answer();
     void begin_answer();
     void note_first_answer();
@@ -261,6 +266,8 @@
     // The head of the answer was sent to the caller.
     bool answer_begun = false;
     std::optional<std::uint64_t> last_event;
+    // The retry budget when the request last asked for a retry.
+    std::optional<direct::retry_budget_state> budget;
     std::uint64_t version = 0;
     // An answer had neither a length nor chunks and ended with its connection.
     bool answer_ended_with_connection = false;
--- a/libs/gateway/src/call_end.cpp
+++ b/libs/gateway/src/call_end.cpp
@@ -278,6 +278,7 @@
     {
         fields["ended_with_connection"] = true;
     }
+    this->add_budget(fields);
     this->add_endpoint_state(fields);
     this->add_first_event(fields);
     kernel::log_event(event, std::move(fields));
--- /dev/null
+++ b/libs/gateway/src/call_retry.cpp
@@ -0,0 +1,116 @@
+#include "call.hpp"
+
+#include <kernel/events.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <string>
+
+namespace foxtailvale::gateway
+{
+
+namespace
+{
+
+using base::error_kind;
+using base::ran_state;
+using std::chrono::milliseconds;
+using clock = std::chrono::steady_clock;
+
+} // namespace
+
+void call::after_failure(ran_state ran, char const* reason)
+{
+    if (ran != ran_state::no)
+    {
+        ++this->runs;
+        this->ran_so_far = ran;
+    }
+    if (this->silent)
+    {
+        this->return_to_silent();
+        return;
+    }
+    auto const time_is_up = this->time_left() <= milliseconds(0);
+    direct::retry_query const ask{
+        .repeats = this->allowed.chosen->repeats,
+        .ran = ran,
+        .runs = this->runs,
+        .most_attempts = this->allowed.chosen->most_attempts,
+        .sends = this->sends,
+        .answer_begun = this->answer_begun};
+    if (time_is_up || this->is_suspect() || !direct::is_retry_allowed(ask))
+    {
+        this->fail(direct::final_error(this->ran_so_far, time_is_up), reason);
+        return;
+    }
+    if (!this->spend_retry())
+    {
+        this->fail(
+            this->ran_so_far == ran_state::no ? error_kind::retry_budget_spent
+                                              : error_kind::endpoint_lost,
+            "retry budget is spent");
+        return;
+    }
+    this->context->counters.count_retry(
+        direct::final_error(this->ran_so_far, false));
+    this->log(
+        kernel::event_id::request_retried,
+        direct::final_error(this->ran_so_far, false), reason);
+    auto const now = clock::now();
+    this->wait_until = std::min(
+        this->deadline, std::max(this->wait_until, now + milliseconds(100)));
+    if (!this->place(true))
+    {
+        this->wait();
+    }
+}
+
+bool call::spend_retry()
+{
+    auto const& bounds = this->context->settings.promised;
+    direct::retry_bound const bound{
+        bounds.retry_ratio, bounds.retry_window, bounds.retry_slack};
+    auto& own = budget_of(*this->context, this->service_name);
+    auto const& entries = this->context->entries;
+    auto const now = clock::now();
+    this->budget = direct::state_of(own, bound, entries, now);
+    auto const spent = direct::spend_retry(own, bound, entries, now);
+    this->note_budget(spent);
+    return spent;
+}
+
+void call::note_budget(bool spent) const
+{
+    auto& counters = this->context->counters;
+    std::map<std::string, std::string> const labels{
+        {"service", this->service_name}};
+    counters.gauge(
+        "foxtailvale_retry_budget_spent", labels,
+        static_cast<double>(this->budget->spent + (spent ? 1 : 0)));
+    counters.gauge(
+        "foxtailvale_retry_budget_allowed", labels, this->budget->allowed);
+    counters.gauge(
+        "foxtailvale_retry_budget_entries", labels,
+        static_cast<double>(this->budget->entries));
+    counters.count(
+        spent ? "foxtailvale_retries_granted_total"
+              : "foxtailvale_retries_denied_total",
+        labels);
+}
+
+void call::add_budget(nlohmann::json& fields) const
+{
+    if (!this->budget)
+    {
+        return;
+    }
+    fields["retries_spent"] = this->budget->spent;
+    fields["retries_allowed"] = std::floor(this->budget->allowed);
+    fields["retries_for_requests"] = this->budget->requests;
+    fields["retries_shared_by"] = this->budget->entries;
+    fields["running_ms"] = this->budget->running.count();
+}
+
+} // namespace foxtailvale::gateway
--- a/libs/gateway/src/entry_context.cpp
+++ b/libs/gateway/src/entry_context.cpp
@@ -10,7 +10,8 @@
 entry_context::entry_context(
     boost::asio::io_context& event_loop, platform::settings given)
     : loop(event_loop), settings(std::move(given)),
-      pool(event_loop), random{base::entropy_seed()}
+      pool(event_loop), started(std::chrono::steady_clock::now()),
+      random{base::entropy_seed()}
 {
     this->book.regions = this->settings.regions;
     this->entry_addresses.insert(this->settings.ip);
@@ -38,6 +39,14 @@
     }
 }
 
+direct::retry_budget&
+budget_of(entry_context& context, std::string const& service)
+{
+    auto& budget = context.retry_budgets[service];
+    budget.started = context.started;
+    return budget;
+}
+
 bool has_agents(entry_context const& context, std::string const& service)
 {
     if (!context.configuration)
