--- /dev/null
+++ b/libs/direct/tests/retry_world.hpp
@@ -0,0 +1,48 @@
+#ifndef FOXTAILVALE_DIRECT_RETRY_WORLD_HPP
+#define FOXTAILVALE_DIRECT_RETRY_WORLD_HPP
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+// Plays entries that spend one service's retry budget in virtual time while
+// nearly all attempts fail, and counts what arrives at the service.
+namespace foxtailvale::direct
+{
+
+struct retry_course
+{
+    std::uint64_t seed = 1;
+    // Number of entries in each failure domain.
+    std::vector<std::size_t> domains{3, 1, 2};
+    // Number of rounds in which some or all entries are killed or stopped one
+    // after the other, and start again.
+    std::size_t rounds_of_restarts = 0;
+    // Number of entries that join.
+    std::size_t joins = 0;
+    // Number of times at which a failure domain is cut off from the others.
+    std::size_t cuts = 0;
+    // Longest time from the decision on a retry to its arrival.
+    std::chrono::milliseconds max_delay{0};
+    // Requests a second at all entries together.
+    double requests_per_second = 60;
+};
+
+// The ten seconds in which most arrived beyond what is allowed.
+struct retry_excess
+{
+    std::size_t arrivals = 0;
+    double allowed = 0;
+};
+
+// Returns the worst ten seconds: by arrivals less what is allowed then.
+retry_excess play(retry_course const& course);
+
+// Names the course in a failed expectation.
+std::string to_string(retry_course const& course);
+
+} // namespace foxtailvale::direct
+
+#endif
