A process has none of the retry budget's fixed number before it has run for a window

Cause: what was spent was remembered by the process alone. One that started again had its whole part of the fixed number, however short ago its predecessor had spent it; a round of restarts of all entries added 0.8 of the number.

Why it works: after a window of running, the predecessor has spent nothing in that window, so all processes of a machine together have one part. The number of entries has to be known for 1.5 s as well: an entry that no agent had told of others divided by 16 whatever their number.

The rig of the entry's tests raises the share for requests, since its process is always new; tests of what a new process may spend stand in direct.

--- a/libs/direct/include/direct/retry_budget.hpp
+++ b/libs/direct/include/direct/retry_budget.hpp
@@ -12,6 +12,12 @@
 
 // The budget from which all entries together send requests of one service once
 // more. Each entry spends a part of its own that needs no messages.
+//
+// Failure: entries are killed or stopped several times in ten seconds, and each
+// new process spends the fixed number once more. What a process spends may
+// therefore follow only from what it has seen itself: its share of the requests
+// from the first one on, and the fixed number once it has run for a whole
+// window, as its predecessor can have spent nothing in that window.
 namespace foxtailvale::direct
 {
 
--- a/libs/direct/src/retry_budget.cpp
+++ b/libs/direct/src/retry_budget.cpp
@@ -33,6 +33,21 @@
     budget.second = std::max(budget.second, second);
 }
 
+// This entry's part of the fixed number. A process cannot know what the one
+// before it on the same machine has spent, and does not know yet how many
+// entries there are.
+double part_of_slack(
+    retry_budget const& budget,
+    retry_bound const& bound,
+    entry_count const& count,
+    base::time_point now)
+{
+    auto const may_succeed_another = now - budget.started < bound.window;
+    return may_succeed_another || is_newcomer(count, now)
+               ? 0.0
+               : bound.slack / static_cast<double>(sharers(count));
+}
+
 } // namespace
 
 void note_request(retry_budget& budget, base::time_point now)
@@ -62,7 +77,7 @@
     found.entries = sharers(count);
     found.allowed =
         assigned_fraction * (bound.ratio * static_cast<double>(found.requests) +
-                             bound.slack / static_cast<double>(found.entries));
+                             part_of_slack(budget, bound, count, now));
     found.running = std::chrono::duration_cast<std::chrono::milliseconds>(
         now - budget.started);
     return found;
--- a/libs/direct/tests/played_entries.cpp
+++ b/libs/direct/tests/played_entries.cpp
@@ -22,6 +22,12 @@
 constexpr std::uint32_t most_attempts = 2;
 constexpr retry_bound retry_limit{0.2, std::chrono::seconds(10), 104};
 
+entry_count known_entries(simulation const& state)
+{
+    return {
+        .max_seen = state.entries.size(), .known_since = base::time_point()};
+}
+
 placement_query placement(
     simulation const& state,
     simulated_entry const& entry,
@@ -232,8 +238,7 @@
         entry.table, placement(state, entry, call), state.now, entry.random);
     if (chosen.chosen == nullptr ||
         !spend_retry(
-            entry.retries, retry_limit, {.max_seen = state.entries.size()},
-            state.now))
+            entry.retries, retry_limit, known_entries(state), state.now))
     {
         return false;
     }
@@ -344,8 +349,7 @@
     auto& entry = state.entries[call.entry];
     if (call.deadline <= state.now || !is_retry_allowed(query) ||
         !spend_retry(
-            entry.retries, retry_limit, {.max_seen = state.entries.size()},
-            state.now))
+            entry.retries, retry_limit, known_entries(state), state.now))
     {
         fail(state, call);
         return;
--- a/libs/direct/tests/retry_budget_tests.cpp
+++ b/libs/direct/tests/retry_budget_tests.cpp
@@ -18,7 +18,7 @@
 entry_count known(std::size_t entries)
 {
     entry_count count;
-    note_entries(count, entries, 1, 1, start);
+    note_entries(count, entries, 1, 1, start - minutes(1));
     return count;
 }
 
@@ -56,6 +56,29 @@
     EXPECT_TRUE(spend_retry(budget, bound, known(8), start + seconds(500)));
 }
 
+// Guards against entries that refuse every retry long after their start.
+TEST(retry_share, the_fixed_number_comes_with_a_window_of_running)
+{
+    retry_budget budget{.started = start};
+    retry_bound const bound{0, seconds(10), 100};
+    EXPECT_FALSE(
+        spend_retry(budget, bound, known(8), start + milliseconds(9999)));
+    EXPECT_TRUE(spend_retry(budget, bound, known(8), start + seconds(10)));
+}
+
+// Guards against an entry that takes itself for one of few, as it has not been
+// told of the others.
+TEST(retry_share, the_fixed_number_needs_the_number_of_entries)
+{
+    retry_budget budget{.started = start - minutes(1)};
+    retry_bound const bound{0, seconds(10), 100};
+    EXPECT_FALSE(spend_retry(budget, bound, {}, start));
+    entry_count count;
+    note_entries(count, 8, 1, 1, start);
+    EXPECT_FALSE(spend_retry(budget, bound, count, start));
+    EXPECT_TRUE(spend_retry(budget, bound, count, start + newcomer_time));
+}
+
 // Failure: endpoints fail twice, 9.1 s apart. Retries were counted by whole
 // seconds, and those of the first failure dropped out of the count when the
 // tenth second began. The retry budget of 10 s was spent twice within 10 s.
