A retry counts against the budget until a window after its arrival

Cause: a retry counted from the decision. It may wait for a place, for a connection, behind a link that stands still, and then arrives together with those that are decided on ten seconds later.

Why it works: what was granted counts as spent while it may still arrive, and for a whole window after the answer shows that it has, or after a second where there is no answer. What was never sent (no place, no connection) is given back, so that requests with a chance have it. A new process waits for the window and that second.

--- a/libs/direct/include/direct/retry_budget.hpp
+++ b/libs/direct/include/direct/retry_budget.hpp
@@ -30,10 +30,17 @@
     double slack = 0;
 };
 
-// Requests of this entry in each second, and the times of its retries, oldest
-// first. Failure: retries that were also counted by whole seconds dropped out
-// of the count up to 1 s early, so that a window of 10 s could hold twice the
-// allowed number.
+// Bytes that were written may reach the endpoint this much later, also after
+// the end of the process that wrote them.
+inline constexpr std::chrono::milliseconds max_flight{1000};
+
+// Requests of this entry in each second, and its retries. Failure: retries that
+// were also counted by whole seconds dropped out of the count up to 1 s early,
+// so that a window of 10 s could hold twice the allowed number.
+//
+// Failure: a retry that waits, or whose link stands still, arrives long after
+// the decision. Counted from the decision, those that were held up arrived
+// together with those of the next window.
 struct retry_budget
 {
     static constexpr std::size_t max_seconds = 32;
@@ -42,13 +49,17 @@
     base::time_point started;
     std::array<std::uint32_t, max_seconds> requests{};
     std::int64_t second = 0;
-    std::deque<base::time_point> retries;
+    // Retries that were granted and may still arrive.
+    std::size_t on_the_way = 0;
+    // By when others had arrived, oldest first.
+    std::deque<base::time_point> arrived;
 };
 
 // What a decision about a retry is based on.
 struct retry_budget_state
 {
-    // Retries and requests of this process in the window.
+    // Retries of this process that are on the way or arrived in the window, and
+    // its requests in the window.
     std::size_t spent = 0;
     std::size_t requests = 0;
     // Number of retries that this process may have in the window.
@@ -68,13 +79,20 @@
     entry_count const& count,
     base::time_point now);
 
-// Consumes one retry of this entry's part. Returns false if none is left.
+// Grants one retry of this entry's part. Returns false if none is left. Each
+// one that is granted must end with one of the two functions below.
 bool spend_retry(
     retry_budget& budget,
     retry_bound const& bound,
     entry_count const& count,
     base::time_point now);
 
+// Records that a granted retry has arrived by this time, which may lie ahead.
+void note_retry_arrived(retry_budget& budget, base::time_point by);
+
+// Gives back a granted retry of which nothing was sent.
+void return_retry(retry_budget& budget);
+
 } // namespace foxtailvale::direct
 
 #endif
--- a/libs/direct/src/retry_budget.cpp
+++ b/libs/direct/src/retry_budget.cpp
@@ -42,7 +42,8 @@
     entry_count const& count,
     base::time_point now)
 {
-    auto const may_succeed_another = now - budget.started < bound.window;
+    auto const may_succeed_another =
+        now - budget.started < bound.window + max_flight;
     return may_succeed_another || is_newcomer(count, now)
                ? 0.0
                : bound.slack / static_cast<double>(sharers(count));
@@ -68,12 +69,12 @@
     {
         found.requests += budget.requests[slot_of(budget.second - back)];
     }
-    while (!budget.retries.empty() &&
-           now - budget.retries.front() >= bound.window)
+    while (!budget.arrived.empty() &&
+           now - budget.arrived.front() >= bound.window)
     {
-        budget.retries.pop_front();
+        budget.arrived.pop_front();
     }
-    found.spent = budget.retries.size();
+    found.spent = budget.on_the_way + budget.arrived.size();
     found.entries = sharers(count);
     found.allowed =
         assigned_fraction * (bound.ratio * static_cast<double>(found.requests) +
@@ -94,8 +95,20 @@
     {
         return false;
     }
-    budget.retries.push_back(now);
+    ++budget.on_the_way;
     return true;
 }
 
+void note_retry_arrived(retry_budget& budget, base::time_point by)
+{
+    return_retry(budget);
+    auto const next = std::ranges::upper_bound(budget.arrived, by);
+    budget.arrived.insert(next, by);
+}
+
+void return_retry(retry_budget& budget)
+{
+    budget.on_the_way -= std::min<std::size_t>(1, budget.on_the_way);
+}
+
 } // namespace foxtailvale::direct
--- a/libs/direct/tests/retry_restarts_tests.cpp
+++ b/libs/direct/tests/retry_restarts_tests.cpp
@@ -45,6 +45,26 @@
 TEST(retry_world, restarts_joins_and_cuts_keep_the_budget)
 {
     expect_held({.rounds_of_restarts = 4, .joins = 3, .cuts = 3});
+    expect_held(
+        {.rounds_of_restarts = 4,
+         .joins = 3,
+         .cuts = 3,
+         .stall = std::chrono::milliseconds(1000)});
+}
+
+// Guards against retries that wait, or whose link or machine stands still, and
+// arrive together with those of the next window.
+TEST(retry_world, retries_that_arrive_late_keep_the_budget)
+{
+    for (auto const delay : {400, 1000, 2000})
+    {
+        for (auto const rate : {2.0, 10.0, 60.0})
+        {
+            expect_held(
+                {.stall = std::chrono::milliseconds(delay),
+                 .requests_per_second = rate});
+        }
+    }
 }
 
 } // namespace foxtailvale::direct
--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -331,6 +331,7 @@
     this->context->counters.count_error(error_kind::caller_gone);
     this->log(
         kernel::event_id::request_left, error_kind::caller_gone, "caller left");
+    this->return_unused_retry();
     this->done = true;
     this->timer.cancel();
 }
@@ -338,6 +339,7 @@
 void call::finish()
 {
     this->done = true;
+    this->return_unused_retry();
     this->end_silent(direct::request_outcome::cancelled);
     this->timer.cancel();
     this->session->on_client_disconnected({});
--- a/libs/gateway/src/call.hpp
+++ b/libs/gateway/src/call.hpp
@@ -40,6 +40,8 @@
     event_splitter events;
     bool is_stream = false;
     base::time_point endpoint_deadline;
+    // It uses a retry of the budget that is not known to have arrived.
+    bool is_retry = false;
     // The request's bytes were passed to the connection.
     bool is_dispatched = false;
     // Its answer is not read until the caller has read what it was sent.
@@ -185,8 +187,15 @@
     void after_failure(base::ran_state ran, char const* reason);
     // The same after an attempt that was ended for its silence.
     void after_silence(base::ran_state ran);
-    // Takes one retry out of the shared budget; returns false if it is spent.
+    // Takes one retry out of the shared budget, unless the request has one that
+    // it has not used; returns false if the budget is spent.
     bool spend_retry();
+    // Records that the endpoint has the request, as it has answered.
+    void note_retry_arrived(endpoint_attempt& running_attempt);
+    // Settles the retry that the attempt used, if any.
+    void end_retry(endpoint_attempt const& ended);
+    // Gives back a retry that no attempt has used.
+    void return_unused_retry();
     // Exports the budget's state and whether it had one retry more.
     void note_budget(bool spent) const;
     // Adds fields with the budget's state before this request's last retry, if
@@ -266,6 +275,8 @@
     // The head of the answer was sent to the caller.
     bool answer_begun = false;
     std::optional<std::uint64_t> last_event;
+    // A retry was granted that no attempt has used.
+    bool holds_retry = false;
     // The retry budget when the request last asked for a retry.
     std::optional<direct::retry_budget_state> budget;
     std::uint64_t version = 0;
--- a/libs/gateway/src/call_attempt.cpp
+++ b/libs/gateway/src/call_attempt.cpp
@@ -7,6 +7,7 @@
 #include <kernel/events.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace foxtailvale::gateway
 {
@@ -68,6 +69,7 @@
     this->version = chosen.version;
     this->current.emplace();
     this->current->number = ++this->attempts;
+    this->current->is_retry = std::exchange(this->holds_retry, false);
     this->current->endpoint = target.id;
     this->last_endpoint = target.id;
     this->current->address = target.address;
@@ -151,6 +153,7 @@
         this->context->counters.count("foxtailvale_foreign_answers_total", {});
         return net::head_verdict::skip;
     }
+    this->note_retry_arrived(running_attempt);
     running_attempt.last_byte = clock::now();
     direct::note_heard(
         this->context->book, running_attempt.endpoint,
@@ -355,6 +358,7 @@
 
 void call::release(endpoint_attempt const& ended, direct::request_outcome how)
 {
+    this->end_retry(ended);
     direct::note_request_ended(
         this->context->book, ended.endpoint, how, clock::now());
     if (ended.connection->is_idle())
--- a/libs/gateway/src/call_retry.cpp
+++ b/libs/gateway/src/call_retry.cpp
@@ -6,6 +6,7 @@
 #include <cmath>
 #include <map>
 #include <string>
+#include <utility>
 
 namespace foxtailvale::gateway
 {
@@ -69,6 +70,10 @@
 
 bool call::spend_retry()
 {
+    if (this->holds_retry)
+    {
+        return true;
+    }
     auto const& bounds = this->context->settings.promised;
     direct::retry_bound const bound{
         bounds.retry_ratio, bounds.retry_window, bounds.retry_slack};
@@ -78,9 +83,42 @@
     this->budget = direct::state_of(own, bound, entries, now);
     auto const spent = direct::spend_retry(own, bound, entries, now);
     this->note_budget(spent);
+    this->holds_retry = spent;
     return spent;
 }
 
+void call::note_retry_arrived(endpoint_attempt& running_attempt)
+{
+    if (std::exchange(running_attempt.is_retry, false))
+    {
+        direct::note_retry_arrived(
+            budget_of(*this->context, this->service_name), clock::now());
+    }
+}
+
+void call::end_retry(endpoint_attempt const& ended)
+{
+    if (!ended.is_retry)
+    {
+        return;
+    }
+    auto& own = budget_of(*this->context, this->service_name);
+    if (ended.is_dispatched)
+    {
+        direct::note_retry_arrived(own, clock::now() + direct::max_flight);
+        return;
+    }
+    direct::return_retry(own);
+}
+
+void call::return_unused_retry()
+{
+    if (std::exchange(this->holds_retry, false))
+    {
+        direct::return_retry(budget_of(*this->context, this->service_name));
+    }
+}
+
 void call::note_budget(bool spent) const
 {
     auto& counters = this->context->counters;
