An endpoint's request for rest is read, logged and counted

The field is read from answers 503 and 429, bounded at five minutes; one that cannot be read stands for a second and says so in the log. An event (1419) names the endpoint and the time; two metrics count the rests and what is written to an endpoint in one. Placement does not change yet.

Tests: endpoint_head.asks_for_rest, an_unreadable_rest_is_a_short_one, endpoint_rest.is_logged.

--- a/libs/direct/include/direct/endpoint_table.hpp
+++ b/libs/direct/include/direct/endpoint_table.hpp
@@ -152,6 +152,9 @@
     // Entries of each failure domain, as announced by the agents there.
     std::map<std::string, std::set<std::string>> domain_entries;
     store_restore_state restore_state;
+    // Until when endpoints want no requests from this entry, by id. Kept while
+    // an endpoint is not listed.
+    std::map<std::string, base::time_point> rests;
 };
 
 // How long an endpoint that disappeared from the list stays in use when the
--- a/libs/gateway/src/call_attempt.cpp
+++ b/libs/gateway/src/call_attempt.cpp
@@ -1,9 +1,10 @@
 #include "answer_status.hpp"
 #include "call.hpp"
+#include "endpoint_notes.hpp"
 #include "reach.hpp"
 
+#include <direct/endpoint_rest.hpp>
 #include <gateway/crash_records.hpp>
-#include <gateway/rate_limits.hpp>
 #include <kernel/events.hpp>
 
 #include <algorithm>
@@ -121,6 +122,11 @@
     {
         return std::nullopt;
     }
+    if (direct::rests_until(this->context->book, this->current->endpoint) >
+        clock::now())
+    {
+        this->context->counters.count("foxtailvale_sends_in_rest_total", {});
+    }
     this->current->is_dispatched = true;
     platform::dispatch added;
     added.instance = this->current->endpoint;
@@ -158,7 +164,7 @@
     direct::note_heard(
         this->context->book, running_attempt.endpoint,
         running_attempt.last_byte);
-    note_answered_limit(
+    note_answer_head(
         *this->context, running_attempt.endpoint, read, running_attempt.begun);
     running_attempt.head = head;
     running_attempt.parsed = read;
--- a/libs/kernel/include/kernel/events.hpp
+++ b/libs/kernel/include/kernel/events.hpp
@@ -71,6 +71,7 @@
     stream_continued = 1416,
     suspect_withdrawn = 1417,
     suspect_probed = 1418,
+    rest_asked = 1419,
     domain_out = 1501,
     domain_in = 1502,
 };
