An endpoint that asked for rest gets nothing until its end

Cause: the field was read nowhere. Such an endpoint was avoided for 60 ms, as a full one, and then chosen first, as it looks idle. The class: what an endpoint says of itself in an answer is dropped, as the answer is read for its request only.

Why it works: all attempts are placed by one function, which leaves out endpoints at rest. An attempt that was chosen before is not written after. Heads are read for what they say of the endpoint before it is decided whether the answer is wanted. Where all endpoints of a service are at rest or at their limits, a request waits if the first is back in time; otherwise it is refused at once, and told to come back after that, each at another moment.

Each entry goes by its own answers: an endpoint may take requests of others.

--- a/libs/direct/include/direct/endpoint_table.hpp
+++ b/libs/direct/include/direct/endpoint_table.hpp
@@ -218,10 +218,10 @@
     std::string const& model,
     announced_version const& announced);
 
-// Corrects the times of all versions after the machine was suspended for this
-// time. Failure: the steady clock does not advance during a suspension, so that
-// older versions would stay in use for that much longer here than at all other
-// entries.
+// Corrects the times of all versions and rests after the machine was suspended
+// for this time. Failure: the steady clock does not advance during a
+// suspension, so that older versions would stay in use for that much longer
+// here than at all other entries.
 void note_suspended(endpoint_table& table, std::chrono::milliseconds time);
 
 // Returns the time after which no request may start on this version of the
--- a/libs/direct/include/direct/placement.hpp
+++ b/libs/direct/include/direct/placement.hpp
@@ -85,8 +85,11 @@
     endpoint_state const* chosen = nullptr;
     no_endpoint_reason why = no_endpoint_reason::none_listed;
     // When the first endpoint has room, if nothing but the limits that they
-    // name keeps the request from all that have the weights.
+    // name and the rest that they ask for keeps the request from all that have
+    // the weights.
     std::optional<base::time_point> room_at;
+    // That endpoint rests until then.
+    bool is_rest = false;
     // Version on which the request must start; zero for a plain service.
     std::uint64_t version = 0;
     placement_estimate expected;
--- a/libs/direct/src/announced_versions.cpp
+++ b/libs/direct/src/announced_versions.cpp
@@ -49,6 +49,10 @@
 
 void note_suspended(endpoint_table& table, std::chrono::milliseconds time)
 {
+    for (auto& [id, until] : table.rests)
+    {
+        until -= time;
+    }
     for (auto& [model, known] : table.versions)
     {
         for (auto& announced : known)
--- a/libs/direct/src/placement.cpp
+++ b/libs/direct/src/placement.cpp
@@ -1,6 +1,7 @@
 #include "endpoint_shares.hpp"
 
 #include <base/digest.hpp>
+#include <direct/endpoint_rest.hpp>
 #include <direct/placement.hpp>
 
 #include <algorithm>
@@ -285,14 +286,26 @@
            state.fault_share > max_fault_share;
 }
 
-// Returns until when the limit that the endpoint names keeps this entry from
-// sending to it; the epoch if it names none.
-base::time_point
-limited_until(endpoint_state const& state, endpoint_shares const& shares)
+// Until when an endpoint's own words keep this entry from sending to it; the
+// epoch if nothing does.
+struct closed_time
+{
+    base::time_point until;
+    // It asked for rest until then; otherwise it named a rate limit.
+    bool is_rest = false;
+};
+
+closed_time closed_until(
+    endpoint_table const& table,
+    endpoint_state const& state,
+    endpoint_shares const& shares)
 {
-    return state.limit.per_second
-               ? next_send(state.limit, shares.part_of_limit(state))
-               : base::time_point();
+    auto const rested = rests_until(table, state.listed.id);
+    auto const limited =
+        state.limit.per_second
+            ? next_send(state.limit, shares.part_of_limit(state))
+            : base::time_point();
+    return {std::max(rested, limited), rested > limited};
 }
 
 double cost_of(
@@ -414,7 +427,7 @@
     choice found;
     auto best = std::numeric_limits<double>::max();
     auto first_room = base::time_point::max();
-    auto are_all_limited = true;
+    auto are_all_closed = true;
     endpoint_shares const shares(table, query);
     for (auto const& [id, state] : table.endpoints)
     {
@@ -432,17 +445,19 @@
             }
             continue;
         }
-        auto const room_at = limited_until(state, shares);
-        if (room_at > now)
+        auto const closed = closed_until(table, state, shares);
+        if (closed.until > now)
         {
             note_busy(found);
-            first_room = std::min(first_room, room_at);
+            found.is_rest =
+                closed.until < first_room ? closed.is_rest : found.is_rest;
+            first_room = std::min(first_room, closed.until);
             continue;
         }
         if (!can_accept(state, query, shares, now))
         {
             note_busy(found);
-            are_all_limited = false;
+            are_all_closed = false;
             continue;
         }
         auto const cost =
@@ -455,7 +470,7 @@
     }
     if (found.chosen == nullptr)
     {
-        if (are_all_limited && first_room < base::time_point::max())
+        if (are_all_closed && first_room < base::time_point::max())
         {
             found.room_at = first_room;
         }
--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -268,7 +268,8 @@
             ? "no endpoint is listed"
         : chosen.why == direct::no_endpoint_reason::no_weights
             ? "no endpoint has the weights"
-        : is_limited ? "all endpoints are at their rate limits"
+        : is_limited ? chosen.is_rest ? "all endpoints ask for rest"
+                                      : "all endpoints are at their rate limits"
                      : "all endpoints are busy");
     return true;
 }
--- a/libs/gateway/src/call_attempt.cpp
+++ b/libs/gateway/src/call_attempt.cpp
@@ -5,6 +5,7 @@
 
 #include <direct/endpoint_rest.hpp>
 #include <gateway/crash_records.hpp>
+#include <gateway/rate_limits.hpp>
 #include <kernel/events.hpp>
 
 #include <algorithm>
@@ -125,7 +126,8 @@
     if (direct::rests_until(this->context->book, this->current->endpoint) >
         clock::now())
     {
-        this->context->counters.count("foxtailvale_sends_in_rest_total", {});
+        // It asked for rest while the connection was being opened.
+        return std::nullopt;
     }
     this->current->is_dispatched = true;
     platform::dispatch added;
@@ -147,12 +149,17 @@
 net::head_verdict
 call::on_head(std::uint64_t number, net::response_head const& head)
 {
+    auto const read = platform::read_endpoint_head(head);
+    if (this->is_silent(number))
+    {
+        note_answer_head(*this->context, this->silent->attempt.endpoint, read);
+    }
     if (!this->is_current(number))
     {
         return net::head_verdict::skip;
     }
     auto& running_attempt = *this->current;
-    auto const read = platform::read_endpoint_head(head);
+    note_answer_head(*this->context, running_attempt.endpoint, read);
     if (!read.attempt.empty() && read.attempt != this->parsed.attempt)
     {
         // The late answer to an earlier request on this connection.
@@ -164,7 +171,7 @@
     direct::note_heard(
         this->context->book, running_attempt.endpoint,
         running_attempt.last_byte);
-    note_answer_head(
+    note_answered_limit(
         *this->context, running_attempt.endpoint, read, running_attempt.begun);
     running_attempt.head = head;
     running_attempt.parsed = read;
@@ -324,7 +331,7 @@
     {
         this->end_attempt(direct::request_outcome::cancelled);
         this->after_failure(
-            ran_state::no, "deadline passed before the request was written");
+            ran_state::no, "too late when the request was to be written");
         return;
     }
     if (!result.written)
--- a/libs/gateway/src/call_end.cpp
+++ b/libs/gateway/src/call_end.cpp
@@ -222,8 +222,10 @@
     // Random, so that requests refused together do not come back together.
     constexpr std::uint64_t least = 400;
     constexpr std::uint64_t spread = 1000;
-    return milliseconds(
-        least + base::random_below(this->context->random, spread));
+    auto const room = this->room_at.value_or(base::time_point()) - clock::now();
+    return std::max(
+               milliseconds(least), std::chrono::ceil<milliseconds>(room)) +
+           milliseconds(base::random_below(this->context->random, spread));
 }
 
 milliseconds call::quarantine_left() const
--- a/libs/gateway/src/call_timer.cpp
+++ b/libs/gateway/src/call_timer.cpp
@@ -32,6 +32,10 @@
     if (this->is_queued)
     {
         next = std::min(next, this->wait_until);
+        if (this->room_at && *this->room_at > clock::now())
+        {
+            next = std::min(next, *this->room_at);
+        }
     }
     if (this->current)
     {
@@ -70,6 +74,16 @@
         this->end_wait();
         return;
     }
+    if (this->is_queued)
+    {
+        // An endpoint's rest, or the time between two requests to it, is over.
+        serve_waiting(*this->context, this->service_name);
+        if (this->is_queued)
+        {
+            this->set_timer();
+        }
+        return;
+    }
     if (!this->current)
     {
         this->set_timer();
--- a/libs/gateway/src/endpoint_notes.cpp
+++ b/libs/gateway/src/endpoint_notes.cpp
@@ -2,7 +2,6 @@
 
 #include <direct/endpoint_rest.hpp>
 #include <gateway/entry_context.hpp>
-#include <gateway/rate_limits.hpp>
 #include <kernel/events.hpp>
 #include <platform/requests.hpp>
 
@@ -35,10 +34,8 @@
 void note_answer_head(
     entry_context& context,
     std::string const& endpoint,
-    platform::endpoint_head const& answer,
-    base::time_point sent)
+    platform::endpoint_head const& answer)
 {
-    note_answered_limit(context, endpoint, answer, sent);
     if (answer.rest)
     {
         note_asked_rest(context, endpoint, answer);
