An endpoint that says in an answer that it leaves gets nothing new

Cause: the header was read nowhere; an entry knew of a leaving endpoint by the platform's list alone, which may say so much later or never. The same class as the rest that was not read: what an endpoint says of itself in an answer was dropped.

Evidence: without the two checks these fail: leaving_endpoint.gets_nothing_new_after_any_answer (200, 404, 500 and 503), leaving_endpoints.are_not_chosen_whatever_the_list_says and the_agents_word_counts_while_it_is_fresh, agent.tells_entries_that_its_engine_leaves. A stream whose head says it goes on to its end.

Why it works: a mark by id that no record of the list lifts, but another start of the process (the record's born). Agents read the header in their engine's reports and pass it on; what they say counts while it is fresh, since a report is of an address and not of an id. Endpoints that leave take no part in transfers of weights.

--- a/libs/direct/include/direct/endpoint_table.hpp
+++ b/libs/direct/include/direct/endpoint_table.hpp
@@ -55,6 +55,9 @@
     std::string failure_domain;
     std::uint32_t slots = 1;
     bool draining = false;
+    // Unix time in milliseconds at which the endpoint's process started, which
+    // tells its starts under one id apart; zero if not specified.
+    std::uint64_t started_ms = 0;
     // Remaining cold time when the record was written.
     std::chrono::milliseconds cold_left{0};
     served_weights weights;
@@ -76,6 +79,8 @@
     std::optional<base::time_point> switches_at;
     // The agent could not reach the engine.
     bool unreachable = false;
+    // The engine told its agent that it is leaving.
+    bool leaving = false;
 };
 
 struct endpoint_state
@@ -131,6 +136,14 @@
     std::set<std::string> held_out;
 };
 
+// An endpoint's word that it is leaving.
+struct said_leaving
+{
+    // Start of the endpoint's process, as in its record.
+    std::uint64_t started_ms = 0;
+    base::time_point said;
+};
+
 struct endpoint_table
 {
     // By endpoint id. Endpoints are added and removed by the functions below,
@@ -155,6 +168,8 @@
     // Until when endpoints want no requests from this entry, by id. Kept while
     // an endpoint is not listed.
     std::map<std::string, base::time_point> rests;
+    // Endpoints that said that they are leaving, by id. Kept like the rests.
+    std::map<std::string, said_leaving> leaving;
 };
 
 // How long an endpoint that disappeared from the list stays in use when the
--- a/libs/direct/src/endpoint_shares.cpp
+++ b/libs/direct/src/endpoint_shares.cpp
@@ -1,6 +1,7 @@
 #include "endpoint_shares.hpp"
 
 #include <base/digest.hpp>
+#include <direct/leaving_endpoints.hpp>
 
 #include <string_view>
 
@@ -17,6 +18,7 @@
 {
     auto const& listed = state.listed;
     return listed.service == service && !listed.draining &&
+           !is_leaving(table, listed.id) &&
            !table.domains_out.contains(listed.failure_domain);
 }
 
--- a/libs/direct/src/placement.cpp
+++ b/libs/direct/src/placement.cpp
@@ -215,7 +215,8 @@
         return false;
     }
     if (is_fresh(state, now) &&
-        (state.report->switching || state.report->unreachable))
+        (state.report->switching || state.report->unreachable ||
+         state.report->leaving))
     {
         return false;
     }
--- a/libs/direct/src/store_restore.cpp
+++ b/libs/direct/src/store_restore.cpp
@@ -27,7 +27,7 @@
         });
 }
 
-bool is_leaving(endpoint_table const& table, std::string const& id)
+bool is_draining(endpoint_table const& table, std::string const& id)
 {
     auto const found = table.endpoints.find(id);
     return found != table.endpoints.end() && found->second.listed.draining;
@@ -74,7 +74,7 @@
         return false;
     }
     expire_departed(restore_state, now);
-    auto const leaves = is_leaving(table, record.id) && !record.draining;
+    auto const leaves = is_draining(table, record.id) && !record.draining;
     if (!leaves && !restore_state.departed.contains(record.id))
     {
         return false;
--- a/libs/gateway/src/agent.cpp
+++ b/libs/gateway/src/agent.cpp
@@ -9,6 +9,7 @@
 #include <gateway/agent.hpp>
 #include <gateway/store_watch.hpp>
 #include <kernel/events.hpp>
+#include <platform/requests.hpp>
 
 #include <algorithm>
 #include <csignal>
@@ -223,6 +224,7 @@
         state.switching = false;
     }
     state.engine = read.value();
+    state.engine->load.leaving = platform::says_leaving(response->fields);
 }
 
 void agent_process::watch_without_entries()
--- a/libs/gateway/src/endpoint_notes.cpp
+++ b/libs/gateway/src/endpoint_notes.cpp
@@ -1,6 +1,7 @@
 #include "endpoint_notes.hpp"
 
 #include <direct/endpoint_rest.hpp>
+#include <direct/leaving_endpoints.hpp>
 #include <gateway/entry_context.hpp>
 #include <kernel/events.hpp>
 #include <platform/requests.hpp>
@@ -40,6 +41,12 @@
     {
         note_asked_rest(context, endpoint, answer);
     }
+    if (answer.leaving &&
+        direct::note_leaving(context.book, endpoint, clock::now()))
+    {
+        kernel::log_event(
+            kernel::event_id::endpoint_leaving, {{"endpoint", endpoint}});
+    }
 }
 
 } // namespace foxtailvale::gateway
--- a/libs/gateway/src/fetch.cpp
+++ b/libs/gateway/src/fetch.cpp
@@ -73,6 +73,7 @@
         {[pending](net::response_head const& head)
          {
              pending->response.status = head.status;
+             pending->response.fields = head.fields;
              return net::head_verdict::take;
          },
          [pending](std::string_view data)
--- a/libs/gateway/src/fetch.hpp
+++ b/libs/gateway/src/fetch.hpp
@@ -17,6 +17,7 @@
 struct fetched
 {
     unsigned status = 0;
+    net::field_list fields;
     std::string body;
 };
 
--- a/libs/gateway/src/peer_link.cpp
+++ b/libs/gateway/src/peer_link.cpp
@@ -1,5 +1,6 @@
 #include <base/digest.hpp>
 #include <direct/endpoint_table.hpp>
+#include <direct/leaving_endpoints.hpp>
 #include <gateway/crash_records.hpp>
 #include <gateway/peer_link.hpp>
 #include <gateway/rate_limits.hpp>
@@ -27,6 +28,7 @@
     report.pace = state.pace();
     report.weights = {state.model(), state.version(), state.whole()};
     report.switching = state.switching();
+    report.leaving = state.leaving();
     report.unreachable = state.unreachable();
     if (state.switches())
     {
@@ -305,7 +307,9 @@
     {
         auto const address = net::parse_endpoint(state.listed.address);
         if (!direct::participates_in_transfer(state.listed, asked.service()) ||
-            !address || !address->address().is_v4())
+            direct::is_leaving(this->context->book, id) ||
+            (state.report && state.report->leaving) || !address ||
+            !address->address().is_v4())
         {
             continue;
         }
--- a/libs/gateway/src/report_link.cpp
+++ b/libs/gateway/src/report_link.cpp
@@ -206,6 +206,7 @@
         content.set_model(load.weights.model);
         content.set_version(load.weights.version);
         content.set_whole(load.weights.whole);
+        content.set_leaving(load.leaving);
     }
     auto const now = clock::now();
     if (auto const at = expected_switch(state, now))
--- a/libs/kernel/include/kernel/events.hpp
+++ b/libs/kernel/include/kernel/events.hpp
@@ -72,6 +72,7 @@
     suspect_withdrawn = 1417,
     suspect_probed = 1418,
     rest_asked = 1419,
+    endpoint_leaving = 1420,
     domain_out = 1501,
     domain_in = 1502,
 };
