A connection's bytes that are no answer are bounded

Cause: a head ended at 16 KiB, but informational heads and answers to other requests were skipped in any number, a chunk's size, its extension and trailing fields were kept until their end, and a fetched body until its time-out.

Why it works: an exchange holds 32 KiB that are not parsed and reads 1 MiB before the head that its owner takes; beyond that it ends as no answer. Bodies of the store, agents, engines and origins are bounded at 4 MiB (pages of the store hold 1 MB, chunks 32 KiB).

--- a/libs/gateway/src/call_attempt.cpp
+++ b/libs/gateway/src/call_attempt.cpp
@@ -59,6 +59,7 @@
         this->after_failure(ran_state::no, "endpoint address cannot be parsed");
         return;
     }
+    connection->limit_body(net::client_connection::no_body_limit);
     ++this->sends;
     if (this->sends == 1)
     {
--- a/libs/gateway/src/fetch.cpp
+++ b/libs/gateway/src/fetch.cpp
@@ -58,6 +58,7 @@
             });
         return;
     }
+    pending->connection->limit_body(max_fetched_bytes);
     pending->timer.expires_after(timeout);
     pending->timer.async_wait(
         [pending](boost::system::error_code error)
--- a/libs/gateway/src/fetch.hpp
+++ b/libs/gateway/src/fetch.hpp
@@ -21,6 +21,10 @@
     std::string body;
 };
 
+// Larger answers of the platform's store, of agents, engines and origins count
+// as none. The store's pages hold 1 MB.
+inline constexpr std::size_t max_fetched_bytes = 4UL * 1024 * 1024;
+
 // Sends one request over a pooled connection and passes on the complete
 // response, or nothing when it did not arrive within the time-out. The callback
 // is invoked from the event loop, never from within this call.
--- a/libs/gateway/src/store_watch.cpp
+++ b/libs/gateway/src/store_watch.cpp
@@ -1,3 +1,5 @@
+#include "fetch.hpp"
+
 #include <gateway/store_watch.hpp>
 
 namespace foxtailvale::gateway
@@ -96,6 +98,7 @@
     {
         this->connection = std::make_shared<net::client_connection>(
             this->loop, this->settings.store);
+        this->connection->limit_body(max_fetched_bytes);
     }
     auto const self = this->shared_from_this();
     this->connection->start(
--- a/libs/net/include/net/client_connection.hpp
+++ b/libs/net/include/net/client_connection.hpp
@@ -10,6 +10,7 @@
 #include <chrono>
 #include <cstddef>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -78,6 +79,14 @@
     std::function<void(exchange_result const&)> on_end;
 };
 
+// Received bytes of an exchange that are not part of a head or a body yet: the
+// rest of a head, a chunk's size, trailing fields.
+inline constexpr std::size_t max_unparsed_bytes = 32UL * 1024;
+
+// Received bytes of an exchange before the head that its owner takes:
+// informational responses and responses to other requests.
+inline constexpr std::size_t max_untaken_bytes = 1024UL * 1024;
+
 class response_reader;
 
 // One connection to a server, which carries one exchange after the other. It
@@ -109,6 +118,12 @@
     // executed.
     void close();
 
+    static constexpr std::size_t no_body_limit =
+        std::numeric_limits<std::size_t>::max();
+
+    // An exchange whose response has a larger body ends as not_http.
+    void limit_body(std::size_t bytes);
+
     // Stops reading the response, so that the server has to wait, until
     // resume_reading() or the end of the exchange. Meanwhile a close by the
     // server goes unnoticed.
@@ -145,6 +160,9 @@
     void on_input_end(bool orderly);
     void finish(exchange_end end);
     void on_response_head(response_head const& head);
+    void on_body(std::string_view data);
+    // Whether the server has sent more than any response may hold.
+    bool is_too_large() const;
 
     boost::asio::ip::tcp::socket socket;
     tcp_endpoint address;
@@ -165,6 +183,11 @@
     bool paused = false;
     bool keeps_alive = true;
     std::size_t exchanges = 0;
+    std::size_t body_limit = no_body_limit;
+    // Bytes of the running exchange before the head that its owner took, and of
+    // its body.
+    std::size_t untaken_bytes = 0;
+    std::size_t body_bytes = 0;
     std::chrono::steady_clock::time_point last_use;
     std::chrono::seconds idle_limit{0};
     exchange_result result;
--- a/libs/net/src/client_connection.cpp
+++ b/libs/net/src/client_connection.cpp
@@ -91,6 +91,8 @@
     this->handlers = std::make_shared<exchange_handlers const>(std::move(next));
     this->running = true;
     this->result = {};
+    this->untaken_bytes = 0;
+    this->body_bytes = 0;
     this->result.reused = this->exchanges > 0;
     ++this->exchanges;
     this->reader.reset();
@@ -228,6 +230,11 @@
         });
 }
 
+void client_connection::limit_body(std::size_t bytes)
+{
+    this->body_limit = bytes;
+}
+
 void client_connection::pause_reading()
 {
     this->paused = true;
@@ -279,7 +286,12 @@
     }
     this->last_use = clock::now();
     this->input.append(this->read_buffer.data(), count);
+    this->untaken_bytes += this->result.head_seen ? 0 : count;
     this->parse_input();
+    if (this->running && this->is_too_large())
+    {
+        this->finish(exchange_end::not_http);
+    }
     if (!this->closed)
     {
         this->read();
@@ -304,10 +316,7 @@
                 },
                 [this](std::string_view data)
                 {
-                    if (!this->skipping && this->handlers)
-                    {
-                        this->handlers->on_data(data);
-                    }
+                    this->on_body(data);
                 });
         }
         boost::system::error_code error;
@@ -340,6 +349,26 @@
     }
 }
 
+void client_connection::on_body(std::string_view data)
+{
+    if (this->skipping || !this->handlers)
+    {
+        return;
+    }
+    this->body_bytes += data.size();
+    if (this->body_bytes <= this->body_limit)
+    {
+        this->handlers->on_data(data);
+    }
+}
+
+bool client_connection::is_too_large() const
+{
+    return this->input.size() > max_unparsed_bytes ||
+           this->body_bytes > this->body_limit ||
+           (!this->result.head_seen && this->untaken_bytes > max_untaken_bytes);
+}
+
 void client_connection::on_response_head(response_head const& head)
 {
     if (is_informational(head))
