Answers that never end are given up at once, and all of them together are bounded

Cause: an event of a stream was kept until its end, whatever its size and time; a body ended at 16 MiB a call, any number of calls at a time; an answer without the endpoint's seal was read to its end before it was found to be none.

Evidence: four of endless_answer.* fail on the code before: an event without end is read for 1.6 s, a body without a seal as long, a stream that trickles without events is not resumed, and twelve bodies take 192 MiB together (64 MiB are the bound for all, a quarter of the VM). The fifth, one body without end, held before.

Why it works: an event may have 256 KiB and take a second from its first byte; the time in which the caller does not read doesn't count. Beyond three quarters of the bound for all, answers of over 1 MiB may not grow, so that small ones are not ended for them. A success without a seal is given up at its head; what ran is unknown then, so that a request that may run once is not sent again.

--- a/libs/gateway/include/gateway/entry_context.hpp
+++ b/libs/gateway/include/gateway/entry_context.hpp
@@ -112,6 +112,8 @@
     std::function<void(wire::CrashNotice const&)> notify_crash;
     base::random_state random;
     std::uint64_t arrivals = 0;
+    // Bytes of answers that are held until they are whole, or an event is.
+    std::size_t held_answer_bytes = 0;
     bool stopping = false;
 
     entry_context(
--- a/libs/gateway/include/gateway/event_splitter.hpp
+++ b/libs/gateway/include/gateway/event_splitter.hpp
@@ -26,6 +26,9 @@
     std::string incomplete;
 };
 
+// Whether the incomplete event is longer than any event may be.
+bool is_too_long(event_splitter const& state);
+
 // Adds received bytes and returns the events that are complete by then.
 std::vector<stream_event> split(event_splitter& state, std::string_view data);
 
--- a/libs/gateway/src/call.hpp
+++ b/libs/gateway/src/call.hpp
@@ -38,6 +38,10 @@
     platform::endpoint_head parsed;
     std::string body;
     event_splitter events;
+    // When the first bytes of the last event came.
+    base::time_point event_began;
+    // Size of the two above as it counts in the sum over all answers.
+    std::size_t held_bytes = 0;
     bool is_stream = false;
     base::time_point endpoint_deadline;
     // It uses a retry of the budget that is not known to have arrived.
@@ -141,6 +145,12 @@
     net::head_verdict
     on_head(std::uint64_t number, net::response_head const& head);
     void on_data(std::uint64_t number, std::string_view data);
+    // Counts the bytes that the attempt holds. Returns false if they are too
+    // many.
+    bool count_held_bytes();
+    // Ends an attempt whose bytes are no answer and counts its endpoint as
+    // faulty.
+    void give_up_answer(base::ran_state ran, char const* reason);
     // Forwards complete events that the caller has not received yet.
     void on_events(std::string_view data);
     // Records the expected timing of an attempt, and logs it for one on an
--- a/libs/gateway/src/call_attempt.cpp
+++ b/libs/gateway/src/call_attempt.cpp
@@ -1,3 +1,4 @@
+#include "answer_memory.hpp"
 #include "answer_status.hpp"
 #include "call.hpp"
 #include "endpoint_notes.hpp"
@@ -29,11 +30,15 @@
 constexpr milliseconds max_idle_non_idempotent{400};
 constexpr milliseconds max_idle_repeatable{60000};
 
+// From the first byte of a stream's event to its last one. An event is a packet
+// or two, and callers leave after two seconds without one.
+constexpr milliseconds max_event_time{1000};
+
+constexpr char const* not_from_endpoint = "answer is not from the endpoint";
+
 // Pauses of a stream from this length on are logged.
 constexpr milliseconds long_pause{700};
 
-constexpr std::size_t max_body_bytes = 16UL * 1024 * 1024;
-
 } // namespace
 
 bool is_broken_off(endpoint_attempt const& ended)
@@ -183,6 +188,11 @@
     running_attempt.is_stream = this->allowed.chosen->streams &&
                                 running_attempt.facts.sealed &&
                                 is_success(read.status);
+    if (is_success(read.status) && !running_attempt.facts.sealed)
+    {
+        // Whatever follows, and for how long, is not the endpoint's answer.
+        this->give_up_answer(ran_state::unknown, not_from_endpoint);
+    }
     return net::head_verdict::take;
 }
 
@@ -207,17 +217,47 @@
         return;
     }
     running_attempt.body.append(data);
-    if (running_attempt.body.size() > max_body_bytes)
+    if (!this->count_held_bytes())
     {
-        this->end_attempt(direct::request_outcome::faulty);
-        this->after_failure(ran_state::yes, "answer is too large");
+        this->give_up_answer(ran_state::yes, "answer is too large");
     }
 }
 
+bool call::count_held_bytes()
+{
+    auto& running_attempt = *this->current;
+    auto const held =
+        running_attempt.body.size() + running_attempt.events.incomplete.size();
+    auto& all = this->context->held_answer_bytes;
+    all += held;
+    all -= std::exchange(running_attempt.held_bytes, held);
+    return !is_too_large(held, all) && !is_too_long(running_attempt.events);
+}
+
+void call::give_up_answer(ran_state ran, char const* reason)
+{
+    this->end_attempt(direct::request_outcome::faulty);
+    this->after_failure(ran, reason);
+}
+
 void call::on_events(std::string_view data)
 {
     std::string passed;
-    for (auto const& event : split(this->current->events, data))
+    auto const now = clock::now();
+    auto const is_new = this->current->events.incomplete.empty();
+    auto const events = split(this->current->events, data);
+    if (is_new || !events.empty())
+    {
+        this->current->event_began = now;
+    }
+    auto const is_slow = !this->current->events.incomplete.empty() &&
+                         now - this->current->event_began > max_event_time;
+    if (!this->count_held_bytes() || is_slow)
+    {
+        this->give_up_answer(ran_state::yes, "stream event is too long");
+        return;
+    }
+    for (auto const& event : events)
     {
         ++this->current->events_seen;
         this->note_first_event();
@@ -231,8 +271,7 @@
                 this->last_event ? *this->last_event + 1 : *event.id;
             if (*event.id != expected)
             {
-                this->end_attempt(direct::request_outcome::faulty);
-                this->after_failure(
+                this->give_up_answer(
                     ran_state::yes, "stream events are missing");
                 return;
             }
@@ -271,6 +310,7 @@
             {
                 held->current->waits_for_caller = false;
                 held->current->last_byte = clock::now();
+                held->current->event_began = held->current->last_byte;
                 held->last_forwarded = held->current->last_byte;
                 held->current->connection->resume_reading();
             }
@@ -324,8 +364,8 @@
             : misdirected        ? direct::request_outcome::misdirected
                                  : direct::request_outcome::declined);
         this->after_failure(
-            ran, ran == ran_state::no ? "endpoint declined"
-                                      : "answer is not from the endpoint");
+            ran,
+            ran == ran_state::no ? "endpoint declined" : not_from_endpoint);
         return;
     }
     if (result.end == net::exchange_end::withheld)
@@ -373,6 +413,7 @@
 void call::release(endpoint_attempt const& ended, direct::request_outcome how)
 {
     this->end_retry(ended);
+    this->context->held_answer_bytes -= ended.held_bytes;
     direct::note_request_ended(
         this->context->book, ended.endpoint, how, clock::now());
     if (ended.connection->is_idle())
--- a/libs/gateway/src/event_splitter.cpp
+++ b/libs/gateway/src/event_splitter.cpp
@@ -61,8 +61,16 @@
     return std::nullopt;
 }
 
+// Events hold a few tokens.
+constexpr std::size_t max_event_bytes = 256UL * 1024;
+
 } // namespace
 
+bool is_too_long(event_splitter const& state)
+{
+    return state.incomplete.size() > max_event_bytes;
+}
+
 std::vector<stream_event> split(event_splitter& state, std::string_view data)
 {
     state.incomplete.append(data);
--- a/libs/net/tests/endless_answer_tests.cpp
+++ b/libs/net/tests/endless_answer_tests.cpp
@@ -1,6 +1,6 @@
 #include <net/client_connection.hpp>
 
-#include <boost/asio/write.hpp>
+#include <endless_server.hpp>
 #include <gtest/gtest.h>
 
 #include <chrono>
@@ -11,66 +11,6 @@
 namespace
 {
 
-using boost::asio::ip::tcp;
-
-// Writes the first bytes to its only connection and then others, over and over,
-// until the connection is closed.
-class endless_server
-{
-public:
-    endless_server(
-        boost::asio::io_context& loop, std::string first, std::string repeated)
-        : acceptor(loop, {boost::asio::ip::make_address("127.0.0.1"), 0}),
-          socket(loop), bytes(std::move(first)), next(std::move(repeated))
-    {
-        while (this->next.size() < block_bytes)
-        {
-            this->next += this->next;
-        }
-        this->acceptor.async_accept(
-            this->socket,
-            [this](boost::system::error_code error)
-            {
-                if (!error)
-                {
-                    this->write();
-                }
-            });
-    }
-
-    tcp_endpoint address() const
-    {
-        return this->acceptor.local_endpoint();
-    }
-
-    std::size_t written = 0;
-
-private:
-    static constexpr std::size_t block_bytes = 4096;
-
-    void write()
-    {
-        boost::asio::async_write(
-            this->socket, boost::asio::buffer(this->bytes),
-            [this](boost::system::error_code error, std::size_t count)
-            {
-                this->written += count;
-                this->bytes = this->next;
-                // Far beyond any bound, so that a test without one ends.
-                constexpr std::size_t enough = 64UL * 1024 * 1024;
-                if (!error && this->written < enough)
-                {
-                    this->write();
-                }
-            });
-    }
-
-    tcp::acceptor acceptor;
-    tcp::socket socket;
-    std::string bytes;
-    std::string next;
-};
-
 struct endless_case
 {
     std::string name;
@@ -89,7 +29,13 @@
 endless_outcome read_from(endless_case const& chosen)
 {
     boost::asio::io_context loop;
-    endless_server server(loop, chosen.first, chosen.repeated);
+    testing::endless_server server(
+        loop, {boost::asio::ip::make_address("127.0.0.1"), 0},
+        [&chosen](std::string const&)
+        {
+            return chosen.first;
+        },
+        chosen.repeated);
     auto const connection =
         std::make_shared<client_connection>(loop, server.address());
     connection->limit_body(chosen.body_limit);
