--- a/libs/direct/tests/cold_restart_tests.cpp
+++ b/libs/direct/tests/cold_restart_tests.cpp
@@ -34,7 +34,7 @@
     constexpr std::size_t endpoints = 14;
     for (rate_bound const bound : {rate_bound{54, 5}, rate_bound{39, 5}})
     {
-        for (std::size_t const entries : {3, 6, 8, 16, 45, 500})
+        for (std::size_t const entries : {3U, 6U, 8U, 16U, 45U, 500U})
         {
             std::set<std::string> all;
             for (std::size_t entry = 0; entry < entries; ++entry)
--- a/libs/direct/tests/retry_restarts_tests.cpp
+++ b/libs/direct/tests/retry_restarts_tests.cpp
@@ -34,7 +34,7 @@
 // more each time they start.
 TEST(retry_world, restarts_in_series_keep_the_budget)
 {
-    for (std::size_t const rounds : {1, 3, 7})
+    for (std::size_t const rounds : {1U, 3U, 7U})
     {
         expect_held({.rounds_of_restarts = rounds});
     }
