--- a/libs/gateway/src/entry_context.cpp
+++ b/libs/gateway/src/entry_context.cpp
@@ -9,9 +9,8 @@
 
 entry_context::entry_context(
     boost::asio::io_context& event_loop, platform::settings given)
-    : loop(event_loop), settings(std::move(given)),
-      pool(event_loop), started(std::chrono::steady_clock::now()),
-      random{base::entropy_seed()}
+    : loop(event_loop), settings(std::move(given)), pool(event_loop),
+      started(std::chrono::steady_clock::now()), random{base::entropy_seed()}
 {
     this->book.regions = this->settings.regions;
     this->entry_addresses.insert(this->settings.ip);
