Entry: a reload puts the table scheduling in force, waiting requests stay

Cause: a reload took over the platform's bounds only. Change: the entry takes over `scheduling` and the contract as well, and endpoints are chosen by the table's method; a faulty file changes nothing and its errors are logged as before.

--- a/libs/gateway/src/entry.cpp
+++ b/libs/gateway/src/entry.cpp
@@ -295,7 +295,12 @@
 {
     if (auto const changed = this->file.read_changed())
     {
-        this->context->settings.promised = changed->promised;
+        // Waiting requests keep their places and are decided by the new
+        // settings when they are next tried.
+        auto& settings = this->context->settings;
+        settings.promised = changed->promised;
+        settings.scheduling = changed->scheduling;
+        settings.ranks_compete = changed->ranks_compete;
         kernel::log_event(
             kernel::event_id::settings_reloaded, {{"node", changed->name}});
     }
