Without reports, an endpoint is chosen among all instead of a sample

Cause: where there are no reports, entries know only their own requests, which differ, so that they do not choose alike; a sample of two only discards what is known. Change: a sample is drawn only if the load of some candidate comes from a report.

--- a/libs/scheduling/src/endpoint_choice.cpp
+++ b/libs/scheduling/src/endpoint_choice.cpp
@@ -79,7 +79,13 @@
     base::random_state& random)
 {
     auto considered = eligible(candidates);
-    if (method == endpoint_choice::sampled)
+    auto const has_reports = std::ranges::any_of(
+        considered,
+        [&candidates](std::size_t index)
+        {
+            return candidates[index].is_reported;
+        });
+    if (method == endpoint_choice::sampled && has_reports)
     {
         considered = sample(candidates, considered, random);
     }
--- a/libs/scheduling/tests/endpoint_choice_tests.cpp
+++ b/libs/scheduling/tests/endpoint_choice_tests.cpp
@@ -87,4 +87,15 @@
     }
 }
 
+// Guards against discarding what an entry knows of its own requests where there
+// are no reports that all entries see.
+TEST(endpoint_choice, without_reports_sampled_takes_the_cheapest_of_all)
+{
+    candidates const offered{
+        {0.5, true, false, false},
+        {0.4, true, false, false},
+        {0.2, true, false, false}};
+    EXPECT_EQ(counts_of(offered, endpoint_choice::sampled, 500).back(), 500);
+}
+
 } // namespace foxtailvale::scheduling
