Prompts that an entry has just sent count in the choice of an engine

Cause: sends counted alike whatever they take to read. Change: engine_view keeps the prompt tokens sent to an endpoint in the last 0.25 s, and a reported engine's cost rises by the time to read them. They are dated back after a suspension and dropped when the endpoint restarts. Left out: the slowdown that an entry's own first events show, which did not help.

--- a/libs/direct/include/direct/endpoint_table.hpp
+++ b/libs/direct/include/direct/endpoint_table.hpp
@@ -4,6 +4,8 @@
 #include <base/ids.hpp>
 #include <direct/rate_limit.hpp>
 
+#include <scheduling/engine_view.hpp>
+
 #include <chrono>
 #include <cstdint>
 #include <deque>
@@ -94,6 +96,7 @@
     std::int32_t own_delta = 0;
     // Start times of this entry's requests in the last 3 s, oldest first.
     std::deque<base::time_point> recent;
+    scheduling::engine_view view;
     // Last time at which the endpoint sent anything, or at which it was sent a
     // request while it owed no answer.
     base::time_point last_heard;
@@ -233,10 +236,10 @@
     std::string const& model,
     announced_version const& announced);
 
-// Corrects the times of all versions and rests after the machine was suspended
-// for this time. Failure: the steady clock does not advance during a
-// suspension, so that older versions would stay in use for that much longer
-// here than at all other entries.
+// Corrects the times of all versions, rests and sent prompts after the machine
+// was suspended for this time. Failure: the steady clock does not advance
+// during a suspension, so that older versions would stay in use for that much
+// longer here than at all other entries.
 void note_suspended(endpoint_table& table, std::chrono::milliseconds time);
 
 // Returns the time after which no request may start on this version of the
@@ -272,6 +275,12 @@
 
 void note_request_begun(
     endpoint_table& table, std::string const& id, base::time_point now);
+// Records the size of the prompt that was sent with a request that has begun.
+void note_prompt_sent(
+    endpoint_table& table,
+    std::string const& id,
+    std::uint64_t tokens,
+    base::time_point now);
 void note_request_ended(
     endpoint_table& table,
     std::string const& id,
--- a/libs/direct/include/direct/placement.hpp
+++ b/libs/direct/include/direct/placement.hpp
@@ -50,6 +50,9 @@
     std::uint64_t version = 0;
     // How to choose among the endpoints with capacity.
     scheduling::endpoint_choice choice = scheduling::endpoint_choice::sampled;
+    // Prompt tokens that an engine of the service processes per second; zero if
+    // not specified.
+    double read_per_second = 0;
     // Expected run time. Endpoints that switch versions before its end are
     // skipped, unless the request must continue on a given version.
     std::chrono::milliseconds expected{0};
@@ -131,8 +134,10 @@
 //
 // A random addend of a twentieth of the slots decides between equals. An
 // endpoint in another failure domain counts as a quarter fuller, because its
-// streams cross a link of low bandwidth. An endpoint with faulty answers or an
-// unresponsive agent is chosen only if no other endpoint is available.
+// streams cross a link of low bandwidth. Prompts that this entry has just sent
+// to a reported engine count by the time to read them. An endpoint with faulty
+// answers or an unresponsive agent is chosen only if no other endpoint is
+// available.
 choice choose(
     endpoint_table const& table,
     placement_query const& query,
--- a/libs/direct/src/announced_versions.cpp
+++ b/libs/direct/src/announced_versions.cpp
@@ -61,6 +61,10 @@
             announced.predecessor_retires_at -= time;
         }
     }
+    for (auto& [id, state] : table.endpoints)
+    {
+        scheduling::note_suspended(state.view, time);
+    }
 }
 
 std::optional<base::time_point> version_retires_at(
--- a/libs/direct/src/endpoint_table.cpp
+++ b/libs/direct/src/endpoint_table.cpp
@@ -142,6 +142,12 @@
     {
         return false;
     }
+    if (state.listed.address != record.address ||
+        state.listed.started_ms != record.started_ms)
+    {
+        // Another process, which has not read what the former one was sent.
+        state.view = {};
+    }
     if (state.listed.address != record.address)
     {
         state.report.reset();
@@ -293,6 +299,19 @@
     }
 }
 
+void note_prompt_sent(
+    endpoint_table& table,
+    std::string const& id,
+    std::uint64_t tokens,
+    base::time_point now)
+{
+    auto const found = table.endpoints.find(id);
+    if (found != table.endpoints.end())
+    {
+        scheduling::note_sent(found->second.view, tokens, now);
+    }
+}
+
 void note_request_ended(
     endpoint_table& table,
     std::string const& id,
--- a/libs/direct/src/placement.cpp
+++ b/libs/direct/src/placement.cpp
@@ -307,6 +307,26 @@
     return {std::max(rested, limited), rested > limited};
 }
 
+// Time in which the engine reads the prompts that this entry sent recently,
+// relative to how long they count. Failure: sends count alike, a request
+// follows a prompt of several thousand tokens and is late, and engines that
+// were sent short ones have nothing to read.
+double reading_cost(
+    endpoint_state const& state,
+    placement_query const& query,
+    base::time_point now)
+{
+    if (query.choice != scheduling::endpoint_choice::sampled ||
+        query.read_per_second <= 0 || !is_fresh(state, now))
+    {
+        return 0;
+    }
+    auto const ahead = scheduling::tokens_ahead(state.view, now);
+    std::chrono::duration<double> const read{
+        static_cast<double>(ahead) / query.read_per_second};
+    return read / scheduling::sent_window;
+}
+
 double cost_of(
     endpoint_state const& state,
     placement_query const& query,
@@ -316,6 +336,7 @@
     auto cost = pace * (1.0 + work_at(state, query.entries, now)) /
                 std::max<std::uint32_t>(1, state.listed.slots);
     cost += state.listed.failure_domain == query.own_domain ? 0 : remote_cost;
+    cost += reading_cost(state, query, now);
     return cost;
 }
 
@@ -464,7 +485,8 @@
             {.cost = cost_of(state, query, now) +
                      random_share * random_fraction(random),
              .is_local = state.listed.failure_domain == query.own_domain,
-             .is_last_resort = is_distrusted(state, now)});
+             .is_last_resort = is_distrusted(state, now),
+             .is_reported = is_fresh(state, now)});
     }
     if (candidates.empty())
     {
--- a/libs/direct/tests/placement_tests.cpp
+++ b/libs/direct/tests/placement_tests.cpp
@@ -74,6 +74,33 @@
     note_report(table, address, latest, at);
 }
 
+// Two engines of the same domain with equal load. The first was just sent a
+// prompt that takes 0.2 s to read.
+endpoint_table engines_with_long_prompt()
+{
+    auto table = engines(3);
+    table.domains_out.insert("d1");
+    report(table, "10.0.0.0", 4);
+    report(table, "10.0.0.2", 4);
+    note_prompt_sent(table, "e0", 2000, start);
+    return table;
+}
+
+// Number of requests of fifty that would go to the first engine.
+int sends_to_first(endpoint_table const& table, base::time_point now)
+{
+    base::random_state random{3};
+    auto query = query_from("d0");
+    query.read_per_second = 10'000;
+    auto sent = 0;
+    for (auto number = 0; number < 50; ++number)
+    {
+        auto const found = choose(table, query, now, random);
+        sent += found.chosen->listed.id == "e0" ? 1 : 0;
+    }
+    return sent;
+}
+
 } // namespace
 
 TEST(placement, own_failure_domain_comes_first_while_it_has_room)
@@ -554,6 +581,60 @@
     EXPECT_LE(most->second, 10U);
 }
 
+// Failure: requests follow a long prompt that the engine is still reading,
+// while another engine has nothing to read. Half of the reports are lost, so
+// that the last one is 0.2 s old.
+TEST(placement, long_prompts_that_were_just_sent_count)
+{
+    auto const table = engines_with_long_prompt();
+    auto const later = start + milliseconds(200);
+    EXPECT_EQ(sends_to_first(table, start), 0);
+    EXPECT_EQ(sends_to_first(table, later), 0);
+    EXPECT_GT(sends_to_first(table, start + milliseconds(250)), 0);
+}
+
+// Failure: the machine is suspended, its steady clock does not advance, and
+// prompts that were read long ago keep requests from an engine.
+TEST(placement, a_suspend_ends_the_time_for_which_prompts_count)
+{
+    auto table = engines_with_long_prompt();
+    note_suspended(table, seconds(5));
+    EXPECT_GT(sends_to_first(table, start), 0);
+}
+
+// Failure: an endpoint starts again under its id, and what its former process
+// was sent keeps requests from it.
+TEST(placement, a_restarted_endpoint_has_no_prompts_to_read)
+{
+    auto table = engines_with_long_prompt();
+    auto record = table.endpoints.at("e0").listed;
+    record.started_ms = 1;
+    put(table, record);
+    EXPECT_GT(sends_to_first(table, start), 0);
+}
+
+// Failure: an entry that is alone, without reports, sends to engines that it
+// knows to be busier than others.
+TEST(placement, an_entry_without_reports_spreads_its_requests_evenly)
+{
+    auto table = engines(8);
+    base::random_state random{3};
+    for (auto number = 0; number < 40; ++number)
+    {
+        auto const found = choose(table, query_from("d0"), start, random);
+        note_request_begun(table, found.chosen->listed.id, start);
+    }
+    std::set<std::uint32_t> running;
+    for (auto const& [id, state] : table.endpoints)
+    {
+        if (state.listed.failure_domain == "d0")
+        {
+            running.insert(state.own_running);
+        }
+    }
+    EXPECT_LE(*running.rbegin() - *running.begin(), 2U);
+}
+
 // Failure: seven of eight engines are gone, one returns empty, and all entries
 // send their waiting requests to it within the same 0.1 s.
 TEST(placement, an_engine_that_returns_is_not_overrun)
--- a/libs/gateway/src/call.hpp
+++ b/libs/gateway/src/call.hpp
@@ -156,6 +156,8 @@
     // Records the expected timing of an attempt, and logs it for one on an
     // older version.
     void note_placed(direct::choice const& chosen);
+    // Records the prompt of an attempt at an engine.
+    void note_prompt_sent(base::time_point now);
     // Records the first event of an attempt.
     void note_first_event();
     // Logs the end of a long pause of a stream.
--- a/libs/gateway/src/call_attempt.cpp
+++ b/libs/gateway/src/call_attempt.cpp
@@ -93,6 +93,7 @@
             "foxtailvale_rate_limited_sends_total", {});
     }
     direct::note_request_begun(this->context->book, target.id, now);
+    this->note_prompt_sent(now);
     this->note_placed(chosen);
     auto const number = this->current->number;
     auto const self = this->shared_from_this();
--- a/libs/gateway/src/call_observation.cpp
+++ b/libs/gateway/src/call_observation.cpp
@@ -72,6 +72,20 @@
          {"ends_in_ms", until(*expected.ends)}});
 }
 
+void call::note_prompt_sent(base::time_point now)
+{
+    if (!this->service->engine)
+    {
+        return;
+    }
+    auto const usual =
+        static_cast<std::uint64_t>(this->service->engine->usual_prompt);
+    auto const stated = this->parsed.prompt_tokens;
+    direct::note_prompt_sent(
+        this->context->book, this->current->endpoint,
+        stated > 0 ? stated : usual, now);
+}
+
 void call::note_first_event()
 {
     auto& seen = *this->observation;
--- a/libs/gateway/src/entry_context.cpp
+++ b/libs/gateway/src/entry_context.cpp
@@ -86,6 +86,7 @@
     ask.all_sharers = direct::sharers(context.entries);
     ask.all_entries = &context.entry_addresses;
     ask.own_entry = context.settings.ip;
+    ask.read_per_second = service.engine ? service.engine->read_per_second : 0;
     return ask;
 }
 
--- a/libs/scheduling/tests/choice_load_tests.cpp
+++ b/libs/scheduling/tests/choice_load_tests.cpp
@@ -25,12 +25,11 @@
 class choice_load : public testing::TestWithParam<std::size_t>
 {
 protected:
-    // The choice of the product against the former one.
     void expect_no_fewer_in_time(rig::load offered) const
     {
         offered.entries = GetParam();
         EXPECT_GE(
-            in_time(offered, rig::method::own_prompts),
+            in_time(offered, rig::method::sampled),
             in_time(offered, rig::method::least_loaded));
     }
 };
--- a/libs/scheduling/tests/choice_rig.cpp
+++ b/libs/scheduling/tests/choice_rig.cpp
@@ -48,12 +48,10 @@
     std::size_t domain = 0;
     int arrived = 0;
     int goal = 0;
-    int sent = 0;
     double prompt = 0;
     double unread = 0;
     double left_ms = 0;
     double until_first_ms = pass_ms;
-    base::duration expected{0};
 };
 
 struct engine
@@ -85,15 +83,6 @@
     return base::time_point(std::chrono::hours(1) + milliseconds(ms));
 }
 
-engine_speed speed()
-{
-    return {
-        .slots = slots,
-        .step = std::chrono::duration<double, std::milli>(pass_ms),
-        .read_per_second = tokens_per_ms * 1000,
-        .usual_prompt = 895};
-}
-
 class fleet
 {
 public:
@@ -208,9 +197,10 @@
             auto const was = request.until_first_ms;
             request.until_first_ms -= 1 / each.slow;
             request.left_ms -= 1 / each.slow;
-            if (was > 0 && request.until_first_ms <= 0)
+            auto const is_first = was > 0 && request.until_first_ms <= 0;
+            if (is_first && this->now - request.arrived <= request.goal)
             {
-                this->first_event(index, request);
+                ++this->seen.in_time;
             }
         }
         std::erase_if(
@@ -242,17 +232,6 @@
         }
     }
 
-    void first_event(std::size_t index, request const& request)
-    {
-        if (this->now - request.arrived <= request.goal)
-        {
-            ++this->seen.in_time;
-        }
-        note_first_event(
-            this->own(request.entry, index).view, request.expected,
-            milliseconds(this->now - request.sent), at(this->now));
-    }
-
     void arrive()
     {
         auto events = 0.0;
@@ -366,9 +345,11 @@
 
     bool place(request wanted)
     {
+        auto const has_reports = this->has_reports(wanted.entry);
+        auto const counts_prompts =
+            this->how == method::sampled || this->how == method::weighted;
         std::vector<std::size_t> found;
         std::vector<endpoint_candidate> candidates;
-        std::vector<double> slowdowns;
         for (std::size_t index = 0; index < this->engines.size(); ++index)
         {
             auto const& each = this->engines[index];
@@ -387,38 +368,28 @@
             }
             auto const& view = this->own(wanted.entry, index).view;
             auto cost = (1 + load) / slots;
-            if (this->has_reports(wanted.entry))
+            if (has_reports)
             {
                 cost *= each.reported_slow;
             }
             cost +=
                 (is_local ? 0 : remote_cost) + random_share * this->fraction();
-            if (this->how == method::own_prompts &&
-                this->has_reports(wanted.entry))
+            if (has_reports && counts_prompts)
             {
                 cost += static_cast<double>(tokens_ahead(view, at(this->now))) /
                         tokens_per_ms / sent_window.count();
             }
             found.push_back(index);
-            candidates.push_back(
-                {cost, is_local, false, this->has_reports(wanted.entry)});
-            slowdowns.push_back(
-                this->how == method::own_speed ? slowdown(view, at(this->now))
-                                               : 1);
+            candidates.push_back({cost, is_local, false, has_reports});
         }
         if (found.empty())
         {
             return false;
         }
-        limit_slowdowns(slowdowns);
-        for (std::size_t number = 0; number < slowdowns.size(); ++number)
-        {
-            candidates[number].cost *= slowdowns[number];
-        }
         auto const is_exhaustive = this->how == method::least_loaded ||
                                    this->how == method::full_knowledge;
         auto const chosen =
-            this->how == method::weighted && this->has_reports(wanted.entry)
+            this->how == method::weighted && has_reports
                 ? this->draw_weighted(candidates)
                 : choose_endpoint(
                       candidates,
@@ -433,9 +404,6 @@
     {
         auto& state = this->own(wanted.entry, index);
         auto const tokens = static_cast<std::uint64_t>(wanted.prompt);
-        wanted.sent = this->now;
-        wanted.expected = expected_first_event(
-            speed(), 1, tokens, tokens_ahead(state.view, at(this->now)));
         note_sent(state.view, tokens, at(this->now));
         ++state.running;
         ++state.delta;
--- a/libs/scheduling/tests/choice_rig.hpp
+++ b/libs/scheduling/tests/choice_rig.hpp
@@ -12,12 +12,13 @@
 enum class method
 {
     least_loaded,
+    // As in the product: the cheapest of a sample, with the prompts that the
+    // entry sent recently in the cost.
     sampled,
-    // Sampled, with the prompts that the entry sent recently in the cost.
-    own_prompts,
-    // Sampled, with the speed that the entry's own requests show in the cost.
-    own_speed,
-    // At random, with a probability that grows with the free capacity.
+    // The same without these prompts.
+    sampled_by_count,
+    // At random, with a probability that falls with the cost; also with the
+    // prompts.
     weighted,
     // The engine with the least time to read all its prompts, as of now.
     full_knowledge,
@@ -26,6 +27,7 @@
 struct load
 {
     std::size_t entries = 40;
+    // In three failure domains.
     std::size_t engines = 45;
     std::uint64_t seed = 11;
     // Of the fleet's slots, on average.
--- a/libs/scheduling/tests/engine_view_tests.cpp
+++ b/libs/scheduling/tests/engine_view_tests.cpp
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 #include <scheduling/engine_view.hpp>
+#include <scheduling/request_cost.hpp>
 
 namespace foxtailvale::scheduling
 {
