--- a/libs/scheduling/tests/choice_rig.cpp
+++ b/libs/scheduling/tests/choice_rig.cpp
@@ -157,7 +157,9 @@
                 each.measured_slow =
                     this->offered.reports_speed ? each.slow : 1;
             }
-            auto const round = this->now / report_interval_ms + index;
+            auto const round =
+                static_cast<std::size_t>(this->now / report_interval_ms) +
+                index;
             auto const is_lost = this->offered.loses_reports && round % 2 == 0;
             if (phase == report_delay_ms && !is_lost)
             {
