--- a/libs/gateway/src/entry_context.cpp
+++ b/libs/gateway/src/entry_context.cpp
@@ -87,6 +87,7 @@
     ask.all_entries = &context.entry_addresses;
     ask.own_entry = context.settings.ip;
     ask.choice = context.settings.scheduling.choice;
+    ask.read_per_second = service.engine ? service.engine->read_per_second : 0;
     return ask;
 }
 
