--- a/libs/scheduling/src/service_load.cpp
+++ b/libs/scheduling/src/service_load.cpp
@@ -16,9 +16,18 @@
 
 using std::chrono::microseconds;
 
+void expire_buckets(service_load& load, base::time_point now)
+{
+    while (!load.buckets.empty() &&
+           now - load.buckets.front().begin >= load_window)
+    {
+        load.buckets.pop_front();
+    }
+}
+
 load_summary& current_counts(service_load& load, base::time_point now)
 {
-    expire(load, now);
+    expire_buckets(load, now);
     if (load.buckets.empty() ||
         now - load.buckets.back().begin >= load_bucket_width)
     {
@@ -214,7 +223,11 @@
     {
         return fault;
     }
-    expire(load, now);
+    if (load.others.size() >= max_summarized_entries &&
+        !load.others.contains(entry))
+    {
+        expire(load, now);
+    }
     if (load.others.size() >= max_summarized_entries &&
         !load.others.contains(entry))
     {
@@ -250,11 +263,7 @@
 
 void expire(service_load& load, base::time_point now)
 {
-    while (!load.buckets.empty() &&
-           now - load.buckets.front().begin >= load_window)
-    {
-        load.buckets.pop_front();
-    }
+    expire_buckets(load, now);
     std::erase_if(
         load.others,
         [now](auto const& other)
