Gateway: entries tell each other of load and promised returns

Cause: one entry refuses the highest rank while another starts the lowest, and callers that return as told find no entry that knows of it. Change: RefusalNotice gains the sender's load by service and its promises. An entry sends them at most once in 100 ms, packed with the fingerprints into datagrams of the size they had, and only while it refuses or requests wait. Summaries and promises are taken from entries of the own failure domain only; those dropped are counted by reason.

--- a/libs/gateway/include/gateway/entry_context.hpp
+++ b/libs/gateway/include/gateway/entry_context.hpp
@@ -20,6 +20,9 @@
 #include <routing/routes.hpp>
 
 #include <boost/asio/io_context.hpp>
+#include <scheduling/request_cost.hpp>
+#include <scheduling/returns.hpp>
+#include <scheduling/service_load.hpp>
 
 #include <functional>
 #include <map>
@@ -41,11 +44,13 @@
 class call;
 
 // Sort key of the queue in which requests of one service wait for an endpoint:
-// higher priority first, then requests that can still be answered within their
-// goal, then those with the least time left to wait.
+// higher priority first, then callers that returned at a promised time, then
+// requests that can still be answered within their goal, then those with the
+// least time left to wait.
 struct queue_position
 {
     std::uint32_t priority = 0;
+    bool unpromised = false;
     bool goal_expired = false;
     base::time_point until;
     std::uint64_t arrival = 0;
@@ -95,6 +100,12 @@
     // of those whose refusal has not been sent to the neighbours yet.
     request::recent_refusals refusals;
     std::vector<request::fingerprint> unsent_refusals;
+    // Load of the services under ranked admission, and the promises to callers
+    // refused there.
+    std::map<std::string, scheduling::service_load> loads;
+    scheduling::return_book returns;
+    // When the neighbours were last told of the two.
+    base::time_point load_notice_sent;
     // IP addresses of the other entries of this failure domain, to which
     // callers may come back after a refusal.
     std::set<std::string> neighbours;
--- a/libs/gateway/include/gateway/peer_link.hpp
+++ b/libs/gateway/include/gateway/peer_link.hpp
@@ -51,7 +51,8 @@
     void subscribe();
 
     // Sends the neighbours the fingerprints of requests refused since the last
-    // call.
+    // call, and from time to time the load of services under ranked admission
+    // and the promised returns.
     void send_refusals();
 
     // Sends a few other entries the records of the requests that this entry
--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -61,7 +61,8 @@
         budget_of(*this->context, this->service_name), this->arrived);
     // A request that can no longer meet its goal does not overtake queued ones
     // that can.
-    auto const yields_to_queue = this->goal_expired && this->has_queue();
+    auto const yields_to_queue =
+        this->yields_to_new_requests() && this->has_queue();
     if (!yields_to_queue && this->place(true))
     {
         return;
@@ -190,6 +191,8 @@
     this->wait_until =
         this->arrived + direct::max_wait(goal, time_to_first_event);
     this->wait_until = std::min(this->wait_until, this->deadline);
+    this->note_offered();
+    this->claim_return();
     return true;
 }
 
@@ -199,7 +202,7 @@
     ask.model = this->service->engine ? this->parsed.model : std::string();
     ask.regions = this->allowed.regions;
     ask.tried = this->tried;
-    if (this->goal_expired && this->service->engine)
+    if (this->yields_to_new_requests() && this->service->engine)
     {
         ask.depth =
             direct::depth_for_expired_goal(this->service->engine->slots);
@@ -277,11 +280,13 @@
 void call::wait()
 {
     this->position_in_queue = {
-        this->allowed.priority, this->goal_expired, this->wait_until,
+        this->allowed.priority, !this->kept_return,
+        this->yields_to_new_requests(), this->wait_until,
         ++this->context->arrivals};
     this->context->waiting[this->service_name][this->position_in_queue] =
         this->shared_from_this();
     this->is_queued = true;
+    this->note_queue_length();
     this->set_timer();
 }
 
@@ -293,6 +298,7 @@
     }
     this->is_queued = false;
     this->context->waiting[this->service_name].erase(this->position_in_queue);
+    this->note_queue_length();
 }
 
 bool call::try_waiting()
--- a/libs/gateway/src/call.hpp
+++ b/libs/gateway/src/call.hpp
@@ -130,6 +130,23 @@
     // Whether the request was refused before, longer ago than its goal.
     bool has_goal_expired(std::chrono::milliseconds goal) const;
     bool has_queue() const;
+    // Count the request in the load of its service, where requests are admitted
+    // by rank: its arrival, its first sending, its refusal, and the number of
+    // requests that wait.
+    void note_offered();
+    void note_started();
+    void note_refused();
+    void note_queue_length() const;
+    // Lets a request that returns at a promised time wait longer and before
+    // others of its rank.
+    void claim_return();
+    // Whether new requests go first, as this one can no longer be answered
+    // within its goal. Where requests are admitted by rank, promised returns
+    // stand in for this.
+    bool yields_to_new_requests() const;
+    // Retry-After of a refusal for lack of capacity: a promised time if there
+    // is a place, else a random one.
+    std::chrono::milliseconds promised_retry_after();
     // Sends the request to an endpoint or refuses it. Returns false when it
     // should wait for capacity, which `may_wait` allows.
     bool place(bool may_wait);
@@ -271,6 +288,13 @@
     // The caller sent the request again after a refusal, and its goal has
     // passed since.
     bool goal_expired = false;
+    // Requests to the service are admitted by rank, workspace and cost, and
+    // this one is counted.
+    bool is_ranked = false;
+    std::chrono::microseconds cost{0};
+    scheduling::workspace_key workspace = 0;
+    // The caller returned after a refusal at the time it was told.
+    bool kept_return = false;
     bool done = false;
     // The endpoint to which the request was last sent.
     std::string last_endpoint;
--- a/libs/gateway/src/call_attempt.cpp
+++ b/libs/gateway/src/call_attempt.cpp
@@ -69,6 +69,7 @@
     if (this->sends == 1)
     {
         this->first_sent = now;
+        this->note_started();
         this->context->counters.observe(
             "foxtailvale_wait_for_room_ms",
             std::chrono::duration_cast<milliseconds>(now - this->arrived));
--- a/libs/gateway/src/call_end.cpp
+++ b/libs/gateway/src/call_end.cpp
@@ -180,6 +180,7 @@
 void call::refuse(error_kind kind, char const* reason)
 {
     this->leave_queue();
+    this->note_refused();
     auto const& row = base::row_of(kind);
     this->context->counters.count_error(kind);
     this->log(
@@ -196,7 +197,7 @@
     auto const after = !is_retryable ? milliseconds(0)
                        : kind == error_kind::suspect_request
                            ? this->quarantine_left()
-                           : this->retry_after();
+                           : this->promised_retry_after();
     if (is_retryable || status >= 500)
     {
         request::note_refusal(
--- a/libs/gateway/src/entry.cpp
+++ b/libs/gateway/src/entry.cpp
@@ -284,6 +284,11 @@
             direct::expire(self->context->book, clock::now());
             self->views->expire_domains();
             request::expire(self->context->refusals, clock::now());
+            scheduling::expire(self->context->returns, clock::now());
+            for (auto& [service, load] : self->context->loads)
+            {
+                scheduling::expire(load, clock::now());
+            }
             self->peers->send_refusals();
             self->peers->send_changed_limits();
             serve_all_waiting(*self->context);
--- a/libs/gateway/src/entry_context.cpp
+++ b/libs/gateway/src/entry_context.cpp
@@ -7,6 +7,18 @@
 namespace foxtailvale::gateway
 {
 
+namespace
+{
+
+// From zero to below one.
+double random_fraction(base::random_state& random)
+{
+    constexpr std::uint64_t steps = 1'000;
+    return static_cast<double>(base::random_below(random, steps)) / steps;
+}
+
+} // namespace
+
 entry_context::entry_context(
     boost::asio::io_context& event_loop, platform::settings given)
     : loop(event_loop), settings(std::move(given)), pool(event_loop),
@@ -15,6 +27,8 @@
     this->book.regions = this->settings.regions;
     this->entry_addresses.insert(this->settings.ip);
     this->suspended = suspended_time();
+    this->returns.random.value = base::next_random(this->random);
+    this->returns.phase = random_fraction(this->random);
 }
 
 std::chrono::milliseconds suspended_time()
@@ -33,7 +47,13 @@
     auto const total = suspended_time();
     if (total - context.suspended > clock_read_tolerance)
     {
-        direct::note_suspended(context.book, total - context.suspended);
+        auto const suspended = total - context.suspended;
+        direct::note_suspended(context.book, suspended);
+        scheduling::note_suspended(context.returns, suspended);
+        for (auto& [service, load] : context.loads)
+        {
+            scheduling::note_suspended(load, suspended);
+        }
         context.suspended = total;
     }
 }
--- a/libs/gateway/src/peer_link.cpp
+++ b/libs/gateway/src/peer_link.cpp
@@ -1,3 +1,5 @@
+#include "load_notices.hpp"
+
 #include <base/digest.hpp>
 #include <direct/endpoint_table.hpp>
 #include <direct/leaving_endpoints.hpp>
@@ -250,6 +252,8 @@
         {
             request::note_refusal(this->context->refusals, print, clock::now());
         }
+        note_load_notices(
+            *this->context, from, message.refusal_notice(), clock::now());
         break;
     case wire::Datagram::kViewAsk:
         this->on_view_ask(from, message.view_ask());
--- a/libs/gateway/src/peer_notices.cpp
+++ b/libs/gateway/src/peer_notices.cpp
@@ -1,3 +1,5 @@
+#include "load_notices.hpp"
+
 #include <gateway/crash_records.hpp>
 #include <gateway/peer_link.hpp>
 #include <gateway/rate_limits.hpp>
@@ -14,21 +16,15 @@
 
 void peer_link::send_refusals()
 {
-    // This many fit into a datagram that no link fragments.
-    constexpr std::size_t max_fingerprints = 128;
-    auto& unsent = this->context->unsent_refusals;
-    while (!unsent.empty())
+    notice_packer packer(this->context->settings.name);
+    for (auto const refused : std::exchange(this->context->unsent_refusals, {}))
     {
-        wire::Datagram message;
-        message.set_from(this->context->settings.name);
-        auto& notice = *message.mutable_refusal_notice();
-        for (std::size_t count = 0; count < max_fingerprints && !unsent.empty();
-             ++count)
-        {
-            notice.add_fingerprints(unsent.back());
-            unsent.pop_back();
-        }
-        this->send_to(this->context->neighbours, message.SerializeAsString());
+        packer.add(refused);
+    }
+    add_load_notices(*this->context, packer, std::chrono::steady_clock::now());
+    for (auto const& bytes : packer.take())
+    {
+        this->send_to(this->context->neighbours, bytes);
     }
 }
 
