Entry: the line of an answer names rank, workspace and goal

Cause: an answer's line did not say whose it was, so late answers could not be counted by rank or workspace.

--- a/libs/gateway/src/call_end.cpp
+++ b/libs/gateway/src/call_end.cpp
@@ -307,6 +307,13 @@
         {"sent_ms", since_arrival(this->first_sent.value_or(now)).count()},
         {"first_ms", since_arrival(this->first_answered.value_or(now)).count()},
         {"after_ms", total.count()}};
+    if (this->is_ranked)
+    {
+        fields["rank"] = this->allowed.priority;
+        fields["workspace"] =
+            this->allowed.owner != nullptr ? this->allowed.owner->name : "";
+        fields["goal_ms"] = this->allowed.chosen->goal.count();
+    }
     this->add_first_event(fields);
     kernel::log_event(kernel::event_id::request_answered, std::move(fields));
 }
