--- a/libs/scheduling/include/scheduling/returns.hpp
+++ b/libs/scheduling/include/scheduling/returns.hpp
@@ -25,6 +25,10 @@
 // Identifies a request that is sent again; zero stands for none.
 using request_print = std::uint64_t;
 
+// New requests that start for each place. With more, returning requests hold
+// less of the capacity, and fewer refused callers are promised a time.
+inline constexpr double starts_per_place = 1;
+
 // Time between a refusal and the first place.
 inline constexpr std::chrono::milliseconds least_return_delay{400};
 
@@ -132,12 +136,13 @@
     std::chrono::milliseconds longest{0};
 };
 
-// Returns the time in which this entry starts requests of the group worth this
-// cost, by those that it started in the last second. An entry that started none
-// goes by an equal part of what the entries started together. Empty if nothing
-// is known to start. Kept returns do not count. Failure: their starts gave
-// further places, until returning requests held all capacity and no new request
-// was answered within its goal.
+// Returns the interval between places of requests of the group that cost this:
+// the time in which this entry starts requests worth as much, by those that it
+// started in the last second. An entry that started none goes by an equal part
+// of what the entries started together. Empty if nothing is known to start.
+// Kept returns do not count. Failure: their starts gave further places, until
+// returning requests held all capacity and no new request was answered within
+// its goal.
 std::optional<std::chrono::microseconds> place_spacing(
     return_book const& book,
     service_load const& load,
--- a/libs/scheduling/src/returns.cpp
+++ b/libs/scheduling/src/returns.cpp
@@ -122,8 +122,8 @@
     {
         return std::nullopt;
     }
-    auto const part =
-        static_cast<double>(cost.count()) / static_cast<double>(rate.count());
+    auto const part = starts_per_place * static_cast<double>(cost.count()) /
+                      static_cast<double>(rate.count());
     return std::chrono::round<microseconds>(
         part * std::chrono::duration<double, std::micro>(load_window));
 }
