Scheduling: the weighted fair queue moves from request/admission

Cause: the users' platform needs the same queue as the own interface, and scheduling is the library of decisions under load. Change: request/admission becomes scheduling/fair_queue, measured_time has a header of its own there, and the token bucket retry_budget stays in request/retry_budget. Behaviour and tests are unchanged apart from names.

--- a/libs/direct/include/direct/placement.hpp
+++ b/libs/direct/include/direct/placement.hpp
@@ -4,9 +4,10 @@
 #include <base/random.hpp>
 #include <direct/endpoint_table.hpp>
 #include <direct/shares.hpp>
-#include <request/admission.hpp>
 #include <routing/configuration.hpp>
 
+#include <scheduling/measured_time.hpp>
+
 #include <optional>
 #include <set>
 #include <string>
@@ -152,7 +153,8 @@
 // longer is answered late and takes the place of another one that would have
 // met its goal.
 std::chrono::milliseconds max_wait(
-    std::chrono::milliseconds goal, request::measured_time const& first_event);
+    std::chrono::milliseconds goal,
+    scheduling::measured_time const& first_event);
 
 // Returns the depth for a retried request whose latency goal has expired,
 // because its caller came back with less time than is usual for the route. A
--- a/libs/direct/src/placement.cpp
+++ b/libs/direct/src/placement.cpp
@@ -376,7 +376,8 @@
 }
 
 std::chrono::milliseconds max_wait(
-    std::chrono::milliseconds goal, request::measured_time const& first_event)
+    std::chrono::milliseconds goal,
+    scheduling::measured_time const& first_event)
 {
     constexpr int min_wait_divisor = 5;
     constexpr int max_wait_divisor = 2;
--- a/libs/entry_core/include/entry_core/entry_core.hpp
+++ b/libs/entry_core/include/entry_core/entry_core.hpp
@@ -8,11 +8,12 @@
 #include <control/plan.hpp>
 #include <entry_core/events.hpp>
 #include <release/configuration.hpp>
-#include <request/admission.hpp>
 #include <request/claim.hpp>
+#include <request/retry_budget.hpp>
 #include <request/suspects.hpp>
 
 #include <core/drain.hpp>
+#include <scheduling/fair_queue.hpp>
 
 #include <map>
 #include <optional>
@@ -129,7 +130,7 @@
 // Requests that wait for one model or service.
 struct request_pool
 {
-    request::admission_queue queue;
+    scheduling::fair_queue queue;
     // Interrupted streams that wait for room at an endpoint that serves their
     // digest. Their callers have received part of the answer, so these streams
     // are placed before all other requests. One that cannot be placed does not
--- a/libs/entry_core/src/attempt_flow.cpp
+++ b/libs/entry_core/src/attempt_flow.cpp
@@ -291,7 +291,7 @@
             request::note_answered(
                 state.requests.suspects, open.fingerprint, now);
         }
-        request::note(
+        scheduling::note(
             pool_of(state, open).queue.service,
             std::chrono::duration_cast<std::chrono::microseconds>(
                 now - open.attempt_start));
--- a/libs/entry_core/src/queue_flow.cpp
+++ b/libs/entry_core/src/queue_flow.cpp
@@ -20,10 +20,10 @@
                                  : "model/" + request.model;
 }
 
-request::waiting_request
+scheduling::waiting_request
 to_waiting_request(state const& state, open_request const& open)
 {
-    request::waiting_request waiting;
+    scheduling::waiting_request waiting;
     waiting.id = open.request.caller;
     waiting.priority = open.request.priority;
     waiting.deadline = open.deadline;
@@ -95,7 +95,7 @@
     state& state, request_pool& pool, base::time_point now, actions& out)
 {
     resume_streams(state, pool, now, out);
-    while (auto const waiting = request::next(pool.queue))
+    while (auto const waiting = scheduling::next(pool.queue))
     {
         auto& open = state.requests.open.at(waiting->id);
         note_servable(state, pool, open, now);
@@ -103,7 +103,7 @@
         {
             return;
         }
-        request::start(pool.queue, *waiting, now);
+        scheduling::start(pool.queue, *waiting, now);
     }
 }
 
@@ -112,7 +112,7 @@
 void refuse_unservable(
     state& state, request_pool& pool, base::time_point now, actions& out)
 {
-    while (auto const waiting = request::next(pool.queue))
+    while (auto const waiting = scheduling::next(pool.queue))
     {
         auto const& open = state.requests.open.at(waiting->id);
         note_servable(state, pool, open, now);
@@ -137,7 +137,7 @@
     if (open.stage == request_stage::waiting)
     {
         pool_of(state, open).resuming_streams.erase(open.request.caller);
-        request::withdraw(
+        scheduling::withdraw(
             pool_of(state, open).queue, to_waiting_request(state, open));
     }
 }
@@ -150,7 +150,7 @@
     // Queued requests are not overtaken.
     if (pool.queue.size == 0 && place(state, open, now, out))
     {
-        request::start(pool.queue, to_waiting_request(state, open), now);
+        scheduling::start(pool.queue, to_waiting_request(state, open), now);
         return;
     }
     if (!may_wait(pool, now))
@@ -160,7 +160,7 @@
         return;
     }
     auto const admission =
-        request::arrive(pool.queue, to_waiting_request(state, open), now);
+        scheduling::arrive(pool.queue, to_waiting_request(state, open), now);
     if (admission.evicted)
     {
         refuse_waiting(
@@ -186,7 +186,7 @@
             state, open, {base::error_kind::no_endpoint, {}}, now, out);
         return;
     }
-    request::requeue(pool.queue, to_waiting_request(state, open));
+    scheduling::requeue(pool.queue, to_waiting_request(state, open));
     serve_pool(state, pool, now, out);
 }
 
@@ -215,7 +215,7 @@
 {
     for (auto& [name, pool] : state.requests.pools)
     {
-        for (auto const caller : request::withdraw_late(pool.queue, now))
+        for (auto const caller : scheduling::withdraw_late(pool.queue, now))
         {
             refuse_waiting(
                 state, caller, {base::error_kind::deadline_unreachable, {}},
--- a/libs/gateway/include/gateway/entry_context.hpp
+++ b/libs/gateway/include/gateway/entry_context.hpp
@@ -12,7 +12,6 @@
 #include <gateway/traffic.hpp>
 #include <kernel/metrics.hpp>
 #include <platform/settings.hpp>
-#include <request/admission.hpp>
 #include <request/lost_answers.hpp>
 #include <request/refusals.hpp>
 #include <request/suspects.hpp>
@@ -20,6 +19,7 @@
 #include <routing/routes.hpp>
 
 #include <boost/asio/io_context.hpp>
+#include <scheduling/measured_time.hpp>
 
 #include <functional>
 #include <map>
@@ -99,7 +99,7 @@
     // callers may come back after a refusal.
     std::set<std::string> neighbours;
     // Time from sending a request to its first event, by service.
-    std::map<std::string, request::measured_time> time_to_first_event;
+    std::map<std::string, scheduling::measured_time> time_to_first_event;
     // Smallest margin seen between the start of a request on an older version
     // and the time by which that version must no longer be used, by model and
     // version. Exported as a metric.
--- a/libs/gateway/src/call_end.cpp
+++ b/libs/gateway/src/call_end.cpp
@@ -30,7 +30,7 @@
         std::chrono::duration_cast<milliseconds>(now - this->arrived));
     if (this->sends == 1)
     {
-        request::note(
+        scheduling::note(
             this->context->time_to_first_event[this->service_name],
             std::chrono::duration_cast<std::chrono::microseconds>(
                 now - this->current->begun));
--- a/libs/request/include/request/admission.hpp
+++ b/libs/scheduling/include/scheduling/fair_queue.hpp
@@ -1,9 +1,11 @@
-#ifndef FOXTAILVALE_REQUEST_ADMISSION_HPP
-#define FOXTAILVALE_REQUEST_ADMISSION_HPP
+#ifndef FOXTAILVALE_SCHEDULING_FAIR_QUEUE_HPP
+#define FOXTAILVALE_SCHEDULING_FAIR_QUEUE_HPP
 
 #include <base/error.hpp>
 #include <base/ids.hpp>
 
+#include <scheduling/measured_time.hpp>
+
 #include <chrono>
 #include <cstdint>
 #include <deque>
@@ -13,9 +15,9 @@
 #include <string>
 #include <vector>
 
-// Admission control: which request runs next when demand exceeds capacity, and
-// which requests are refused.
-namespace foxtailvale::request
+// Weighted fair queue: which request runs next when demand exceeds capacity,
+// and which requests are refused.
+namespace foxtailvale::scheduling
 {
 
 using waiting_id = std::uint64_t;
@@ -32,18 +34,6 @@
     base::time_point deadline;
 };
 
-// Exponentially weighted mean and mean deviation of a measured duration.
-struct measured_time
-{
-    std::chrono::microseconds mean{0};
-    std::chrono::microseconds deviation{0};
-    // False until the first measurement.
-    bool known = false;
-};
-
-// Updates the mean and the deviation with a measurement.
-void note(measured_time& state, std::chrono::microseconds measured);
-
 // Waiting requests of one workspace.
 struct workspace_queue
 {
@@ -58,7 +48,7 @@
 };
 
 // Weighted fair queue in front of the endpoints of one model or service.
-struct admission_queue
+struct fair_queue
 {
     // Maximum number of waiting requests. Requests that cannot meet their
     // deadline are refused on arrival, which already limits the useful length
@@ -96,52 +86,35 @@
 // no waiting request of lower priority, and with queue_full if its workspace
 // would exceed its share by more than that one.
 arrival
-arrive(admission_queue& queue, waiting_request request, base::time_point now);
+arrive(fair_queue& queue, waiting_request request, base::time_point now);
 
 // Puts a started request back at the head of its priority, after an endpoint
 // turned out to have no capacity for it.
-void requeue(admission_queue& queue, waiting_request request);
+void requeue(fair_queue& queue, waiting_request request);
 
 // Returns the request that runs next without removing it: the oldest request of
 // highest priority in the workspace that has received the least service for its
 // weight. Empty if no request waits.
-std::optional<waiting_request> next(admission_queue const& queue);
+std::optional<waiting_request> next(fair_queue const& queue);
 
 // Records the start of a request, whether or not it had to wait: removes it
 // from the queue and charges the start to its workspace.
 void start(
-    admission_queue& queue,
-    waiting_request const& request,
-    base::time_point now);
+    fair_queue& queue, waiting_request const& request, base::time_point now);
 
 // Removes a request that is not to be started. Returns false if it was not
 // waiting.
-bool withdraw(admission_queue& queue, waiting_request const& request);
+bool withdraw(fair_queue& queue, waiting_request const& request);
 
 // Removes and returns the requests that can no longer be answered by their
 // deadline. An early refusal lets their callers turn elsewhere while there is
 // time left.
-std::vector<waiting_id>
-withdraw_late(admission_queue& queue, base::time_point now);
+std::vector<waiting_id> withdraw_late(fair_queue& queue, base::time_point now);
 
 // Upper estimate of the time from a start to its answer: the measured mean plus
 // twice the mean deviation.
-std::chrono::microseconds expected_service(admission_queue const& queue);
-
-// Token bucket that limits retries to a share of the load. Without it, slow
-// endpoints cause requests to be resent repeatedly, and the load grows when
-// there is the least capacity. Endpoints are sized for an additional load of a
-// tenth.
-struct retry_budget
-{
-    double tokens = 10;
-};
-
-// Adds a tenth of a token for a new request, up to ten tokens.
-void earn(retry_budget& budget);
-// Takes one token for a retry. Returns false if there is none.
-bool spend(retry_budget& budget);
+std::chrono::microseconds expected_service(fair_queue const& queue);
 
-} // namespace foxtailvale::request
+} // namespace foxtailvale::scheduling
 
 #endif
--- a/libs/request/src/admission.cpp
+++ b/libs/scheduling/src/fair_queue.cpp
@@ -1,9 +1,9 @@
-#include <request/admission.hpp>
+#include <scheduling/fair_queue.hpp>
 
 #include <algorithm>
 #include <cmath>
 
-namespace foxtailvale::request
+namespace foxtailvale::scheduling
 {
 
 namespace
@@ -11,17 +11,10 @@
 
 using std::chrono::microseconds;
 
-// A new measurement has a weight of 1/8: the mean follows a change within some
-// tens of requests, and one slow answer does not distort it.
-constexpr std::int64_t smoothing_divisor = 8;
-
 // Longer intervals count as this much: idle gaps do not show how fast requests
 // start when enough are waiting.
 constexpr microseconds max_start_interval{1'000'000};
 
-constexpr double retry_tokens_per_request = 0.1;
-constexpr double max_retry_tokens = 10;
-
 microseconds time_between(base::time_point earlier, base::time_point later)
 {
     return std::chrono::duration_cast<microseconds>(later - earlier);
@@ -45,8 +38,7 @@
 // Estimated number of starts up to and including this request's own. While its
 // workspace has one start, each other workspace has starts in proportion to its
 // weight, but no more than it has waiting requests.
-double
-starts_before(admission_queue const& queue, waiting_request const& request)
+double starts_before(fair_queue const& queue, waiting_request const& request)
 {
     std::size_t ahead = 0;
     auto const own = queue.workspaces.find(request.workspace);
@@ -69,7 +61,7 @@
 }
 
 microseconds
-expected_wait(admission_queue const& queue, waiting_request const& request)
+expected_wait(fair_queue const& queue, waiting_request const& request)
 {
     auto const starts = starts_before(queue, request);
     auto const interval =
@@ -79,7 +71,7 @@
 
 // The workspace with the most waiting requests relative to its weight.
 std::map<std::string, workspace_queue>::iterator
-furthest_over_share(admission_queue& queue)
+furthest_over_share(fair_queue& queue)
 {
     return std::ranges::max_element(
         queue.workspaces, {},
@@ -90,7 +82,7 @@
 }
 
 // Removes the newest request of lowest priority and returns its id.
-waiting_id evict_newest(admission_queue& queue, workspace_queue& subqueue)
+waiting_id evict_newest(fair_queue& queue, workspace_queue& subqueue)
 {
     auto const lowest = std::prev(subqueue.by_priority.end());
     auto const id = lowest->second.back().id;
@@ -104,7 +96,7 @@
     return id;
 }
 
-void append(admission_queue& queue, waiting_request request)
+void append(fair_queue& queue, waiting_request request)
 {
     auto& subqueue = queue.workspaces[request.workspace];
     subqueue.weight = std::max(request.weight, 1U);
@@ -118,7 +110,7 @@
 
 // Either evicts a waiting request in favour of the new one or refuses the new
 // one.
-arrival arrive_when_full(admission_queue& queue, waiting_request request)
+arrival arrive_when_full(fair_queue& queue, waiting_request request)
 {
     auto const victim = furthest_over_share(queue);
     auto const own = queue.workspaces.find(request.workspace);
@@ -145,20 +137,7 @@
 
 } // namespace
 
-void note(measured_time& state, microseconds measured)
-{
-    if (!state.known)
-    {
-        state = {measured, measured / 2, true};
-        return;
-    }
-    auto const error = measured - state.mean;
-    state.mean += error / smoothing_divisor;
-    state.deviation +=
-        (std::chrono::abs(error) - state.deviation) / smoothing_divisor;
-}
-
-microseconds expected_service(admission_queue const& queue)
+microseconds expected_service(fair_queue const& queue)
 {
     // Most measurements differ from the mean by at most twice the mean
     // deviation. With only once the deviation, one in seventy answers was late
@@ -166,8 +145,7 @@
     return queue.service.mean + 2 * queue.service.deviation;
 }
 
-arrival
-arrive(admission_queue& queue, waiting_request request, base::time_point now)
+arrival arrive(fair_queue& queue, waiting_request request, base::time_point now)
 {
     auto const needed = expected_wait(queue, request) + expected_service(queue);
     if (time_between(now, request.deadline) < needed)
@@ -182,7 +160,7 @@
     return {};
 }
 
-void requeue(admission_queue& queue, waiting_request request)
+void requeue(fair_queue& queue, waiting_request request)
 {
     auto& subqueue = queue.workspaces[request.workspace];
     subqueue.weight = std::max(request.weight, 1U);
@@ -193,7 +171,7 @@
     ++queue.size;
 }
 
-std::optional<waiting_request> next(admission_queue const& queue)
+std::optional<waiting_request> next(fair_queue const& queue)
 {
     workspace_queue const* chosen = nullptr;
     for (auto const& [name, subqueue] : queue.workspaces)
@@ -213,9 +191,7 @@
 }
 
 void start(
-    admission_queue& queue,
-    waiting_request const& request,
-    base::time_point now)
+    fair_queue& queue, waiting_request const& request, base::time_point now)
 {
     auto const waited = withdraw(queue, request);
     if (!waited && queue.size == 0)
@@ -249,7 +225,7 @@
         });
 }
 
-bool withdraw(admission_queue& queue, waiting_request const& request)
+bool withdraw(fair_queue& queue, waiting_request const& request)
 {
     auto const subqueue = queue.workspaces.find(request.workspace);
     if (subqueue == queue.workspaces.end())
@@ -277,8 +253,7 @@
     return true;
 }
 
-std::vector<waiting_id>
-withdraw_late(admission_queue& queue, base::time_point now)
+std::vector<waiting_id> withdraw_late(fair_queue& queue, base::time_point now)
 {
     std::vector<waiting_request> late;
     auto const needed = expected_service(queue);
@@ -303,20 +278,4 @@
     return ids;
 }
 
-void earn(retry_budget& budget)
-{
-    budget.tokens =
-        std::min(budget.tokens + retry_tokens_per_request, max_retry_tokens);
-}
-
-bool spend(retry_budget& budget)
-{
-    if (budget.tokens < 1)
-    {
-        return false;
-    }
-    --budget.tokens;
-    return true;
-}
-
-} // namespace foxtailvale::request
+} // namespace foxtailvale::scheduling
