Scheduling: the fair queue charges costs and can order by priority first

Cause: a start counted the same for a large and a small request, and ranks were ordered within a workspace only, so that a high rank of one workspace waited for the low ranks of others. Change: a start is charged by the request's cost; queue_order says whether priorities order the requests of a workspace or of all; a precedence within a priority puts honoured returns first. By priority first, a full queue evicts from the lowest class, and the next in line is never refused for an estimate, which is renewed only while requests wait. The own interface keeps its order at cost 1.

--- a/libs/scheduling/include/scheduling/fair_queue.hpp
+++ b/libs/scheduling/include/scheduling/fair_queue.hpp
@@ -29,9 +29,33 @@
     std::string workspace;
     // Relative share of the workspace under contention; at least one.
     std::uint32_t weight = 1;
-    // Higher values run first within the same workspace.
+    // Higher values run first; see queue_order.
     std::uint32_t priority = 0;
     base::time_point deadline;
+    // Higher values run first within the same priority.
+    std::uint32_t precedence = 0;
+    // Charged to the workspace by a start, divided by its weight.
+    double cost = 1;
+};
+
+// How priorities and workspaces order the waiting requests.
+enum class queue_order
+{
+    // Workspaces are served by weight. Priority and precedence order the
+    // requests within a workspace, then the time of arrival.
+    workspace_first,
+    // Priority and precedence order the requests of all workspaces, then the
+    // service that their workspaces have received, then the deadline.
+    priority_first,
+};
+
+// Priority and precedence of a waiting request.
+struct queue_class
+{
+    std::uint32_t priority = 0;
+    std::uint32_t precedence = 0;
+
+    auto operator<=>(queue_class const&) const = default;
 };
 
 // Waiting requests of one workspace.
@@ -39,17 +63,17 @@
 {
     std::uint32_t weight = 1;
     // Virtual finish time of the last started request, as in weighted fair
-    // queueing: each start adds 1 / weight.
+    // queueing: each start adds its cost divided by the weight.
     double virtual_finish = 0;
     std::size_t size = 0;
-    // Highest priority first; oldest request first within a priority.
-    std::map<std::uint32_t, std::deque<waiting_request>, std::greater<>>
-        by_priority;
+    // Highest class first.
+    std::map<queue_class, std::deque<waiting_request>, std::greater<>> by_class;
 };
 
 // Weighted fair queue in front of the endpoints of one model or service.
 struct fair_queue
 {
+    queue_order order = queue_order::workspace_first;
     // Maximum number of waiting requests. Requests that cannot meet their
     // deadline are refused on arrival, which already limits the useful length
     // of the queue; this bound limits memory if the measurements are wrong.
@@ -85,16 +109,24 @@
 // workspace_over_share if its own workspace is furthest over its share and has
 // no waiting request of lower priority, and with queue_full if its workspace
 // would exceed its share by more than that one.
+//
+// With queue_order::priority_first, the request that is evicted is one of the
+// lowest class, and a new request of that class is refused with queue_full. A
+// request that would run next is never refused as unreachable, because the
+// interval between starts is measured only while requests wait. Failure: an
+// estimate from a time without capacity refused every request after it.
 arrival
 arrive(fair_queue& queue, waiting_request request, base::time_point now);
 
-// Puts a started request back at the head of its priority, after an endpoint
+// Puts a started request back at the head of its class, after an endpoint
 // turned out to have no capacity for it.
 void requeue(fair_queue& queue, waiting_request request);
 
-// Returns the request that runs next without removing it: the oldest request of
-// highest priority in the workspace that has received the least service for its
-// weight. Empty if no request waits.
+// Returns the request that runs next without removing it. By workspace first,
+// it is the oldest request of highest class in the workspace that has received
+// the least service for its weight. By priority first, it is the request of
+// highest class whose workspace has received the least service, and of those
+// the one with the earliest deadline. Empty if no request waits.
 std::optional<waiting_request> next(fair_queue const& queue);
 
 // Records the start of a request, whether or not it had to wait: removes it
--- a/libs/scheduling/src/fair_queue.cpp
+++ b/libs/scheduling/src/fair_queue.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace foxtailvale::scheduling
 {
@@ -20,14 +21,19 @@
     return std::chrono::duration_cast<microseconds>(later - earlier);
 }
 
+queue_class class_of(waiting_request const& request)
+{
+    return {request.priority, request.precedence};
+}
+
 // Number of requests in the same workspace that would run before a new request
-// of this priority.
-std::size_t count_ahead(workspace_queue const& subqueue, std::uint32_t priority)
+// of this class.
+std::size_t count_ahead(workspace_queue const& subqueue, queue_class own)
 {
     std::size_t ahead = 0;
-    for (auto const& [level, requests] : subqueue.by_priority)
+    for (auto const& [level, requests] : subqueue.by_class)
     {
-        if (level >= priority)
+        if (level >= own)
         {
             ahead += requests.size();
         }
@@ -44,7 +50,7 @@
     auto const own = queue.workspaces.find(request.workspace);
     if (own != queue.workspaces.end())
     {
-        ahead = count_ahead(own->second, request.priority);
+        ahead = count_ahead(own->second, class_of(request));
     }
     auto const own_starts = static_cast<double>(ahead) + 1;
     auto total = own_starts;
@@ -60,13 +66,70 @@
     return total;
 }
 
-microseconds
-expected_wait(fair_queue const& queue, waiting_request const& request)
+// Number of waiting requests that run before this one for their deadline.
+std::size_t earlier_deadlines(
+    std::deque<waiting_request> const& requests, base::time_point deadline)
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+        requests,
+        [deadline](waiting_request const& waiting)
+        {
+            return waiting.deadline <= deadline;
+        }));
+}
+
+// The same where classes order the requests of all workspaces: those of higher
+// classes run first, and those of the same class in proportion to the weights.
+double
+starts_before_by_class(fair_queue const& queue, waiting_request const& request)
 {
-    auto const starts = starts_before(queue, request);
+    double higher = 0;
+    double own_starts = 1;
+    std::vector<std::pair<double, std::uint32_t>> same_class;
+    for (auto const& [name, subqueue] : queue.workspaces)
+    {
+        for (auto const& [level, requests] : subqueue.by_class)
+        {
+            if (level > class_of(request))
+            {
+                higher += static_cast<double>(requests.size());
+            }
+            else if (level == class_of(request) && name == request.workspace)
+            {
+                own_starts += static_cast<double>(
+                    earlier_deadlines(requests, request.deadline));
+            }
+            else if (level == class_of(request))
+            {
+                same_class.emplace_back(requests.size(), subqueue.weight);
+            }
+        }
+    }
+    auto total = higher + own_starts;
+    for (auto const& [size, weight] : same_class)
+    {
+        total +=
+            std::min(size, own_starts * weight / std::max(request.weight, 1U));
+    }
+    return total;
+}
+
+bool is_unreachable(
+    fair_queue const& queue,
+    waiting_request const& request,
+    base::time_point now)
+{
+    auto const by_class = queue.order == queue_order::priority_first;
+    auto const starts = by_class ? starts_before_by_class(queue, request)
+                                 : starts_before(queue, request);
+    if (by_class && starts <= 1)
+    {
+        return false;
+    }
     auto const interval =
         static_cast<double>(queue.start_interval.mean.count());
-    return microseconds(std::llround(starts * interval));
+    auto const wait = microseconds(std::llround(starts * interval));
+    return time_between(now, request.deadline) < wait + expected_service(queue);
 }
 
 // The workspace with the most waiting requests relative to its weight.
@@ -81,21 +144,35 @@
         });
 }
 
-// Removes the newest request of lowest priority and returns its id.
+// Removes the last request of lowest class and returns its id.
 waiting_id evict_newest(fair_queue& queue, workspace_queue& subqueue)
 {
-    auto const lowest = std::prev(subqueue.by_priority.end());
+    auto const lowest = std::prev(subqueue.by_class.end());
     auto const id = lowest->second.back().id;
     lowest->second.pop_back();
     if (lowest->second.empty())
     {
-        subqueue.by_priority.erase(lowest);
+        subqueue.by_class.erase(lowest);
     }
     --subqueue.size;
     --queue.size;
     return id;
 }
 
+// Last in its class by arrival or by deadline.
+void insert(
+    queue_order order,
+    std::deque<waiting_request>& requests,
+    waiting_request request)
+{
+    auto const position =
+        order == queue_order::workspace_first
+            ? requests.end()
+            : std::ranges::upper_bound(
+                  requests, request.deadline, {}, &waiting_request::deadline);
+    requests.insert(position, std::move(request));
+}
+
 void append(fair_queue& queue, waiting_request request)
 {
     auto& subqueue = queue.workspaces[request.workspace];
@@ -103,7 +180,8 @@
     // A workspace accumulates no credit while it has no waiting requests.
     subqueue.virtual_finish =
         std::max(subqueue.virtual_finish, queue.virtual_time);
-    subqueue.by_priority[request.priority].push_back(std::move(request));
+    auto& requests = subqueue.by_class[class_of(request)];
+    insert(queue.order, requests, std::move(request));
     ++subqueue.size;
     ++queue.size;
 }
@@ -122,8 +200,8 @@
     auto const victim_use =
         static_cast<double>(victim->second.size) / victim->second.weight;
     auto const same = victim->first == request.workspace;
-    auto const lowest = std::prev(victim->second.by_priority.end())->first;
-    if (same ? request.priority <= lowest : own_use > victim_use)
+    auto const lowest = std::prev(victim->second.by_class.end())->first;
+    if (same ? class_of(request) <= lowest : own_use > victim_use)
     {
         return {
             same ? base::error_kind::workspace_over_share
@@ -135,6 +213,59 @@
     return {std::nullopt, evicted};
 }
 
+// The workspace with the most waiting requests of the lowest class that waits.
+// Requires that a request waits.
+std::map<std::string, workspace_queue>::iterator
+most_of_lowest_class(fair_queue& queue)
+{
+    auto chosen = queue.workspaces.end();
+    for (auto next = queue.workspaces.begin(); next != queue.workspaces.end();
+         ++next)
+    {
+        if (next->second.size == 0)
+        {
+            continue;
+        }
+        auto const key = [](auto const& found)
+        {
+            auto const& lowest = *std::prev(found->second.by_class.end());
+            return std::pair(
+                lowest.first, -static_cast<double>(lowest.second.size()) /
+                                  found->second.weight);
+        };
+        if (chosen == queue.workspaces.end() || key(next) < key(chosen))
+        {
+            chosen = next;
+        }
+    }
+    return chosen;
+}
+
+arrival arrive_by_class_when_full(fair_queue& queue, waiting_request request)
+{
+    auto const victim = most_of_lowest_class(queue);
+    if (victim == queue.workspaces.end() ||
+        class_of(request) <= std::prev(victim->second.by_class.end())->first)
+    {
+        return {base::error_kind::queue_full, {}};
+    }
+    auto const evicted = evict_newest(queue, victim->second);
+    append(queue, std::move(request));
+    return {std::nullopt, evicted};
+}
+
+bool runs_before(workspace_queue const& one, workspace_queue const& other)
+{
+    auto const& [own_class, own] = *one.by_class.begin();
+    auto const& [other_class, others] = *other.by_class.begin();
+    if (own_class != other_class)
+    {
+        return own_class > other_class;
+    }
+    return std::pair(one.virtual_finish, own.front().deadline) <
+           std::pair(other.virtual_finish, others.front().deadline);
+}
+
 } // namespace
 
 microseconds expected_service(fair_queue const& queue)
@@ -147,14 +278,15 @@
 
 arrival arrive(fair_queue& queue, waiting_request request, base::time_point now)
 {
-    auto const needed = expected_wait(queue, request) + expected_service(queue);
-    if (time_between(now, request.deadline) < needed)
+    if (is_unreachable(queue, request, now))
     {
         return {base::error_kind::deadline_unreachable, {}};
     }
     if (queue.size >= queue.max_waiting)
     {
-        return arrive_when_full(queue, std::move(request));
+        return queue.order == queue_order::workspace_first
+                   ? arrive_when_full(queue, std::move(request))
+                   : arrive_by_class_when_full(queue, std::move(request));
     }
     append(queue, std::move(request));
     return {};
@@ -166,7 +298,7 @@
     subqueue.weight = std::max(request.weight, 1U);
     subqueue.virtual_finish =
         std::max(subqueue.virtual_finish, queue.virtual_time);
-    subqueue.by_priority[request.priority].push_front(std::move(request));
+    subqueue.by_class[class_of(request)].push_front(std::move(request));
     ++subqueue.size;
     ++queue.size;
 }
@@ -176,9 +308,14 @@
     workspace_queue const* chosen = nullptr;
     for (auto const& [name, subqueue] : queue.workspaces)
     {
-        if (subqueue.size > 0 &&
-            (chosen == nullptr ||
-             subqueue.virtual_finish < chosen->virtual_finish))
+        if (subqueue.size == 0)
+        {
+            continue;
+        }
+        if (chosen == nullptr ||
+            (queue.order == queue_order::workspace_first
+                 ? subqueue.virtual_finish < chosen->virtual_finish
+                 : runs_before(subqueue, *chosen)))
         {
             chosen = &subqueue;
         }
@@ -187,7 +324,7 @@
     {
         return std::nullopt;
     }
-    return chosen->by_priority.begin()->second.front();
+    return chosen->by_class.begin()->second.front();
 }
 
 void start(
@@ -206,7 +343,7 @@
     auto& subqueue = queue.workspaces[request.workspace];
     subqueue.weight = std::max(request.weight, 1U);
     auto const started = std::max(queue.virtual_time, subqueue.virtual_finish);
-    subqueue.virtual_finish = started + 1.0 / subqueue.weight;
+    subqueue.virtual_finish = started + request.cost / subqueue.weight;
     queue.virtual_time = std::max(queue.virtual_time, started);
     if (waited && queue.last_start)
     {
@@ -232,8 +369,8 @@
     {
         return false;
     }
-    auto const level = subqueue->second.by_priority.find(request.priority);
-    if (level == subqueue->second.by_priority.end())
+    auto const level = subqueue->second.by_class.find(class_of(request));
+    if (level == subqueue->second.by_class.end())
     {
         return false;
     }
@@ -246,7 +383,7 @@
     level->second.erase(found);
     if (level->second.empty())
     {
-        subqueue->second.by_priority.erase(level);
+        subqueue->second.by_class.erase(level);
     }
     --subqueue->second.size;
     --queue.size;
@@ -259,7 +396,7 @@
     auto const needed = expected_service(queue);
     for (auto const& [name, subqueue] : queue.workspaces)
     {
-        for (auto const& [level, requests] : subqueue.by_priority)
+        for (auto const& [level, requests] : subqueue.by_class)
         {
             std::ranges::copy_if(
                 requests, std::back_inserter(late),
--- a/libs/scheduling/tests/fair_queue_tests.cpp
+++ b/libs/scheduling/tests/fair_queue_tests.cpp
@@ -291,4 +291,73 @@
     EXPECT_TRUE(urgent.evicted);
 }
 
+// Failure: a large request was charged like a small one, and a workspace of
+// large requests got several times its share of the endpoints.
+TEST(fair_queue, a_start_is_charged_by_its_cost)
+{
+    fair_queue queue;
+    for (waiting_id id = 1; id <= 12; ++id)
+    {
+        auto request = waiting(id, id % 2 == 0 ? "large" : "small");
+        request.cost = id % 2 == 0 ? 3 : 1;
+        arrive(queue, request, {});
+    }
+    std::map<std::string, int> starts;
+    for (int i = 0; i < 8; ++i)
+    {
+        auto const request = *next(queue);
+        ++starts[request.workspace];
+        start(queue, request, {});
+    }
+    EXPECT_EQ(starts["small"], 6);
+    EXPECT_EQ(starts["large"], 2);
+}
+
+// Failure: each workspace's high ranks waited for the low ranks of the others.
+TEST(fair_queue, by_priority_first_classes_order_all_workspaces)
+{
+    fair_queue queue;
+    queue.order = queue_order::priority_first;
+    auto const add = [&queue](
+                         waiting_id id, std::string workspace,
+                         std::uint32_t priority, int deadline,
+                         std::uint32_t precedence = 0)
+    {
+        auto request = waiting(id, std::move(workspace), priority);
+        request.deadline = time_point(seconds(deadline));
+        request.precedence = precedence;
+        arrive(queue, request, {});
+    };
+    add(1, "a", 1, 9);
+    add(2, "a", 2, 9);
+    add(3, "b", 2, 9);
+    add(4, "b", 2, 8);
+    add(5, "b", 2, 10, 1);
+    std::vector<waiting_id> order;
+    while (auto const request = next(queue))
+    {
+        order.push_back(request->id);
+        start(queue, *request, {});
+    }
+    // The honoured return of b comes first, then a has had the least service.
+    EXPECT_EQ(order, (std::vector<waiting_id>{5, 2, 4, 3, 1}));
+}
+
+// Failure: after a time without capacity no request was ever queued again.
+TEST(fair_queue, by_priority_first_an_old_estimate_admits_the_next_in_line)
+{
+    fair_queue queue;
+    queue.order = queue_order::priority_first;
+    queue.start_interval = {seconds(100), {}, true};
+    EXPECT_FALSE(arrive(queue, waiting(1, "a"), {}).refused);
+    EXPECT_TRUE(arrive(queue, waiting(2, "a"), {}).refused);
+    EXPECT_FALSE(arrive(queue, waiting(3, "a", 1), {}).refused);
+    queue.start_interval = {};
+    queue.max_waiting = queue.size;
+    EXPECT_EQ(
+        arrive(queue, waiting(4, "b"), {}).refused,
+        base::error_kind::queue_full);
+    EXPECT_EQ(arrive(queue, waiting(5, "b", 1), {}).evicted, 1U);
+}
+
 } // namespace foxtailvale::scheduling
