Routing and direct: what admission asks of routes and endpoints

Cause: ranked admission needs to know whether a service's routes differ in priority, the shortest goal among the higher ranks, and the free slots of all endpoints that are in service. Change: routing::differ_in_priority and shortest_goal; direct::count_free_slots, which leaves out endpoints that run nothing.

--- a/libs/direct/include/direct/placement.hpp
+++ b/libs/direct/include/direct/placement.hpp
@@ -137,6 +137,15 @@
     base::time_point now,
     base::random_state& random);
 
+// Returns how many requests the endpoints could take now at all entries
+// together: the slots without a request at the endpoints that would accept the
+// query. Unlike `choose`, it counts all of them and not only those that this
+// entry may send to at the moment.
+std::uint32_t count_free_slots(
+    endpoint_table const& table,
+    placement_query const& query,
+    base::time_point now);
+
 // Estimates the run time of a request at an engine with half of its slots in
 // use, from the published costs. Zero tokens stand for the usual number.
 std::chrono::milliseconds expected_time(
--- a/libs/direct/src/placement.cpp
+++ b/libs/direct/src/placement.cpp
@@ -330,6 +330,22 @@
     }
 }
 
+// Whether the endpoint runs requests, with or without a free slot. A cold one
+// whose limit is reached does not.
+bool is_in_service(
+    endpoint_state const& state,
+    placement_query const& query,
+    base::time_point now)
+{
+    auto const is_held = is_fresh(state, now) &&
+                         (state.report->switching ||
+                          state.report->unreachable || state.report->leaving);
+    auto const sharing = query.newcomer ? query.assumed_entries : query.entries;
+    return !is_held && state.avoid_until <= now &&
+           !is_unresponsive(state, now) &&
+           may_send_within_share(state.recent, query.cold, sharing, now);
+}
+
 } // namespace
 
 std::uint32_t
@@ -355,6 +371,27 @@
         std::max<std::int64_t>(known, state.own_running));
 }
 
+std::uint32_t count_free_slots(
+    endpoint_table const& table,
+    placement_query const& query,
+    base::time_point now)
+{
+    endpoint_shares const shares(table, query);
+    std::uint32_t free = 0;
+    for (auto const& [id, state] : table.endpoints)
+    {
+        auto const work = work_at(state, query.entries, now);
+        if (work < state.listed.slots && is_listed_for(table, state, query) &&
+            has_weights(table, state, query, now) &&
+            closed_until(table, state, shares).until <= now &&
+            is_in_service(state, query, now))
+        {
+            free += state.listed.slots - work;
+        }
+    }
+    return free;
+}
+
 std::chrono::milliseconds expected_time(
     routing::engine_costs const& costs,
     std::uint64_t prompt_tokens,
--- a/libs/direct/tests/placement_tests.cpp
+++ b/libs/direct/tests/placement_tests.cpp
@@ -86,6 +86,21 @@
     EXPECT_EQ(chosen_id(table, query_from("d0")), "e1");
 }
 
+// Failure: the free slots of endpoints that run nothing counted as capacity, and
+// requests were admitted that no endpoint could take.
+TEST(placement, free_slots_are_those_of_endpoints_in_service)
+{
+    auto const query = query_from("d0");
+    auto table = engines(3);
+    report(table, "10.0.0.0", 12);
+    report(table, "10.0.0.1", 20);
+    EXPECT_EQ(count_free_slots(table, query, start), 4U + 0U + 16U);
+    table.endpoints.at("e2").listed.draining = true;
+    EXPECT_EQ(count_free_slots(table, query, start), 4U);
+    table.endpoints.at("e0").report->switching = true;
+    EXPECT_EQ(count_free_slots(table, query, start), 0U);
+}
+
 TEST(placement, what_may_not_serve_is_never_chosen)
 {
     auto query = query_from("d0");
--- a/libs/routing/include/routing/routes.hpp
+++ b/libs/routing/include/routing/routes.hpp
@@ -5,6 +5,8 @@
 #include <routing/configuration.hpp>
 
 #include <chrono>
+#include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -75,6 +77,17 @@
     permit_query const& query,
     view_limits const& limits);
 
+// Whether routes that lead to the service differ in priority.
+bool differ_in_priority(
+    configuration const& current, std::string const& service);
+
+// Returns the smallest goal of the routes that lead to the service with at
+// least this priority; nothing if none of them has a goal.
+std::optional<std::chrono::milliseconds> shortest_goal(
+    configuration const& current,
+    std::string const& service,
+    std::uint32_t priority);
+
 } // namespace foxtailvale::routing
 
 #endif
--- a/libs/routing/src/routes.cpp
+++ b/libs/routing/src/routes.cpp
@@ -81,6 +81,16 @@
     return allowed;
 }
 
+bool leads_to(route const& chosen, std::string const& service)
+{
+    return std::ranges::any_of(
+        chosen.services,
+        [&service](weighted_service const& target)
+        {
+            return target.service == service;
+        });
+}
+
 } // namespace
 
 void sort_routes(configuration& value)
@@ -139,6 +149,48 @@
     return chosen.services.back().service;
 }
 
+bool differ_in_priority(
+    configuration const& current, std::string const& service)
+{
+    std::optional<std::uint32_t> first;
+    for (auto const& [host, routes] : current.routes)
+    {
+        for (auto const& next : routes)
+        {
+            if (!leads_to(next, service))
+            {
+                continue;
+            }
+            if (first && *first != next.priority)
+            {
+                return true;
+            }
+            first = next.priority;
+        }
+    }
+    return false;
+}
+
+std::optional<std::chrono::milliseconds> shortest_goal(
+    configuration const& current,
+    std::string const& service,
+    std::uint32_t priority)
+{
+    std::optional<std::chrono::milliseconds> shortest;
+    for (auto const& [host, routes] : current.routes)
+    {
+        for (auto const& next : routes)
+        {
+            if (next.priority <= priority && next.goal.count() > 0 &&
+                leads_to(next, service))
+            {
+                shortest = std::min(shortest.value_or(next.goal), next.goal);
+            }
+        }
+    }
+    return shortest;
+}
+
 base::result<permission> permit(
     configuration const* current,
     permit_query const& query,
--- a/libs/routing/tests/routes_tests.cpp
+++ b/libs/routing/tests/routes_tests.cpp
@@ -198,4 +198,23 @@
         error_kind::no_region);
 }
 
+// Failure: a workspace of low priority waited longer at an entry than one of
+// high priority, because its route has a longer goal.
+TEST(routes, no_goal_is_longer_than_that_of_a_higher_priority)
+{
+    auto current = two_routes();
+    auto& routes = current.routes["a.example"];
+    routes[0].services = routes[1].services;
+    EXPECT_FALSE(differ_in_priority(current, "short"));
+    routes[0].priority = 2;
+    routes[0].goal = milliseconds(800);
+    routes[1].goal = milliseconds(400);
+    EXPECT_TRUE(differ_in_priority(current, "short"));
+    EXPECT_FALSE(differ_in_priority(current, "long"));
+    EXPECT_EQ(shortest_goal(current, "short", 2), milliseconds(400));
+    routes[0].goal = milliseconds(300);
+    EXPECT_EQ(shortest_goal(current, "short", 1), milliseconds(400));
+    EXPECT_EQ(shortest_goal(current, "long", 2), std::nullopt);
+}
+
 } // namespace foxtailvale::routing
