--- a/libs/scheduling/include/scheduling/request_cost.hpp
+++ b/libs/scheduling/include/scheduling/request_cost.hpp
@@ -30,6 +30,16 @@
     std::uint64_t expected_tokens = 0;
 };
 
+// Mean number of tokens of the answers on a route, as observed.
+struct usual_size
+{
+    // Zero until the first answer.
+    double answer_tokens = 0;
+};
+
+// Updates the mean with an answer.
+void note_answer(usual_size& usual, std::uint64_t tokens);
+
 // Larger numbers of tokens count as this many. Failure: a caller that states a
 // million tokens by mistake makes its workspace appear far over its share.
 inline constexpr std::uint64_t max_counted_tokens = 65'536;
@@ -41,6 +51,11 @@
 std::chrono::microseconds
 request_cost(engine_speed const& speed, request_size const& size);
 
+// The same where the route's answers are known. They replace the published
+// usual number of tokens.
+std::chrono::microseconds request_cost(
+    engine_speed speed, request_size const& size, usual_size const& usual);
+
 } // namespace foxtailvale::scheduling
 
 #endif
--- a/libs/scheduling/src/request_cost.cpp
+++ b/libs/scheduling/src/request_cost.cpp
@@ -39,4 +39,26 @@
     return cost.count() > 0 ? cost : cost_without_figures;
 }
 
+void note_answer(usual_size& usual, std::uint64_t tokens)
+{
+    // The mean follows a change within some hundred answers; single long
+    // answers do not move it.
+    constexpr double newest = 1.0 / 64;
+    auto const counted =
+        static_cast<double>(std::min(tokens, max_counted_tokens));
+    usual.answer_tokens += usual.answer_tokens > 0
+                               ? newest * (counted - usual.answer_tokens)
+                               : counted;
+}
+
+std::chrono::microseconds request_cost(
+    engine_speed speed, request_size const& size, usual_size const& usual)
+{
+    if (usual.answer_tokens > 0)
+    {
+        speed.usual_answer = usual.answer_tokens;
+    }
+    return request_cost(speed, size);
+}
+
 } // namespace foxtailvale::scheduling
