Gateway: ranked admission of requests

Change: where ranked admission is in force for a service, a request is counted with its cost, refused on arrival by its level or when it cannot be placed in time, and waits in the fair queue ordered by rank, workspace and time left, for no longer than a higher rank may. Elsewhere the existing queue and order are unchanged.

--- a/libs/gateway/include/gateway/entry_context.hpp
+++ b/libs/gateway/include/gateway/entry_context.hpp
@@ -19,7 +19,11 @@
 #include <routing/routes.hpp>
 
 #include <boost/asio/io_context.hpp>
+#include <scheduling/fair_queue.hpp>
 #include <scheduling/measured_time.hpp>
+#include <scheduling/request_cost.hpp>
+#include <scheduling/scheduling_settings.hpp>
+#include <scheduling/service_load.hpp>
 
 #include <functional>
 #include <map>
@@ -55,6 +59,14 @@
 
 using request_queue = std::map<queue_position, std::shared_ptr<call>>;
 
+// Requests that wait for an endpoint of one service where ranked admission is
+// in force.
+struct ranked_queue
+{
+    scheduling::fair_queue order;
+    std::map<scheduling::waiting_id, std::shared_ptr<call>> calls;
+};
+
 // State shared by all requests of one entry. Used from the event loop only.
 struct entry_context
 {
@@ -91,6 +103,17 @@
     std::map<std::string, direct::retry_budget> retry_budgets;
     // Requests that wait for an endpoint, by service.
     std::map<std::string, request_queue> waiting;
+    // The operators' settings for scheduling, and whether the platform says
+    // that ranks compete for all services.
+    scheduling::scheduling_settings scheduling;
+    bool ranks_compete = false;
+    // The following are by service, where ranked admission is in force.
+    std::map<std::string, ranked_queue> ranked;
+    std::map<std::string, scheduling::service_load> loads;
+    // Size of answers, by route.
+    std::map<std::string, scheduling::usual_size> answer_sizes;
+    // Workspaces that have a metric of their own.
+    std::set<std::string> measured_workspaces;
     // Requests refused by this entry and its neighbours, and the fingerprints
     // of those whose refusal has not been sent to the neighbours yet.
     request::recent_refusals refusals;
--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -59,9 +59,15 @@
     }
     direct::note_request(
         budget_of(*this->context, this->service_name), this->arrived);
+    if (this->ranked && !this->admit_ranked())
+    {
+        return;
+    }
     // A request that can no longer meet its goal does not overtake queued ones
     // that can.
-    auto const yields_to_queue = this->goal_expired && this->has_queue();
+    auto const yields_to_queue = this->ranked
+                                     ? this->yields_to_ranked()
+                                     : this->goal_expired && this->has_queue();
     if (!yields_to_queue && this->place(true))
     {
         return;
@@ -183,8 +189,17 @@
             "deadline passed before the request was read");
         return false;
     }
-    auto const goal = chosen.goal.count() > 0 ? chosen.goal : time;
+    auto goal = chosen.goal.count() > 0 ? chosen.goal : time;
     this->goal_expired = this->has_goal_expired(goal);
+    this->begin_ranked();
+    if (this->ranked)
+    {
+        goal = std::min(
+            goal, routing::shortest_goal(
+                      *this->configuration, this->service_name,
+                      this->allowed.priority)
+                      .value_or(goal));
+    }
     auto const& time_to_first_event =
         this->context->time_to_first_event[this->service_name];
     this->wait_until =
@@ -276,6 +291,11 @@
 
 void call::wait()
 {
+    if (this->ranked)
+    {
+        this->wait_ranked();
+        return;
+    }
     this->position_in_queue = {
         this->allowed.priority, this->goal_expired, this->wait_until,
         ++this->context->arrivals};
@@ -292,6 +312,11 @@
         return;
     }
     this->is_queued = false;
+    if (this->ranked)
+    {
+        this->leave_ranked();
+        return;
+    }
     this->context->waiting[this->service_name].erase(this->position_in_queue);
 }
 
--- a/libs/gateway/src/call.hpp
+++ b/libs/gateway/src/call.hpp
@@ -12,6 +12,7 @@
 #include <platform/requests.hpp>
 
 #include <boost/asio/steady_timer.hpp>
+#include <scheduling/admission.hpp>
 
 #include <utility>
 
@@ -89,6 +90,19 @@
     std::optional<attempt_observation> observation;
 };
 
+// What ranked admission needs to know of a request.
+struct ranked_request
+{
+    scheduling::waiting_request waiting;
+    std::uint32_t rank = 0;
+    std::string workspace;
+    scheduling::workspace_key key = 0;
+    std::chrono::microseconds cost{0};
+    scheduling::admission_level level;
+    // Its start has been counted and charged.
+    bool is_started = false;
+};
+
 // One request of a caller from arrival to answer: admitted, placed or queued,
 // sent to an endpoint and answered. The object stays alive while it is queued
 // or running or its timer is set.
@@ -130,6 +144,21 @@
     // Whether the request was refused before, longer ago than its goal.
     bool has_goal_expired(std::chrono::milliseconds goal) const;
     bool has_queue() const;
+    // Counts the request and its cost where ranked admission is in force.
+    void begin_ranked();
+    scheduling::admission_view admission_view() const;
+    // Refuses the request if its level does, and returns false then.
+    bool admit_ranked();
+    // Whether a request of a higher rank or precedence waits.
+    bool yields_to_ranked() const;
+    void wait_ranked();
+    void leave_ranked();
+    // Charges the request's start to its workspace, if it is the first.
+    void note_ranked_start();
+    void note_ranked_refusal(base::error_kind kind);
+    // Updates the route's usual size of answers.
+    void note_answer_size() const;
+    void add_admission(nlohmann::json& fields) const;
     // Sends the request to an endpoint or refuses it. Returns false when it
     // should wait for capacity, which `may_wait` allows.
     bool place(bool may_wait);
@@ -268,6 +297,10 @@
     std::optional<base::time_point> room_at;
     queue_position position_in_queue;
     bool is_queued = false;
+    // Set where ranked admission is in force for the service.
+    std::optional<ranked_request> ranked;
+    // When the refused caller was told to return.
+    std::optional<std::chrono::milliseconds> told_return;
     // The caller sent the request again after a refusal, and its goal has
     // passed since.
     bool goal_expired = false;
--- a/libs/gateway/src/call_attempt.cpp
+++ b/libs/gateway/src/call_attempt.cpp
@@ -50,6 +50,7 @@
 
 void call::send(direct::choice const& chosen)
 {
+    this->note_ranked_start();
     this->leave_queue();
     auto const& target = chosen.chosen->listed;
     auto const now = clock::now();
--- a/libs/gateway/src/call_end.cpp
+++ b/libs/gateway/src/call_end.cpp
@@ -111,6 +111,7 @@
     }
     this->log_answer(status);
     this->note_answer(status);
+    this->note_answer_size();
     this->end_attempt(
         status >= 500 ? direct::request_outcome::faulty
                       : direct::request_outcome::answered);
@@ -182,10 +183,6 @@
     this->leave_queue();
     auto const& row = base::row_of(kind);
     this->context->counters.count_error(kind);
-    this->log(
-        row.ran == ran_state::no ? kernel::event_id::request_refused
-                                 : kernel::event_id::request_failed,
-        kind, reason);
     // A suspect request was not run this time; 503 is the only status for that
     // which the platform's callers know.
     auto const status = kind == error_kind::suspect_request
@@ -197,6 +194,12 @@
                        : kind == error_kind::suspect_request
                            ? this->quarantine_left()
                            : this->retry_after();
+    this->told_return = after;
+    this->note_ranked_refusal(kind);
+    this->log(
+        row.ran == ran_state::no ? kernel::event_id::request_refused
+                                 : kernel::event_id::request_failed,
+        kind, reason);
     if (is_retryable || status >= 500)
     {
         request::note_refusal(
@@ -280,6 +283,10 @@
     {
         fields["ended_with_connection"] = true;
     }
+    if (event == kernel::event_id::request_refused)
+    {
+        this->add_admission(fields);
+    }
     this->add_budget(fields);
     this->add_endpoint_state(fields);
     this->add_first_event(fields);
--- a/libs/gateway/src/entry_context.cpp
+++ b/libs/gateway/src/entry_context.cpp
@@ -2,7 +2,7 @@
 
 #include <gateway/entry_context.hpp>
 
-#include <vector>
+#include <set>
 
 namespace foxtailvale::gateway
 {
@@ -102,8 +102,34 @@
                query_for(context, service, found->second).cold);
 }
 
+namespace
+{
+
+// Requests are ordered anew before each, as a start changes the service that
+// workspaces have received.
+void serve_ranked(entry_context& context, std::string const& service)
+{
+    auto const found = context.ranked.find(service);
+    if (found == context.ranked.end())
+    {
+        return;
+    }
+    while (auto const next = scheduling::next(found->second.order))
+    {
+        auto const waiting = found->second.calls.at(next->id);
+        if (!waiting->try_waiting())
+        {
+            // The requests behind this one need the same capacity.
+            return;
+        }
+    }
+}
+
+} // namespace
+
 void serve_waiting(entry_context& context, std::string const& service)
 {
+    serve_ranked(context, service);
     auto const found = context.waiting.find(service);
     if (found == context.waiting.end())
     {
@@ -132,12 +158,19 @@
 
 void serve_all_waiting(entry_context& context)
 {
-    std::vector<std::string> services;
+    std::set<std::string> services;
     for (auto const& [service, queue] : context.waiting)
     {
         if (!queue.empty())
         {
-            services.push_back(service);
+            services.insert(service);
+        }
+    }
+    for (auto const& [service, queue] : context.ranked)
+    {
+        if (!queue.calls.empty())
+        {
+            services.insert(service);
         }
     }
     for (auto const& service : services)
