--- a/libs/direct/include/direct/placement.hpp
+++ b/libs/direct/include/direct/placement.hpp
@@ -4,9 +4,10 @@
 #include <base/random.hpp>
 #include <direct/endpoint_table.hpp>
 #include <direct/shares.hpp>
-#include <request/admission.hpp>
 #include <routing/configuration.hpp>
 
+#include <scheduling/measured_time.hpp>
+
 #include <optional>
 #include <set>
 #include <string>
@@ -136,6 +137,15 @@
     base::time_point now,
     base::random_state& random);
 
+// Returns how many requests the endpoints could take now at all entries
+// together: the slots without a request at the endpoints that would accept the
+// query. Unlike `choose`, it counts all of them and not only those that this
+// entry may send to at the moment.
+std::uint32_t count_free_slots(
+    endpoint_table const& table,
+    placement_query const& query,
+    base::time_point now);
+
 // Estimates the run time of a request at an engine with half of its slots in
 // use, from the published costs. Zero tokens stand for the usual number.
 std::chrono::milliseconds expected_time(
@@ -152,7 +162,8 @@
 // longer is answered late and takes the place of another one that would have
 // met its goal.
 std::chrono::milliseconds max_wait(
-    std::chrono::milliseconds goal, request::measured_time const& first_event);
+    std::chrono::milliseconds goal,
+    scheduling::measured_time const& first_event);
 
 // Returns the depth for a retried request whose latency goal has expired,
 // because its caller came back with less time than is usual for the route. A
--- a/libs/gateway/src/call_attempt.cpp
+++ b/libs/gateway/src/call_attempt.cpp
@@ -50,6 +50,7 @@
 
 void call::send(direct::choice const& chosen)
 {
+    this->note_ranked_start();
     this->leave_queue();
     auto const& target = chosen.chosen->listed;
     auto const now = clock::now();
@@ -69,7 +70,6 @@
     if (this->sends == 1)
     {
         this->first_sent = now;
-        this->note_started();
         this->context->counters.observe(
             "foxtailvale_wait_for_room_ms",
             std::chrono::duration_cast<milliseconds>(now - this->arrived));
--- a/libs/gateway/src/entry_context.cpp
+++ b/libs/gateway/src/entry_context.cpp
@@ -2,7 +2,7 @@
 
 #include <gateway/entry_context.hpp>
 
-#include <vector>
+#include <set>
 
 namespace foxtailvale::gateway
 {
@@ -24,6 +24,8 @@
     : loop(event_loop), settings(std::move(given)), pool(event_loop),
       started(std::chrono::steady_clock::now()), random{base::entropy_seed()}
 {
+    this->scheduling = this->settings.scheduling;
+    this->ranks_compete = this->settings.ranks_compete;
     this->book.regions = this->settings.regions;
     this->entry_addresses.insert(this->settings.ip);
     this->suspended = suspended_time();
@@ -122,8 +124,34 @@
                query_for(context, service, found->second).cold);
 }
 
+namespace
+{
+
+// Requests are ordered anew before each, as a start changes the service that
+// workspaces have received.
+void serve_ranked(entry_context& context, std::string const& service)
+{
+    auto const found = context.ranked.find(service);
+    if (found == context.ranked.end())
+    {
+        return;
+    }
+    while (auto const next = scheduling::next(found->second.order))
+    {
+        auto const waiting = found->second.calls.at(next->id);
+        if (!waiting->try_waiting())
+        {
+            // The requests behind this one need the same capacity.
+            return;
+        }
+    }
+}
+
+} // namespace
+
 void serve_waiting(entry_context& context, std::string const& service)
 {
+    serve_ranked(context, service);
     auto const found = context.waiting.find(service);
     if (found == context.waiting.end())
     {
@@ -152,12 +180,19 @@
 
 void serve_all_waiting(entry_context& context)
 {
-    std::vector<std::string> services;
+    std::set<std::string> services;
     for (auto const& [service, queue] : context.waiting)
     {
         if (!queue.empty())
         {
-            services.push_back(service);
+            services.insert(service);
+        }
+    }
+    for (auto const& [service, queue] : context.ranked)
+    {
+        if (!queue.calls.empty())
+        {
+            services.insert(service);
         }
     }
     for (auto const& service : services)
