--- a/libs/gateway/include/gateway/entry_context.hpp
+++ b/libs/gateway/include/gateway/entry_context.hpp
@@ -12,7 +12,6 @@
 #include <gateway/traffic.hpp>
 #include <kernel/metrics.hpp>
 #include <platform/settings.hpp>
-#include <request/admission.hpp>
 #include <request/lost_answers.hpp>
 #include <request/refusals.hpp>
 #include <request/suspects.hpp>
@@ -20,6 +19,8 @@
 #include <routing/routes.hpp>
 
 #include <boost/asio/io_context.hpp>
+#include <scheduling/fair_queue.hpp>
+#include <scheduling/measured_time.hpp>
 #include <scheduling/request_cost.hpp>
 #include <scheduling/returns.hpp>
 #include <scheduling/service_load.hpp>
@@ -44,13 +45,11 @@
 class call;
 
 // Sort key of the queue in which requests of one service wait for an endpoint:
-// higher priority first, then callers that returned at a promised time, then
-// requests that can still be answered within their goal, then those with the
-// least time left to wait.
+// higher priority first, then requests that can still be answered within their
+// goal, then those with the least time left to wait.
 struct queue_position
 {
     std::uint32_t priority = 0;
-    bool unpromised = false;
     bool goal_expired = false;
     base::time_point until;
     std::uint64_t arrival = 0;
@@ -60,6 +59,14 @@
 
 using request_queue = std::map<queue_position, std::shared_ptr<call>>;
 
+// Requests that wait for an endpoint of one service where ranked admission is
+// in force.
+struct ranked_queue
+{
+    scheduling::fair_queue order;
+    std::map<scheduling::waiting_id, std::shared_ptr<call>> calls;
+};
+
 // State shared by all requests of one entry. Used from the event loop only.
 struct entry_context
 {
@@ -96,21 +103,26 @@
     std::map<std::string, direct::retry_budget> retry_budgets;
     // Requests that wait for an endpoint, by service.
     std::map<std::string, request_queue> waiting;
+    // The following are by service, where ranked admission is in force.
+    std::map<std::string, ranked_queue> ranked;
+    std::map<std::string, scheduling::service_load> loads;
+    // Size of answers, by route.
+    std::map<std::string, scheduling::usual_size> answer_sizes;
+    // Workspaces that have a metric of their own.
+    std::set<std::string> measured_workspaces;
     // Requests refused by this entry and its neighbours, and the fingerprints
     // of those whose refusal has not been sent to the neighbours yet.
     request::recent_refusals refusals;
     std::vector<request::fingerprint> unsent_refusals;
-    // Load of the services under ranked admission, and the promises to callers
-    // refused there.
-    std::map<std::string, scheduling::service_load> loads;
+    // Promises to callers refused under ranked admission.
     scheduling::return_book returns;
-    // When the neighbours were last told of the two.
+    // When the neighbours were last told of load and promises.
     base::time_point load_notice_sent;
     // IP addresses of the other entries of this failure domain, to which
     // callers may come back after a refusal.
     std::set<std::string> neighbours;
     // Time from sending a request to its first event, by service.
-    std::map<std::string, request::measured_time> time_to_first_event;
+    std::map<std::string, scheduling::measured_time> time_to_first_event;
     // Smallest margin seen between the start of a request on an older version
     // and the time by which that version must no longer be used, by model and
     // version. Exported as a metric.
--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -59,10 +59,15 @@
     }
     direct::note_request(
         budget_of(*this->context, this->service_name), this->arrived);
+    if (this->ranked && !this->admit_ranked())
+    {
+        return;
+    }
     // A request that can no longer meet its goal does not overtake queued ones
     // that can.
     auto const yields_to_queue =
-        this->yields_to_new_requests() && this->has_queue();
+        this->ranked ? this->yields_to_ranked()
+                     : this->yields_to_new_requests() && this->has_queue();
     if (!yields_to_queue && this->place(true))
     {
         return;
@@ -184,14 +189,22 @@
             "deadline passed before the request was read");
         return false;
     }
-    auto const goal = chosen.goal.count() > 0 ? chosen.goal : time;
+    auto goal = chosen.goal.count() > 0 ? chosen.goal : time;
     this->goal_expired = this->has_goal_expired(goal);
+    this->begin_ranked();
+    if (this->ranked)
+    {
+        goal = std::min(
+            goal, routing::shortest_goal(
+                      *this->configuration, this->service_name,
+                      this->allowed.priority)
+                      .value_or(goal));
+    }
     auto const& time_to_first_event =
         this->context->time_to_first_event[this->service_name];
     this->wait_until =
         this->arrived + direct::max_wait(goal, time_to_first_event);
     this->wait_until = std::min(this->wait_until, this->deadline);
-    this->note_offered();
     this->claim_return();
     return true;
 }
@@ -279,14 +292,17 @@
 
 void call::wait()
 {
+    if (this->ranked)
+    {
+        this->wait_ranked();
+        return;
+    }
     this->position_in_queue = {
-        this->allowed.priority, !this->kept_return,
-        this->yields_to_new_requests(), this->wait_until,
+        this->allowed.priority, this->goal_expired, this->wait_until,
         ++this->context->arrivals};
     this->context->waiting[this->service_name][this->position_in_queue] =
         this->shared_from_this();
     this->is_queued = true;
-    this->note_queue_length();
     this->set_timer();
 }
 
@@ -297,8 +313,12 @@
         return;
     }
     this->is_queued = false;
+    if (this->ranked)
+    {
+        this->leave_ranked();
+        return;
+    }
     this->context->waiting[this->service_name].erase(this->position_in_queue);
-    this->note_queue_length();
 }
 
 bool call::try_waiting()
--- a/libs/gateway/src/call_end.cpp
+++ b/libs/gateway/src/call_end.cpp
@@ -30,7 +30,7 @@
         std::chrono::duration_cast<milliseconds>(now - this->arrived));
     if (this->sends == 1)
     {
-        request::note(
+        scheduling::note(
             this->context->time_to_first_event[this->service_name],
             std::chrono::duration_cast<std::chrono::microseconds>(
                 now - this->current->begun));
@@ -111,6 +111,7 @@
     }
     this->log_answer(status);
     this->note_answer(status);
+    this->note_answer_size();
     this->end_attempt(
         status >= 500 ? direct::request_outcome::faulty
                       : direct::request_outcome::answered);
@@ -180,13 +181,8 @@
 void call::refuse(error_kind kind, char const* reason)
 {
     this->leave_queue();
-    this->note_refused();
     auto const& row = base::row_of(kind);
     this->context->counters.count_error(kind);
-    this->log(
-        row.ran == ran_state::no ? kernel::event_id::request_refused
-                                 : kernel::event_id::request_failed,
-        kind, reason);
     // A suspect request was not run this time; 503 is the only status for that
     // which the platform's callers know.
     auto const status = kind == error_kind::suspect_request
@@ -198,6 +194,12 @@
                        : kind == error_kind::suspect_request
                            ? this->quarantine_left()
                            : this->promised_retry_after();
+    this->told_return = after;
+    this->note_ranked_refusal(kind);
+    this->log(
+        row.ran == ran_state::no ? kernel::event_id::request_refused
+                                 : kernel::event_id::request_failed,
+        kind, reason);
     if (is_retryable || status >= 500)
     {
         request::note_refusal(
@@ -212,6 +214,7 @@
 
 void call::cut_answer(char const* reason)
 {
+    this->leave_queue();
     this->context->counters.count_error(error_kind::endpoint_lost);
     this->log(kernel::event_id::request_cut, error_kind::endpoint_lost, reason);
     this->session->abort();
@@ -281,6 +284,10 @@
     {
         fields["ended_with_connection"] = true;
     }
+    if (event == kernel::event_id::request_refused)
+    {
+        this->add_admission(fields);
+    }
     this->add_budget(fields);
     this->add_endpoint_state(fields);
     this->add_first_event(fields);
@@ -307,7 +314,7 @@
         {"sent_ms", since_arrival(this->first_sent.value_or(now)).count()},
         {"first_ms", since_arrival(this->first_answered.value_or(now)).count()},
         {"after_ms", total.count()}};
-    if (this->is_ranked)
+    if (this->ranked)
     {
         fields["rank"] = this->allowed.priority;
         fields["workspace"] =
