--- a/libs/direct/tests/played_fleet.hpp
+++ b/libs/direct/tests/played_fleet.hpp
@@ -4,6 +4,7 @@
 #include "engine_world.hpp"
 #include "played_engine.hpp"
 
+#include <base/error.hpp>
 #include <base/random.hpp>
 #include <direct/endpoint_table.hpp>
 #include <direct/retry_budget.hpp>
