--- a/libs/gateway/include/gateway/entry_context.hpp
+++ b/libs/gateway/include/gateway/entry_context.hpp
@@ -22,7 +22,7 @@
 #include <scheduling/fair_queue.hpp>
 #include <scheduling/measured_time.hpp>
 #include <scheduling/request_cost.hpp>
-#include <scheduling/scheduling_settings.hpp>
+#include <scheduling/returns.hpp>
 #include <scheduling/service_load.hpp>
 
 #include <functional>
@@ -103,13 +103,9 @@
     std::map<std::string, direct::retry_budget> retry_budgets;
     // Requests that wait for an endpoint, by service.
     std::map<std::string, request_queue> waiting;
-    // The operators' settings for scheduling, and whether the platform says
-    // that ranks compete for all services.
-    scheduling::scheduling_settings scheduling;
-    bool ranks_compete = false;
-    // The following are by service, where ranked admission is in force.
+    // Requests that wait for an endpoint where ranked admission is in force, by
+    // service.
     std::map<std::string, ranked_queue> ranked;
-    std::map<std::string, scheduling::service_load> loads;
     // Size of answers, by route.
     std::map<std::string, scheduling::usual_size> answer_sizes;
     // Workspaces that have a metric of their own.
@@ -118,6 +114,12 @@
     // of those whose refusal has not been sent to the neighbours yet.
     request::recent_refusals refusals;
     std::vector<request::fingerprint> unsent_refusals;
+    // Load of the services under ranked admission, and the promises to callers
+    // refused there.
+    std::map<std::string, scheduling::service_load> loads;
+    scheduling::return_book returns;
+    // When the neighbours were last told of the two.
+    base::time_point load_notice_sent;
     // IP addresses of the other entries of this failure domain, to which
     // callers may come back after a refusal.
     std::set<std::string> neighbours;
--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -205,6 +205,7 @@
     this->wait_until =
         this->arrived + direct::max_wait(goal, time_to_first_event);
     this->wait_until = std::min(this->wait_until, this->deadline);
+    this->claim_return();
     return true;
 }
 
@@ -214,7 +215,7 @@
     ask.model = this->service->engine ? this->parsed.model : std::string();
     ask.regions = this->allowed.regions;
     ask.tried = this->tried;
-    if (this->goal_expired && this->service->engine)
+    if (this->yields_to_new_requests() && this->service->engine)
     {
         ask.depth =
             direct::depth_for_expired_goal(this->service->engine->slots);
--- a/libs/gateway/src/call.hpp
+++ b/libs/gateway/src/call.hpp
@@ -159,6 +159,16 @@
     // Updates the route's usual size of answers.
     void note_answer_size() const;
     void add_admission(nlohmann::json& fields) const;
+    // Lets a request that returns at a promised time wait longer and before
+    // others of its rank.
+    void claim_return();
+    // Whether new requests go first, as this one can no longer be answered
+    // within its goal. Where requests are admitted by rank, promised returns
+    // stand in for this.
+    bool yields_to_new_requests() const;
+    // Retry-After of a refusal for lack of capacity: a promised time if there
+    // is a place, else a random one.
+    std::chrono::milliseconds promised_retry_after();
     // Sends the request to an endpoint or refuses it. Returns false when it
     // should wait for capacity, which `may_wait` allows.
     bool place(bool may_wait);
@@ -304,6 +314,8 @@
     // The caller sent the request again after a refusal, and its goal has
     // passed since.
     bool goal_expired = false;
+    // The caller returned after a refusal at the time it was told.
+    bool kept_return = false;
     bool done = false;
     // The endpoint to which the request was last sent.
     std::string last_endpoint;
--- a/libs/gateway/src/call_admission.cpp
+++ b/libs/gateway/src/call_admission.cpp
@@ -1,6 +1,7 @@
 #include "answer_status.hpp"
 #include "call.hpp"
 
+#include <gateway/ranked_admission.hpp>
 #include <kernel/events.hpp>
 
 #include <algorithm>
@@ -18,10 +19,6 @@
 using std::chrono::milliseconds;
 using clock = std::chrono::steady_clock;
 
-// Of requests within a rank.
-constexpr std::uint32_t precedence_goal_expired = 0;
-constexpr std::uint32_t precedence_usual = 1;
-
 constexpr std::size_t max_measured_workspaces = 32;
 
 constexpr double us_per_ms = 1000;
@@ -49,20 +46,10 @@
         engine.read_per_second, engine.usual_prompt, engine.usual_answer};
 }
 
-bool is_ranked(
-    entry_context const& context,
-    routing::configuration const& configuration,
-    std::string const& service)
-{
-    return scheduling::is_ranked(
-        context.scheduling.admission, context.ranks_compete,
-        routing::differ_in_priority(configuration, service));
-}
-
 std::uint32_t
 weight_of(entry_context const& context, std::string const& workspace)
 {
-    auto const& weights = context.scheduling.workspace_weights;
+    auto const& weights = context.settings.scheduling.workspace_weights;
     auto const found = weights.find(workspace);
     return found == weights.end() ? 1 : found->second;
 }
@@ -95,7 +82,7 @@
 void call::begin_ranked()
 {
     auto& shared = *this->context;
-    if (!is_ranked(shared, *this->configuration, this->service_name))
+    if (!is_ranked(shared, this->service_name))
     {
         return;
     }
@@ -113,8 +100,6 @@
         .workspace = own.workspace,
         .weight = weight_of(shared, own.workspace),
         .priority = priority_of(own.rank),
-        .precedence =
-            this->goal_expired ? precedence_goal_expired : precedence_usual,
         .cost = in_ms(own.cost)};
     shared.ranked[this->service_name].order.order =
         scheduling::queue_order::priority_first;
@@ -149,8 +134,8 @@
     auto& shared = *this->context;
     auto const decision = scheduling::decide(
         this->admission_view(),
-        scheduling::admission_settings_of(shared.scheduling),
-        {.rank = own.rank, .workspace = own.key}, shared.random);
+        scheduling::admission_settings_of(shared.settings.scheduling),
+        {own.rank, own.key, this->kept_return}, shared.random);
     own.level = decision.level;
     shared.counters.gauge(
         "foxtailvale_admission_level",
@@ -231,6 +216,11 @@
     scheduling::note_started(
         shared.loads[this->service_name], own.rank, own.key, own.cost, now);
     count_workspace(shared, own.workspace, own.cost);
+    if (this->kept_return)
+    {
+        scheduling::note_return_started(
+            shared.returns, {this->service_name, own.rank}, own.cost, now);
+    }
 }
 
 void call::note_ranked_refusal(error_kind kind)
@@ -249,6 +239,10 @@
         {{"service", this->service_name},
          {"rank", std::to_string(own.rank)},
          {"reason", std::string(base::row_of(kind).name)}});
+    if (this->kept_return)
+    {
+        this->context->counters.count("foxtailvale_returns_refused_total", {});
+    }
 }
 
 void call::note_answer_size() const
--- a/libs/gateway/src/call_end.cpp
+++ b/libs/gateway/src/call_end.cpp
@@ -181,6 +181,7 @@
 void call::refuse(error_kind kind, char const* reason)
 {
     this->leave_queue();
+    this->note_ranked_refusal(kind);
     auto const& row = base::row_of(kind);
     this->context->counters.count_error(kind);
     // A suspect request was not run this time; 503 is the only status for that
@@ -193,9 +194,8 @@
     auto const after = !is_retryable ? milliseconds(0)
                        : kind == error_kind::suspect_request
                            ? this->quarantine_left()
-                           : this->retry_after();
+                           : this->promised_retry_after();
     this->told_return = after;
-    this->note_ranked_refusal(kind);
     this->log(
         row.ran == ran_state::no ? kernel::event_id::request_refused
                                  : kernel::event_id::request_failed,
