--- a/libs/direct/tests/placement_tests.cpp
+++ b/libs/direct/tests/placement_tests.cpp
@@ -86,8 +86,8 @@
     EXPECT_EQ(chosen_id(table, query_from("d0")), "e1");
 }
 
-// Failure: the free slots of endpoints that run nothing counted as capacity, and
-// requests were admitted that no endpoint could take.
+// Failure: the free slots of endpoints that run nothing counted as capacity,
+// and requests were admitted that no endpoint could take.
 TEST(placement, free_slots_are_those_of_endpoints_in_service)
 {
     auto const query = query_from("d0");
