--- a/libs/direct/include/direct/placement.hpp
+++ b/libs/direct/include/direct/placement.hpp
@@ -4,9 +4,9 @@
 #include <base/random.hpp>
 #include <direct/endpoint_table.hpp>
 #include <direct/shares.hpp>
-#include <request/admission.hpp>
 #include <routing/configuration.hpp>
 
+#include <scheduling/measured_time.hpp>
 #include <scheduling/scheduling_settings.hpp>
 
 #include <optional>
@@ -50,6 +50,9 @@
     std::uint64_t version = 0;
     // How to choose among the endpoints with capacity.
     scheduling::endpoint_choice choice = scheduling::endpoint_choice::sampled;
+    // Prompt tokens that an engine of the service processes per second; zero if
+    // not specified.
+    double read_per_second = 0;
     // Expected run time. Endpoints that switch versions before its end are
     // skipped, unless the request must continue on a given version.
     std::chrono::milliseconds expected{0};
@@ -131,14 +134,25 @@
 //
 // A random addend of a twentieth of the slots decides between equals. An
 // endpoint in another failure domain counts as a quarter fuller, because its
-// streams cross a link of low bandwidth. An endpoint with faulty answers or an
-// unresponsive agent is chosen only if no other endpoint is available.
+// streams cross a link of low bandwidth. Prompts that this entry has just sent
+// to a reported engine count by the time to read them. An endpoint with faulty
+// answers or an unresponsive agent is chosen only if no other endpoint is
+// available.
 choice choose(
     endpoint_table const& table,
     placement_query const& query,
     base::time_point now,
     base::random_state& random);
 
+// Returns how many requests the endpoints could take now at all entries
+// together: the slots without a request at the endpoints that would accept the
+// query. Unlike `choose`, it counts all of them and not only those that this
+// entry may send to at the moment.
+std::uint32_t count_free_slots(
+    endpoint_table const& table,
+    placement_query const& query,
+    base::time_point now);
+
 // Estimates the run time of a request at an engine with half of its slots in
 // use, from the published costs. Zero tokens stand for the usual number.
 std::chrono::milliseconds expected_time(
@@ -155,7 +169,8 @@
 // longer is answered late and takes the place of another one that would have
 // met its goal.
 std::chrono::milliseconds max_wait(
-    std::chrono::milliseconds goal, request::measured_time const& first_event);
+    std::chrono::milliseconds goal,
+    scheduling::measured_time const& first_event);
 
 // Returns the depth for a retried request whose latency goal has expired,
 // because its caller came back with less time than is usual for the route. A
--- a/libs/direct/src/placement.cpp
+++ b/libs/direct/src/placement.cpp
@@ -307,6 +307,26 @@
     return {std::max(rested, limited), rested > limited};
 }
 
+// Time in which the engine reads the prompts that this entry sent recently,
+// relative to how long they count. Failure: sends count alike, a request
+// follows a prompt of several thousand tokens and is late, and engines that
+// were sent short ones have nothing to read.
+double reading_cost(
+    endpoint_state const& state,
+    placement_query const& query,
+    base::time_point now)
+{
+    if (query.choice != scheduling::endpoint_choice::sampled ||
+        query.read_per_second <= 0 || !is_fresh(state, now))
+    {
+        return 0;
+    }
+    auto const ahead = scheduling::tokens_ahead(state.view, now);
+    std::chrono::duration<double> const read{
+        static_cast<double>(ahead) / query.read_per_second};
+    return read / scheduling::sent_window;
+}
+
 double cost_of(
     endpoint_state const& state,
     placement_query const& query,
@@ -316,6 +336,7 @@
     auto cost = pace * (1.0 + work_at(state, query.entries, now)) /
                 std::max<std::uint32_t>(1, state.listed.slots);
     cost += state.listed.failure_domain == query.own_domain ? 0 : remote_cost;
+    cost += reading_cost(state, query, now);
     return cost;
 }
 
@@ -327,6 +348,22 @@
     }
 }
 
+// Whether the endpoint runs requests, with or without a free slot. A cold one
+// whose limit is reached does not.
+bool is_in_service(
+    endpoint_state const& state,
+    placement_query const& query,
+    base::time_point now)
+{
+    auto const is_held = is_fresh(state, now) &&
+                         (state.report->switching ||
+                          state.report->unreachable || state.report->leaving);
+    auto const sharing = query.newcomer ? query.assumed_entries : query.entries;
+    return !is_held && state.avoid_until <= now &&
+           !is_unresponsive(state, now) &&
+           may_send_within_share(state.recent, query.cold, sharing, now);
+}
+
 } // namespace
 
 std::uint32_t
@@ -352,6 +389,27 @@
         std::max<std::int64_t>(known, state.own_running));
 }
 
+std::uint32_t count_free_slots(
+    endpoint_table const& table,
+    placement_query const& query,
+    base::time_point now)
+{
+    endpoint_shares const shares(table, query);
+    std::uint32_t free = 0;
+    for (auto const& [id, state] : table.endpoints)
+    {
+        auto const work = work_at(state, query.entries, now);
+        if (work < state.listed.slots && is_listed_for(table, state, query) &&
+            has_weights(table, state, query, now) &&
+            closed_until(table, state, shares).until <= now &&
+            is_in_service(state, query, now))
+        {
+            free += state.listed.slots - work;
+        }
+    }
+    return free;
+}
+
 std::chrono::milliseconds expected_time(
     routing::engine_costs const& costs,
     std::uint64_t prompt_tokens,
@@ -373,7 +431,8 @@
 }
 
 std::chrono::milliseconds max_wait(
-    std::chrono::milliseconds goal, request::measured_time const& first_event)
+    std::chrono::milliseconds goal,
+    scheduling::measured_time const& first_event)
 {
     constexpr int min_wait_divisor = 5;
     constexpr int max_wait_divisor = 2;
@@ -464,7 +523,8 @@
             {.cost = cost_of(state, query, now) +
                      random_share * random_fraction(random),
              .is_local = state.listed.failure_domain == query.own_domain,
-             .is_last_resort = is_distrusted(state, now)});
+             .is_last_resort = is_distrusted(state, now),
+             .is_reported = is_fresh(state, now) || !query.model.empty()});
     }
     if (candidates.empty())
     {
--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -59,9 +59,15 @@
     }
     direct::note_request(
         budget_of(*this->context, this->service_name), this->arrived);
+    if (this->ranked && !this->admit_ranked())
+    {
+        return;
+    }
     // A request that can no longer meet its goal does not overtake queued ones
     // that can.
-    auto const yields_to_queue = this->goal_expired && this->has_queue();
+    auto const yields_to_queue =
+        this->ranked ? this->yields_to_ranked()
+                     : this->yields_to_new_requests() && this->has_queue();
     if (!yields_to_queue && this->place(true))
     {
         return;
@@ -183,13 +189,23 @@
             "deadline passed before the request was read");
         return false;
     }
-    auto const goal = chosen.goal.count() > 0 ? chosen.goal : time;
+    auto goal = chosen.goal.count() > 0 ? chosen.goal : time;
     this->goal_expired = this->has_goal_expired(goal);
+    this->begin_ranked();
+    if (this->ranked)
+    {
+        goal = std::min(
+            goal, routing::shortest_goal(
+                      *this->configuration, this->service_name,
+                      this->allowed.priority)
+                      .value_or(goal));
+    }
     auto const& time_to_first_event =
         this->context->time_to_first_event[this->service_name];
     this->wait_until =
         this->arrived + direct::max_wait(goal, time_to_first_event);
     this->wait_until = std::min(this->wait_until, this->deadline);
+    this->claim_return();
     return true;
 }
 
@@ -199,7 +215,7 @@
     ask.model = this->service->engine ? this->parsed.model : std::string();
     ask.regions = this->allowed.regions;
     ask.tried = this->tried;
-    if (this->goal_expired && this->service->engine)
+    if (this->yields_to_new_requests() && this->service->engine)
     {
         ask.depth =
             direct::depth_for_expired_goal(this->service->engine->slots);
@@ -276,6 +292,11 @@
 
 void call::wait()
 {
+    if (this->ranked)
+    {
+        this->wait_ranked();
+        return;
+    }
     this->position_in_queue = {
         this->allowed.priority, this->goal_expired, this->wait_until,
         ++this->context->arrivals};
@@ -292,6 +313,11 @@
         return;
     }
     this->is_queued = false;
+    if (this->ranked)
+    {
+        this->leave_ranked();
+        return;
+    }
     this->context->waiting[this->service_name].erase(this->position_in_queue);
 }
 
--- a/libs/gateway/src/call_attempt.cpp
+++ b/libs/gateway/src/call_attempt.cpp
@@ -50,6 +50,7 @@
 
 void call::send(direct::choice const& chosen)
 {
+    this->note_ranked_start();
     this->leave_queue();
     auto const& target = chosen.chosen->listed;
     auto const now = clock::now();
@@ -93,6 +94,7 @@
             "foxtailvale_rate_limited_sends_total", {});
     }
     direct::note_request_begun(this->context->book, target.id, now);
+    this->note_prompt_sent(now);
     this->note_placed(chosen);
     auto const number = this->current->number;
     auto const self = this->shared_from_this();
--- a/libs/gateway/src/entry_context.cpp
+++ b/libs/gateway/src/entry_context.cpp
@@ -2,11 +2,23 @@
 
 #include <gateway/entry_context.hpp>
 
-#include <vector>
+#include <set>
 
 namespace foxtailvale::gateway
 {
 
+namespace
+{
+
+// From zero to below one.
+double random_fraction(base::random_state& random)
+{
+    constexpr std::uint64_t steps = 1'000;
+    return static_cast<double>(base::random_below(random, steps)) / steps;
+}
+
+} // namespace
+
 entry_context::entry_context(
     boost::asio::io_context& event_loop, platform::settings given)
     : loop(event_loop), settings(std::move(given)), pool(event_loop),
@@ -15,6 +27,8 @@
     this->book.regions = this->settings.regions;
     this->entry_addresses.insert(this->settings.ip);
     this->suspended = suspended_time();
+    this->returns.random.value = base::next_random(this->random);
+    this->returns.phase = random_fraction(this->random);
 }
 
 std::chrono::milliseconds suspended_time()
@@ -33,7 +47,13 @@
     auto const total = suspended_time();
     if (total - context.suspended > clock_read_tolerance)
     {
-        direct::note_suspended(context.book, total - context.suspended);
+        auto const suspended = total - context.suspended;
+        direct::note_suspended(context.book, suspended);
+        scheduling::note_suspended(context.returns, suspended);
+        for (auto& [service, load] : context.loads)
+        {
+            scheduling::note_suspended(load, suspended);
+        }
         context.suspended = total;
     }
 }
@@ -87,6 +107,7 @@
     ask.all_entries = &context.entry_addresses;
     ask.own_entry = context.settings.ip;
     ask.choice = context.settings.scheduling.choice;
+    ask.read_per_second = service.engine ? service.engine->read_per_second : 0;
     return ask;
 }
 
@@ -103,8 +124,34 @@
                query_for(context, service, found->second).cold);
 }
 
+namespace
+{
+
+// Requests are ordered anew before each, as a start changes the service that
+// workspaces have received.
+void serve_ranked(entry_context& context, std::string const& service)
+{
+    auto const found = context.ranked.find(service);
+    if (found == context.ranked.end())
+    {
+        return;
+    }
+    while (auto const next = scheduling::next(found->second.order))
+    {
+        auto const waiting = found->second.calls.at(next->id);
+        if (!waiting->try_waiting())
+        {
+            // The requests behind this one need the same capacity.
+            return;
+        }
+    }
+}
+
+} // namespace
+
 void serve_waiting(entry_context& context, std::string const& service)
 {
+    serve_ranked(context, service);
     auto const found = context.waiting.find(service);
     if (found == context.waiting.end())
     {
@@ -133,12 +180,19 @@
 
 void serve_all_waiting(entry_context& context)
 {
-    std::vector<std::string> services;
+    std::set<std::string> services;
     for (auto const& [service, queue] : context.waiting)
     {
         if (!queue.empty())
         {
-            services.push_back(service);
+            services.insert(service);
+        }
+    }
+    for (auto const& [service, queue] : context.ranked)
+    {
+        if (!queue.calls.empty())
+        {
+            services.insert(service);
         }
     }
     for (auto const& service : services)
--- a/libs/request/tests/admission_tests.cpp
+++ b/libs/scheduling/tests/fair_queue_tests.cpp
@@ -1,11 +1,11 @@
 #include <base/random.hpp>
-#include <request/admission.hpp>
 
 #include <gtest/gtest.h>
+#include <scheduling/fair_queue.hpp>
 
 #include <set>
 
-namespace foxtailvale::request
+namespace foxtailvale::scheduling
 {
 
 namespace
@@ -185,7 +185,7 @@
 
     std::vector<traffic_source> sources;
     simulated_endpoints capacity;
-    admission_queue queue;
+    fair_queue queue;
     base::random_state random{5};
     std::multimap<time_point, running_request> running;
     std::map<waiting_id, time_point> sent;
@@ -216,7 +216,7 @@
 // refusals every request waits past its deadline, and the capacity is spent on
 // late answers that no caller reads. The capacity is 8 slots / 100 ms = 80
 // requests per second.
-TEST(admission, three_times_saturation_keeps_the_goodput)
+TEST(fair_queue, three_times_saturation_keeps_the_goodput)
 {
     auto const result =
         queue_simulation({{"a", 1, 120}, {"b", 1, 120}}, {}).run(seconds(60));
@@ -225,7 +225,7 @@
     EXPECT_LE(result.longest_queue, 120U);
 }
 
-TEST(admission, long_and_short_work_mixed_keeps_the_goodput)
+TEST(fair_queue, long_and_short_work_mixed_keeps_the_goodput)
 {
     simulated_endpoints serving;
     serving.slow_every = 20;
@@ -239,7 +239,7 @@
 // One workspace sends a hundred times as many requests as the other. Callers of
 // the small workspace must not be affected, because its few requests are within
 // its share.
-TEST(admission, a_large_workspace_does_not_starve_a_small_one)
+TEST(fair_queue, a_large_workspace_does_not_starve_a_small_one)
 {
     auto const result =
         queue_simulation({{"large", 8, 500}, {"small", 1, 5}}, {})
@@ -248,7 +248,7 @@
     EXPECT_GE(result.in_time.at("large"), 70U * 30U * 9U / 10U);
 }
 
-TEST(admission, under_contention_workspaces_share_by_weight)
+TEST(fair_queue, under_contention_workspaces_share_by_weight)
 {
     auto const result =
         queue_simulation({{"three", 3, 200}, {"one", 1, 200}}, {})
@@ -258,7 +258,7 @@
     EXPECT_NEAR(three / one, 3.0, 0.3);
 }
 
-TEST(admission, below_saturation_nothing_is_refused)
+TEST(fair_queue, below_saturation_nothing_is_refused)
 {
     auto const result =
         queue_simulation({{"a", 1, 30}, {"b", 1, 30}}, {}).run(seconds(60));
@@ -266,17 +266,17 @@
     EXPECT_EQ(result.late, 0U);
 }
 
-TEST(admission, a_higher_priority_runs_first_within_its_workspace)
+TEST(fair_queue, a_higher_priority_runs_first_within_its_workspace)
 {
-    admission_queue queue;
+    fair_queue queue;
     arrive(queue, waiting(1, "a", 0), {});
     arrive(queue, waiting(2, "a", 5), {});
     EXPECT_EQ(next(queue)->id, 2U);
 }
 
-TEST(admission, a_full_queue_evicts_from_the_workspace_furthest_over_its_share)
+TEST(fair_queue, a_full_queue_evicts_from_the_workspace_furthest_over_its_share)
 {
-    admission_queue queue;
+    fair_queue queue;
     queue.max_waiting = 3;
     arrive(queue, waiting(1, "large", 2), {});
     arrive(queue, waiting(2, "large", 1), {});
@@ -291,19 +291,73 @@
     EXPECT_TRUE(urgent.evicted);
 }
 
-TEST(admission, retries_are_a_tenth_of_the_load)
+// Failure: a large request was charged like a small one, and a workspace of
+// large requests got several times its share of the endpoints.
+TEST(fair_queue, a_start_is_charged_by_its_cost)
 {
-    retry_budget budget;
-    while (spend(budget))
+    fair_queue queue;
+    for (waiting_id id = 1; id <= 12; ++id)
     {
+        auto request = waiting(id, id % 2 == 0 ? "large" : "small");
+        request.cost = id % 2 == 0 ? 3 : 1;
+        arrive(queue, request, {});
     }
-    int retries = 0;
-    for (int request = 0; request < 1000; ++request)
+    std::map<std::string, int> starts;
+    for (int i = 0; i < 8; ++i)
     {
-        earn(budget);
-        retries += spend(budget) ? 1 : 0;
+        auto const request = *next(queue);
+        ++starts[request.workspace];
+        start(queue, request, {});
     }
-    EXPECT_NEAR(retries, 100, 1);
+    EXPECT_EQ(starts["small"], 6);
+    EXPECT_EQ(starts["large"], 2);
 }
 
-} // namespace foxtailvale::request
+// Failure: each workspace's high ranks waited for the low ranks of the others.
+TEST(fair_queue, by_priority_first_classes_order_all_workspaces)
+{
+    fair_queue queue;
+    queue.order = queue_order::priority_first;
+    auto const add = [&queue](
+                         waiting_id id, std::string workspace,
+                         std::uint32_t priority, int deadline,
+                         std::uint32_t precedence = 0)
+    {
+        auto request = waiting(id, std::move(workspace), priority);
+        request.deadline = time_point(seconds(deadline));
+        request.precedence = precedence;
+        arrive(queue, request, {});
+    };
+    add(1, "a", 1, 9);
+    add(2, "a", 2, 9);
+    add(3, "b", 2, 9);
+    add(4, "b", 2, 8);
+    add(5, "b", 2, 10, 1);
+    std::vector<waiting_id> order;
+    while (auto const request = next(queue))
+    {
+        order.push_back(request->id);
+        start(queue, *request, {});
+    }
+    // The honoured return of b comes first, then a has had the least service.
+    EXPECT_EQ(order, (std::vector<waiting_id>{5, 2, 4, 3, 1}));
+}
+
+// Failure: after a time without capacity no request was ever queued again.
+TEST(fair_queue, by_priority_first_an_old_estimate_admits_the_next_in_line)
+{
+    fair_queue queue;
+    queue.order = queue_order::priority_first;
+    queue.start_interval = {seconds(100), {}, true};
+    EXPECT_FALSE(arrive(queue, waiting(1, "a"), {}).refused);
+    EXPECT_TRUE(arrive(queue, waiting(2, "a"), {}).refused);
+    EXPECT_FALSE(arrive(queue, waiting(3, "a", 1), {}).refused);
+    queue.start_interval = {};
+    queue.max_waiting = queue.size;
+    EXPECT_EQ(
+        arrive(queue, waiting(4, "b"), {}).refused,
+        base::error_kind::queue_full);
+    EXPECT_EQ(arrive(queue, waiting(5, "b", 1), {}).evicted, 1U);
+}
+
+} // namespace foxtailvale::scheduling
