--- a/libs/direct/src/placement.cpp
+++ b/libs/direct/src/placement.cpp
@@ -519,6 +519,8 @@
             continue;
         }
         with_room.push_back(&state);
+        // Engines are sampled without reports, too: they lack them while their
+        // agents restart, and all entries then go by the same list.
         candidates.push_back(
             {.cost = cost_of(state, query, now) +
                      random_share * random_fraction(random),
--- a/libs/scheduling/src/admission.cpp
+++ b/libs/scheduling/src/admission.cpp
@@ -1,4 +1,3 @@
-
 #include <scheduling/admission.hpp>
 #include <scheduling/service_load.hpp>
 
