--- a/libs/scheduling/include/scheduling/scheduling_settings.hpp
+++ b/libs/scheduling/include/scheduling/scheduling_settings.hpp
@@ -8,8 +8,8 @@
 namespace foxtailvale::scheduling
 {
 
-// Whether requests are admitted by rank, workspace and cost, and refused callers
-// are promised a time to return.
+// Whether requests are admitted by rank, workspace and cost, and refused
+// callers are promised a time to return.
 enum class ranked_admission
 {
     // Where the platform says that ranks compete, and for services whose routes
