Failing tests of a budget of retries that callers who move and late arrivals exceed

The model now plays whole requests: an arrival is one beyond the first of its request whichever send it comes from.

--- a/libs/direct/tests/retry_world.cpp
+++ b/libs/direct/tests/retry_world.cpp
@@ -22,6 +22,8 @@
 // Agents tell a new entry of the others within this time.
 constexpr milliseconds learning_time{500};
 constexpr std::uint32_t tries = 4;
+// After this time without a sign of the endpoint an attempt is given up.
+constexpr milliseconds attempt_limit{700};
 
 base::time_point const start{std::chrono::hours(1)};
 
@@ -56,9 +58,45 @@
     milliseconds down{0};
 };
 
+// From this time on, this share of the callers uses these entries.
+struct caller_move
+{
+    base::time_point from;
+    std::uint64_t percent = 0;
+    std::vector<std::size_t> entries;
+};
+
+struct held_links
+{
+    base::time_point from;
+    base::time_point until;
+};
+
+// An attempt that is given up at a time, of a request with so many sends.
+struct unseen_attempt
+{
+    std::size_t entry = 0;
+    base::time_point process_started;
+    base::time_point given_up;
+    std::size_t request = 0;
+};
+
+struct played_request
+{
+    std::uint32_t sends = 0;
+    // Sends that were given up without a sign that they arrived.
+    std::uint32_t unseen = 0;
+    std::vector<base::time_point> arrivals;
+};
+
 struct world
 {
     std::vector<played_entry> entries;
+    std::vector<caller_move> moves;
+    std::vector<held_links> holds;
+    std::vector<unseen_attempt> unseen;
+    std::vector<played_request> played;
+    base::time_point fails_from;
     std::vector<cut> cuts;
     std::vector<planned_kill> kills;
     std::vector<base::time_point> stalls;
@@ -98,11 +136,53 @@
     }
 }
 
+// Callers move to a random tenth to half of the entries, or to those of one
+// failure domain, and all of them move again at most some seconds later.
+void plan_moves(world& state, std::size_t count)
+{
+    auto at =
+        state.fails_from +
+        random_time(state.random, milliseconds(-4000), milliseconds(4000));
+    for (std::size_t number = 0; number < count; ++number)
+    {
+        caller_move move{at, 50 + base::random_below(state.random, 51), {}};
+        auto const of_domain = one_in(state.random, 3);
+        auto const domain = base::random_below(state.random, state.domains);
+        auto const one_of = 2 + base::random_below(state.random, 9);
+        for (std::size_t entry = 0; entry < state.entries.size(); ++entry)
+        {
+            auto const is_used = of_domain
+                                     ? state.entries[entry].domain == domain
+                                     : one_in(state.random, one_of);
+            if (is_used)
+            {
+                move.entries.push_back(entry);
+            }
+        }
+        state.moves.push_back(std::move(move));
+        at += random_time(state.random, milliseconds(1000), milliseconds(9000));
+    }
+}
+
+void plan_holds(world& state, milliseconds length_of)
+{
+    auto at =
+        start +
+        random_time(state.random, milliseconds(8000), milliseconds(12000));
+    for (auto number = 0; number < 2 && length_of.count() > 0; ++number)
+    {
+        state.holds.push_back({at, at + length_of});
+        at += length_of +
+              random_time(state.random, milliseconds(200), milliseconds(4000));
+    }
+}
+
 world make(retry_course const& course)
 {
     world made;
     made.random.value = course.seed;
     made.domains = course.domains.size();
+    made.fails_from = start;
     for (std::size_t domain = 0; domain < course.domains.size(); ++domain)
     {
         for (std::size_t entry = 0; entry < course.domains[domain]; ++entry)
@@ -136,6 +216,13 @@
              from + random_time(
                         made.random, milliseconds(2000), milliseconds(16000))});
     }
+    if (course.fails_late)
+    {
+        made.fails_from +=
+            random_time(made.random, milliseconds(10000), milliseconds(20000));
+    }
+    plan_moves(made, course.moves);
+    plan_holds(made, course.hold);
     for (auto at = start; at < start + length && course.stall.count() > 0;)
     {
         made.stalls.push_back(at);
@@ -232,26 +319,121 @@
     return now;
 }
 
-void handle_request(
+// Returns until when the link that an attempt takes stands still.
+std::optional<base::time_point> held_until(world& state, base::time_point now)
+{
+    auto const found = std::ranges::find_if(
+        state.holds,
+        [now](held_links const& one)
+        {
+            return one.from <= now && now < one.until;
+        });
+    return found != state.holds.end() && one_in(state.random, 3)
+               ? std::optional(found->until)
+               : std::nullopt;
+}
+
+// Sends a request until an attempt succeeds, waits to be given up, or may not
+// be repeated.
+void send_until_done(
     world& state,
-    played_entry& entry,
+    std::size_t number,
+    std::size_t request,
     retry_course const& course,
     base::time_point now)
 {
-    auto& process = *entry.process;
-    note_request(process.budget, now);
-    for (std::uint32_t attempt = 1; attempt < tries; ++attempt)
+    auto& process = *state.entries[number].process;
+    auto& sent = state.played[request];
+    while (sent.sends < tries)
     {
-        if (!spend_retry(process.budget, bound, process.count, now))
+        auto const is_retry = sent.sends > 0;
+        if (is_retry && !spend_retry(process.budget, bound, process.count, now))
         {
             return;
         }
+        ++sent.sends;
+        if (auto const held = held_until(state, now))
+        {
+            sent.arrivals.push_back(*held);
+            state.unseen.push_back(
+                {number, process.started, now + attempt_limit, request});
+            return;
+        }
         auto const arrives = arrival_of(state, course, now);
-        state.arrivals.push_back(arrives);
-        process.on_the_way.push_back(arrives);
+        sent.arrivals.push_back(arrives);
+        if (is_retry)
+        {
+            process.on_the_way.push_back(arrives);
+        }
+        if (now < state.fails_from)
+        {
+            return;
+        }
     }
 }
 
+void handle_request(
+    world& state,
+    std::size_t number,
+    retry_course const& course,
+    base::time_point now)
+{
+    note_request(state.entries[number].process->budget, now);
+    state.played.emplace_back();
+    send_until_done(state, number, state.played.size() - 1, course, now);
+}
+
+// Gives up attempts without a sign of the endpoint, and repeats them.
+void give_up_attempts(
+    world& state, retry_course const& course, base::time_point now)
+{
+    std::vector<unseen_attempt> due;
+    std::erase_if(
+        state.unseen,
+        [&](unseen_attempt const& one)
+        {
+            if (one.given_up > now)
+            {
+                return false;
+            }
+            due.push_back(one);
+            return true;
+        });
+    for (auto const& one : due)
+    {
+        auto& process = state.entries[one.entry].process;
+        if (!process || process->started != one.process_started)
+        {
+            continue;
+        }
+        auto& sent = state.played[one.request];
+        ++sent.unseen;
+        if (sent.sends > 1)
+        {
+            note_retry_arrived(process->budget, now + max_flight);
+        }
+        send_until_done(state, one.entry, one.request, course, now);
+    }
+}
+
+// Returns the entry to which a caller sends a request now.
+std::size_t choose_entry(world& state, base::time_point now)
+{
+    constexpr std::uint64_t hundred = 100;
+    caller_move const* last = nullptr;
+    for (auto const& move : state.moves)
+    {
+        last = move.from <= now ? &move : last;
+    }
+    if (last == nullptr || last->entries.empty() ||
+        base::random_below(state.random, hundred) >= last->percent)
+    {
+        return base::random_below(state.random, state.entries.size());
+    }
+    return last
+        ->entries[base::random_below(state.random, last->entries.size())];
+}
+
 void send_requests(
     world& state, retry_course const& course, base::time_point now)
 {
@@ -267,9 +449,8 @@
          ++number)
     {
         state.requests.push_back(now);
-        auto& entry = state.entries[base::random_below(
-            state.random, state.entries.size())];
-        if (entry.process)
+        auto const entry = choose_entry(state, now);
+        if (state.entries[entry].process)
         {
             handle_request(state, entry, course, now);
         }
@@ -297,9 +478,23 @@
     return bound.ratio * static_cast<double>(most) + bound.slack;
 }
 
-retry_excess worst_of(world& state)
+// All arrivals of each request but the first.
+void collect_arrivals(world& state)
 {
+    for (auto& request : state.played)
+    {
+        std::ranges::sort(request.arrivals);
+        state.arrivals.insert(
+            state.arrivals.end(),
+            request.arrivals.begin() + (request.arrivals.empty() ? 0 : 1),
+            request.arrivals.end());
+    }
     std::ranges::sort(state.arrivals);
+}
+
+retry_excess worst_of(world& state)
+{
+    collect_arrivals(state);
     retry_excess worst;
     auto most = -bound.slack;
     for (auto const from : state.arrivals)
@@ -331,6 +526,7 @@
                 note_arrivals(*entry.process, now);
             }
         }
+        give_up_attempts(state, course, now);
         if (now >= start)
         {
             send_requests(state, course, now);
@@ -346,7 +542,10 @@
            std::to_string(course.rounds_of_restarts) + " rounds, " +
            std::to_string(course.joins) + " joins, " +
            std::to_string(course.cuts) + " cuts, " +
-           std::to_string(course.stall.count()) + " ms stalls";
+           std::to_string(course.stall.count()) + " ms stalls, " +
+           std::to_string(course.moves) + " moves, " +
+           std::to_string(course.hold.count()) + " ms holds" +
+           (course.fails_late ? ", fails late" : "");
 }
 
 } // namespace foxtailvale::direct
--- a/libs/direct/tests/retry_world.hpp
+++ b/libs/direct/tests/retry_world.hpp
@@ -8,7 +8,7 @@
 #include <vector>
 
 // Plays entries that spend one service's retry budget in virtual time while
-// nearly all attempts fail, and counts what arrives at the service.
+// attempts fail, and counts what arrives at the service.
 namespace foxtailvale::direct
 {
 
@@ -27,6 +27,14 @@
     // Every few seconds nothing arrives for this long, and what was decided on
     // meanwhile arrives at the end.
     std::chrono::milliseconds stall{0};
+    // Number of moments at which most callers move to some of the entries.
+    std::size_t moves = 0;
+    // Attempts fail only from a random moment on that lies near the moves.
+    bool fails_late = false;
+    // A third of the links stand still for this long at two moments. An attempt
+    // on one of them is given up and arrives when the link moves again, the
+    // first one of a request included.
+    std::chrono::milliseconds hold{0};
     // Requests a second at all entries together.
     double requests_per_second = 60;
 };
