Logs and metrics tell when a granted retry was sent and whether it arrived

Cause: request_retried is written when a retry is granted.

Change: each granted retry ends with retry_settled (1421): its outcome (arrived, unseen or not_sent), the times from the grant to the sending and since the sending, how many earlier sends of the request were given up without a sign of the endpoint, and the budget before the grant. Counters of outcomes by service, and of the requests that count towards the budget.

No decision changes.

--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -59,6 +59,9 @@
     }
     direct::note_request(
         budget_of(*this->context, this->service_name), this->arrived);
+    this->context->counters.count(
+        "foxtailvale_retry_budget_requests_total",
+        {{"service", this->service_name}});
     if (this->ranked && !this->admit_ranked())
     {
         return;
--- a/libs/gateway/src/call.hpp
+++ b/libs/gateway/src/call.hpp
@@ -26,6 +26,14 @@
 // update, and what was decided before the pause may no longer hold.
 inline constexpr std::chrono::milliseconds connect_limit{400};
 
+// A retry that the retry budget granted, until its outcome is known.
+struct granted_retry
+{
+    base::time_point granted;
+    // The budget before it.
+    direct::retry_budget_state budget;
+};
+
 // One attempt to run a request at an endpoint.
 struct endpoint_attempt
 {
@@ -45,10 +53,11 @@
     std::size_t held_bytes = 0;
     bool is_stream = false;
     base::time_point endpoint_deadline;
-    // It uses a retry of the budget that is not known to have arrived.
-    bool is_retry = false;
-    // The request's bytes were passed to the connection.
-    bool is_dispatched = false;
+    // The retry of the budget that it uses, while that is not known to have
+    // arrived.
+    std::optional<granted_retry> retry;
+    // When the request's bytes were passed to the connection.
+    std::optional<base::time_point> dispatched;
     // Its answer is not read until the caller has read what it was sent.
     bool waits_for_caller = false;
     // Number of events that the endpoint sent, and of those that were forwarded
@@ -246,6 +255,12 @@
     void end_retry(endpoint_attempt const& ended);
     // Gives back a retry that no attempt has used.
     void return_unused_retry();
+    // Logs and counts what became of a retry. `used` is its attempt, null if
+    // none has used it.
+    void note_settled(
+        granted_retry const& settled,
+        endpoint_attempt const* used,
+        char const* outcome) const;
     // Exports the budget's state and whether it had one retry more.
     void note_budget(bool spent) const;
     // Adds fields with the budget's state before this request's last retry, if
@@ -331,8 +346,11 @@
     // The head of the answer was sent to the caller.
     bool answer_begun = false;
     std::optional<std::uint64_t> last_event;
-    // A retry was granted that no attempt has used.
-    bool holds_retry = false;
+    // A granted retry that no attempt has used.
+    std::optional<granted_retry> held_retry;
+    // Number of attempts that were given up without any byte from the endpoint
+    // and may still arrive there.
+    std::uint32_t unseen_sends = 0;
     // The retry budget when the request last asked for a retry.
     std::optional<direct::retry_budget_state> budget;
     std::uint64_t version = 0;
--- a/libs/gateway/src/call_attempt.cpp
+++ b/libs/gateway/src/call_attempt.cpp
@@ -78,7 +78,7 @@
     this->version = chosen.version;
     this->current.emplace();
     this->current->number = ++this->attempts;
-    this->current->is_retry = std::exchange(this->holds_retry, false);
+    this->current->retry = std::exchange(this->held_retry, std::nullopt);
     this->current->endpoint = target.id;
     this->last_endpoint = target.id;
     this->current->address = target.address;
@@ -137,7 +137,7 @@
         // It asked for rest while the connection was being opened.
         return std::nullopt;
     }
-    this->current->is_dispatched = true;
+    this->current->dispatched = clock::now();
     platform::dispatch added;
     added.instance = this->current->endpoint;
     added.workspace =
--- a/libs/gateway/src/call_resume.cpp
+++ b/libs/gateway/src/call_resume.cpp
@@ -63,7 +63,7 @@
     this->silent.reset();
     if (this->current)
     {
-        if (this->current->is_dispatched)
+        if (this->current->dispatched)
         {
             ++this->runs;
             this->ran_so_far = ran_state::unknown;
--- a/libs/gateway/src/call_retry.cpp
+++ b/libs/gateway/src/call_retry.cpp
@@ -70,7 +70,7 @@
 
 bool call::spend_retry()
 {
-    if (this->holds_retry)
+    if (this->held_retry)
     {
         return true;
     }
@@ -83,42 +83,82 @@
     this->budget = direct::state_of(own, bound, entries, now);
     auto const spent = direct::spend_retry(own, bound, entries, now);
     this->note_budget(spent);
-    this->holds_retry = spent;
+    if (spent)
+    {
+        this->held_retry = granted_retry{now, *this->budget};
+    }
     return spent;
 }
 
 void call::note_retry_arrived(endpoint_attempt& running_attempt)
 {
-    if (std::exchange(running_attempt.is_retry, false))
+    if (auto const settled = std::exchange(running_attempt.retry, std::nullopt))
     {
         direct::note_retry_arrived(
             budget_of(*this->context, this->service_name), clock::now());
+        this->note_settled(*settled, &running_attempt, "arrived");
     }
 }
 
 void call::end_retry(endpoint_attempt const& ended)
 {
-    if (!ended.is_retry)
+    auto const is_unseen = ended.dispatched && !ended.facts.head_seen;
+    this->unseen_sends += is_unseen ? 1 : 0;
+    if (!ended.retry)
     {
         return;
     }
     auto& own = budget_of(*this->context, this->service_name);
-    if (ended.is_dispatched)
+    if (ended.dispatched)
     {
         direct::note_retry_arrived(own, clock::now() + direct::max_flight);
+        this->note_settled(*ended.retry, &ended, "unseen");
         return;
     }
     direct::return_retry(own);
+    this->note_settled(*ended.retry, &ended, "not_sent");
 }
 
 void call::return_unused_retry()
 {
-    if (std::exchange(this->holds_retry, false))
+    if (auto const unused = std::exchange(this->held_retry, std::nullopt))
     {
         direct::return_retry(budget_of(*this->context, this->service_name));
+        this->note_settled(*unused, nullptr, "not_sent");
     }
 }
 
+void call::note_settled(
+    granted_retry const& settled,
+    endpoint_attempt const* used,
+    char const* outcome) const
+{
+    auto const since = [](base::time_point from, base::time_point until)
+    {
+        return std::chrono::duration_cast<milliseconds>(until - from).count();
+    };
+    auto const now = clock::now();
+    auto const was_sent = used != nullptr && used->dispatched;
+    auto const sent = was_sent ? *used->dispatched : now;
+    this->context->counters.count(
+        "foxtailvale_retries_settled_total",
+        {{"service", this->service_name}, {"outcome", outcome}});
+    kernel::log_event(
+        kernel::event_id::retry_settled,
+        {{"request", this->parsed.attempt},
+         {"service", this->service_name},
+         {"endpoint", used != nullptr ? used->endpoint : ""},
+         {"outcome", outcome},
+         {"waited_ms", since(settled.granted, sent)},
+         {"sent_ago_ms", was_sent ? since(sent, now) : -1},
+         {"unseen_sends", this->unseen_sends},
+         {"sends", this->sends},
+         {"retries_spent", settled.budget.spent},
+         {"retries_allowed", std::floor(settled.budget.allowed)},
+         {"retries_for_requests", settled.budget.requests},
+         {"retries_shared_by", settled.budget.entries}});
+}
+
 void call::note_budget(bool spent) const
 {
     auto& counters = this->context->counters;
--- a/libs/gateway/src/call_timer.cpp
+++ b/libs/gateway/src/call_timer.cpp
@@ -113,7 +113,7 @@
 void call::end_at_deadline(base::time_point now)
 {
     auto const ran =
-        this->current->is_dispatched ? ran_state::unknown : ran_state::no;
+        this->current->dispatched ? ran_state::unknown : ran_state::no;
     // An endpoint that sent nothing for the stall time before the deadline
     // counts as faulty; one that was still sending does not.
     auto const is_stalled = now - this->current->last_byte > direct::stall_time;
@@ -126,7 +126,7 @@
 
 bool call::end_at_limit(base::time_point now)
 {
-    auto const connected = this->current->is_dispatched;
+    auto const connected = this->current->dispatched.has_value();
     auto const ran = connected ? ran_state::unknown : ran_state::no;
     auto const limit = this->attempt_limit();
     if (limit && now >= *limit)
--- a/libs/kernel/include/kernel/events.hpp
+++ b/libs/kernel/include/kernel/events.hpp
@@ -73,6 +73,7 @@
     suspect_probed = 1418,
     rest_asked = 1419,
     endpoint_leaving = 1420,
+    retry_settled = 1421,
     domain_out = 1501,
     domain_in = 1502,
 };
--- a/libs/kernel/src/events.cpp
+++ b/libs/kernel/src/events.cpp
@@ -74,6 +74,7 @@
     event_row{event_id::suspect_probed, "suspect_probed"},
     event_row{event_id::rest_asked, "rest_asked"},
     event_row{event_id::endpoint_leaving, "endpoint_leaving"},
+    event_row{event_id::retry_settled, "retry_settled"},
     event_row{event_id::domain_out, "domain_out"},
     event_row{event_id::domain_in, "domain_in"},
 };
