The retry budget holds while callers move between entries

What callers saw: nothing by itself; the service got more repeats than it bears while endpoints failed and callers changed from some entries to others.

Cause: each entry spent a share of its own requests of its own last ten seconds. The class: a bound over all entries in one window, kept by sums of windows that are not the same.

Change: a retry is paid for by one of three sources. Requests of the last second (0.7 of the ratio): their sum over all entries in any window is the service's requests in that window. The least number of requests that the entry had in any window that ended in the last one (0.2 of the ratio): the window before the one in question is among them, whenever the retry is sent, so that the sum is at most the service's requests in that one. The fixed number, as before. The limit that held before holds as well. No message, no shared clock.

Price: an entry whose callers stay may send 0.2 of its share and what its last second backs at one moment, instead of all of it; over a window as much as before.

--- a/libs/direct/include/direct/retry_budget.hpp
+++ b/libs/direct/include/direct/retry_budget.hpp
@@ -9,6 +9,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <optional>
 
 // The budget from which all entries together send requests of one service once
 // more. Each entry spends a part of its own that needs no messages.
@@ -18,6 +19,13 @@
 // therefore follow only from what it has seen itself: its share of the requests
 // from the first one on, and the fixed number once it has run for a whole
 // window, as its predecessor can have spent nothing in that window.
+//
+// Failure: callers move from some entries to others. If requests back retries
+// for a whole window, those before the move back the retries of the first
+// entries and those after it the retries of the others in the same window, up
+// to twice what is allowed. A retry is therefore paid from one of three
+// sources, and the sum over all entries of what each of them pays in any window
+// follows from requests of one and the same window, wherever the callers were.
 namespace foxtailvale::direct
 {
 
@@ -30,29 +38,59 @@
     double slack = 0;
 };
 
+// What pays for a retry, in the order in which they are asked.
+enum class retry_source : std::uint8_t
+{
+    // Requests of the last second. In any window, those of all entries together
+    // pay for a share of the requests in that window.
+    recent_requests,
+    // The least number of requests that this entry had in any window that ended
+    // in the last one. Whenever a retry of a window is sent, the window that
+    // ended as that one began is among them, so that all entries together pay
+    // for a share of the requests in that one.
+    steady_requests,
+    // The entry's part of the fixed number.
+    fixed_number,
+};
+
+inline constexpr std::size_t retry_sources = 3;
+
 // Bytes that were written may reach the endpoint this much later, also after
 // the end of the process that wrote them.
 inline constexpr std::chrono::milliseconds max_flight{1000};
 
-// Requests of this entry in each second, and its retries. Failure: retries that
-// were also counted by whole seconds dropped out of the count up to 1 s early,
-// so that a window of 10 s could hold twice the allowed number.
+// Retries that one source has paid for. Failure: retries that were counted by
+// whole seconds dropped out of the count up to 1 s early, so that a window of
+// 10 s could hold twice the allowed number.
 //
 // Failure: a retry that waits, or whose link stands still, arrives long after
 // the decision. Counted from the decision, those that were held up arrived
 // together with those of the next window.
+struct paid_retries
+{
+    // Granted, and may still arrive.
+    std::size_t on_the_way = 0;
+    // By when others had arrived, oldest first.
+    std::deque<base::time_point> arrived;
+};
+
+// Requests of this entry by time, and its retries.
 struct retry_budget
 {
-    static constexpr std::size_t max_seconds = 32;
+    static constexpr std::chrono::milliseconds slot_length{250};
+    static constexpr std::size_t max_slots = 256;
+    // Two windows and a slot are kept. A longer window counts as this long.
+    static constexpr std::chrono::seconds max_window{31};
 
     // When the process started.
     base::time_point started;
-    std::array<std::uint32_t, max_seconds> requests{};
-    std::int64_t second = 0;
-    // Retries that were granted and may still arrive.
-    std::size_t on_the_way = 0;
-    // By when others had arrived, oldest first.
-    std::deque<base::time_point> arrived;
+    std::array<std::uint32_t, max_slots> requests{};
+    // The newest slot, counted from the clock's epoch.
+    std::int64_t slot = 0;
+    // Number of recent requests that have not paid for a retry.
+    double unspent = 0;
+    // By source.
+    std::array<paid_retries, retry_sources> paid;
 };
 
 // What a decision about a retry is based on.
@@ -62,8 +100,12 @@
     // its requests in the window.
     std::size_t spent = 0;
     std::size_t requests = 0;
+    // Of these, the number that steady_requests has.
+    std::size_t steady = 0;
     // Number of retries that this process may have in the window.
     double allowed = 0;
+    // Number of further retries for which each source can pay.
+    std::array<double, retry_sources> left{};
     // Number of entries between which the fixed number is divided.
     std::size_t entries = 0;
     // Time since the process started.
@@ -79,19 +121,22 @@
     entry_count const& count,
     base::time_point now);
 
-// Grants one retry of this entry's part. Returns false if none is left. Each
-// one that is granted must end with one of the two functions below.
-bool spend_retry(
+// Grants one retry of this entry's part. Returns what pays for it, nothing if
+// none is left. Each one that is granted must end with one of the two functions
+// below.
+std::optional<retry_source> spend_retry(
     retry_budget& budget,
     retry_bound const& bound,
     entry_count const& count,
     base::time_point now);
 
 // Records that a granted retry has arrived by this time, which may lie ahead.
-void note_retry_arrived(retry_budget& budget, base::time_point by);
+void note_retry_arrived(
+    retry_budget& budget, retry_source source, base::time_point by);
 
 // Gives back a granted retry of which nothing was sent.
-void return_retry(retry_budget& budget);
+void return_retry(
+    retry_budget& budget, retry_bound const& bound, retry_source source);
 
 } // namespace foxtailvale::direct
 
--- a/libs/direct/src/retry_budget.cpp
+++ b/libs/direct/src/retry_budget.cpp
@@ -1,6 +1,7 @@
 #include <direct/retry_budget.hpp>
 
 #include <algorithm>
+#include <limits>
 
 namespace foxtailvale::direct
 {
@@ -8,29 +9,93 @@
 namespace
 {
 
-std::int64_t second_of(base::time_point now)
+// Fractions of the ratio for which recent and steady requests pay. The rest
+// covers arrivals up to max_flight after the window in which they were paid
+// for, and the requests of the second before it.
+constexpr double recent_fraction = 0.7;
+constexpr double steady_fraction = 0.2;
+
+constexpr std::int64_t slots_per_second =
+    std::chrono::seconds(1) / retry_budget::slot_length;
+
+std::int64_t slot_of(base::time_point now)
 {
-    return std::chrono::duration_cast<std::chrono::seconds>(
-               now.time_since_epoch())
-        .count();
+    return now.time_since_epoch() / retry_budget::slot_length;
 }
 
-std::size_t slot_of(std::int64_t second)
+std::uint32_t& count_of(retry_budget& budget, std::int64_t slot)
 {
-    return static_cast<std::size_t>(second) % retry_budget::max_seconds;
+    return budget
+        .requests[static_cast<std::size_t>(slot) % retry_budget::max_slots];
 }
 
 void advance(retry_budget& budget, base::time_point now)
 {
-    auto const second = second_of(now);
+    auto const newest = slot_of(now);
     auto const first = std::max(
-        budget.second + 1,
-        second - static_cast<std::int64_t>(retry_budget::max_seconds) + 1);
-    for (auto passed = first; passed <= second; ++passed)
+        budget.slot + 1,
+        newest - static_cast<std::int64_t>(retry_budget::max_slots) + 1);
+    for (auto passed = first; passed <= newest; ++passed)
+    {
+        count_of(budget, passed) = 0;
+    }
+    budget.slot = std::max(budget.slot, newest);
+}
+
+// Returns the number of requests in this many slots up to the given one.
+std::size_t requests_in(
+    retry_budget& budget, std::int64_t newest, std::int64_t number_of_slots)
+{
+    std::size_t sum = 0;
+    for (auto slot = newest - number_of_slots + 1; slot <= newest; ++slot)
+    {
+        sum += count_of(budget, slot);
+    }
+    return sum;
+}
+
+// Returns the least number of requests in a window that ended within the last
+// one. A window has one slot less here, so that the one before any moment lies
+// within the same length of time before that moment.
+std::size_t steady_requests(retry_budget& budget, std::int64_t window)
+{
+    auto const length = window - 1;
+    auto sum = requests_in(budget, budget.slot - 1, length);
+    auto least = sum;
+    for (std::int64_t back = 1; back <= window; ++back)
+    {
+        sum += count_of(budget, budget.slot - back - length);
+        sum -= count_of(budget, budget.slot - back);
+        least = std::min(least, sum);
+    }
+    return least;
+}
+
+// Number of requests that pay for one retry while they are recent.
+double price_of(retry_bound const& bound)
+{
+    return bound.ratio > 0 ? 1 / (recent_fraction * bound.ratio)
+                           : std::numeric_limits<double>::infinity();
+}
+
+// Forgets unspent requests that are not recent any more, down to what pays for
+// one retry.
+void drop_old_requests(retry_budget& budget, retry_bound const& bound)
+{
+    auto const recent =
+        static_cast<double>(requests_in(budget, budget.slot, slots_per_second));
+    budget.unspent =
+        std::min(budget.unspent, std::max(recent, price_of(bound)));
+}
+
+std::size_t spent_in_window(
+    paid_retries& paid, retry_bound const& bound, base::time_point now)
+{
+    while (!paid.arrived.empty() && now - paid.arrived.front() >= bound.window)
     {
-        budget.requests[slot_of(passed)] = 0;
+        paid.arrived.pop_front();
     }
-    budget.second = std::max(budget.second, second);
+    return paid.on_the_way + paid.arrived.size();
 }
 
 // This entry's part of the fixed number. A process cannot know what the one
@@ -49,12 +114,29 @@
                : bound.slack / static_cast<double>(sharers(count));
 }
 
+paid_retries& paid_by(retry_budget& budget, retry_source source)
+{
+    return budget.paid[static_cast<std::size_t>(source)];
+}
+
+double& left_of(retry_budget_state& state, retry_source source)
+{
+    return state.left[static_cast<std::size_t>(source)];
+}
+
+void end_way(retry_budget& budget, retry_source source)
+{
+    auto& paid = paid_by(budget, source);
+    paid.on_the_way -= std::min<std::size_t>(1, paid.on_the_way);
+}
+
 } // namespace
 
 void note_request(retry_budget& budget, base::time_point now)
 {
     advance(budget, now);
-    ++budget.requests[slot_of(budget.second)];
+    ++count_of(budget, budget.slot);
+    ++budget.unspent;
 }
 
 retry_budget_state state_of(
@@ -64,51 +146,86 @@
     base::time_point now)
 {
     advance(budget, now);
-    retry_budget_state found;
-    for (std::int64_t back = 0; back < bound.window.count(); ++back)
-    {
-        found.requests += budget.requests[slot_of(budget.second - back)];
-    }
-    while (!budget.arrived.empty() &&
-           now - budget.arrived.front() >= bound.window)
+    drop_old_requests(budget, bound);
+    auto const window = std::min(bound.window, retry_budget::max_window) /
+                        retry_budget::slot_length;
+    std::array<double, retry_sources> spent{};
+    std::ranges::transform(
+        budget.paid, spent.begin(),
+        [&](paid_retries& paid)
+        {
+            return static_cast<double>(spent_in_window(paid, bound, now));
+        });
+    auto const spent_by = [&spent](retry_source source)
     {
-        budget.arrived.pop_front();
-    }
-    found.spent = budget.on_the_way + budget.arrived.size();
+        return spent[static_cast<std::size_t>(source)];
+    };
+    auto const slack =
+        assigned_fraction * part_of_slack(budget, bound, count, now);
+
+    retry_budget_state found;
+    found.requests = requests_in(budget, budget.slot, window);
+    found.steady = steady_requests(budget, window);
+    found.spent = static_cast<std::size_t>(spent[0] + spent[1] + spent[2]);
     found.entries = sharers(count);
     found.allowed =
-        assigned_fraction * (bound.ratio * static_cast<double>(found.requests) +
-                             part_of_slack(budget, bound, count, now));
+        assigned_fraction * bound.ratio * static_cast<double>(found.requests) +
+        slack;
     found.running = std::chrono::duration_cast<std::chrono::milliseconds>(
         now - budget.started);
+    left_of(found, retry_source::recent_requests) =
+        budget.unspent / price_of(bound);
+    left_of(found, retry_source::steady_requests) =
+        steady_fraction * bound.ratio * static_cast<double>(found.steady) -
+        spent_by(retry_source::steady_requests);
+    left_of(found, retry_source::fixed_number) =
+        slack - spent_by(retry_source::fixed_number);
     return found;
 }
 
-bool spend_retry(
+std::optional<retry_source> spend_retry(
     retry_budget& budget,
     retry_bound const& bound,
     entry_count const& count,
     base::time_point now)
 {
     auto const state = state_of(budget, bound, count, now);
-    if (static_cast<double>(state.spent) + 1 > state.allowed)
+    auto const payer = std::ranges::find_if(
+        state.left,
+        [](double left)
+        {
+            return left >= 1;
+        });
+    if (static_cast<double>(state.spent) + 1 > state.allowed ||
+        payer == state.left.end())
+    {
+        return std::nullopt;
+    }
+    auto const source = static_cast<retry_source>(payer - state.left.begin());
+    ++paid_by(budget, source).on_the_way;
+    if (source == retry_source::recent_requests)
     {
-        return false;
+        budget.unspent -= price_of(bound);
     }
-    ++budget.on_the_way;
-    return true;
+    return source;
 }
 
-void note_retry_arrived(retry_budget& budget, base::time_point by)
+void note_retry_arrived(
+    retry_budget& budget, retry_source source, base::time_point by)
 {
-    return_retry(budget);
-    auto const next = std::ranges::upper_bound(budget.arrived, by);
-    budget.arrived.insert(next, by);
+    end_way(budget, source);
+    auto& arrived = paid_by(budget, source).arrived;
+    arrived.insert(std::ranges::upper_bound(arrived, by), by);
 }
 
-void return_retry(retry_budget& budget)
+void return_retry(
+    retry_budget& budget, retry_bound const& bound, retry_source source)
 {
-    budget.on_the_way -= std::min<std::size_t>(1, budget.on_the_way);
+    end_way(budget, source);
+    if (source == retry_source::recent_requests)
+    {
+        budget.unspent += price_of(bound);
+    }
 }
 
 } // namespace foxtailvale::direct
--- a/libs/direct/tests/played_entries.cpp
+++ b/libs/direct/tests/played_entries.cpp
@@ -35,9 +35,9 @@
         entry.retries, retry_limit, known_entries(state), state.now);
     if (granted)
     {
-        note_retry_arrived(entry.retries, state.now);
+        note_retry_arrived(entry.retries, *granted, state.now);
     }
-    return granted;
+    return granted.has_value();
 }
 
 placement_query placement(
--- a/libs/direct/tests/retry_budget_tests.cpp
+++ b/libs/direct/tests/retry_budget_tests.cpp
@@ -32,9 +32,9 @@
     auto const granted = spend_retry(budget, bound, count, now);
     if (granted)
     {
-        note_retry_arrived(budget, now);
+        note_retry_arrived(budget, *granted, now);
     }
-    return granted;
+    return granted.has_value();
 }
 
 } // namespace
@@ -130,7 +130,7 @@
     while (spend_retry(budget, bound, known(1), start))
     {
     }
-    return_retry(budget);
+    return_retry(budget, bound, retry_source::fixed_number);
     EXPECT_TRUE(spend_retry(budget, bound, known(1), start));
     EXPECT_FALSE(spend_retry(budget, bound, known(1), start));
 }
@@ -142,9 +142,74 @@
     retry_bound const bound{0, seconds(10), 2};
     EXPECT_TRUE(spend_retry(budget, bound, known(1), start));
     EXPECT_FALSE(spend_retry(budget, bound, known(1), start + seconds(15)));
-    note_retry_arrived(budget, start + seconds(15));
+    note_retry_arrived(budget, retry_source::fixed_number, start + seconds(15));
     EXPECT_FALSE(spend_retry(budget, bound, known(1), start + seconds(24)));
     EXPECT_TRUE(spend_retry(budget, bound, known(1), start + seconds(25)));
 }
 
+// Guards against an entry whose requests before a move of its callers and
+// another's after it back the retries of the same ten seconds.
+TEST(retry_share, callers_that_move_to_another_entry_do_not_double_the_share)
+{
+    retry_bound const bound{0.2, seconds(10), 0};
+    retry_budget left{.started = start - minutes(1)};
+    retry_budget joined{.started = start - minutes(1)};
+    constexpr auto per_second = 50;
+    for (auto second = 0; second < 30; ++second)
+    {
+        for (auto request = 0; request < per_second; ++request)
+        {
+            note_request(left, start + seconds(second));
+        }
+    }
+    auto retries = 0;
+    while (send_retry(left, bound, known(2), start + seconds(30)))
+    {
+        ++retries;
+    }
+    for (auto second = 30; second < 40; ++second)
+    {
+        for (auto request = 0; request < per_second; ++request)
+        {
+            auto const now = start + seconds(second) + milliseconds(request);
+            note_request(joined, now);
+            retries += send_retry(joined, bound, known(2), now) ? 1 : 0;
+        }
+    }
+    EXPECT_LE(retries, 100);
+}
+
+// Guards against an entry that refuses the retries of callers which have just
+// come to it.
+TEST(retry_share, new_callers_have_most_of_their_share_at_once)
+{
+    retry_bound const bound{0.2, seconds(10), 0};
+    retry_budget budget{.started = start};
+    auto retries = 0;
+    for (auto request = 0; request < 100; ++request)
+    {
+        auto const now = start + milliseconds(20 * request);
+        note_request(budget, now);
+        retries += send_retry(budget, bound, known(8), now) ? 1 : 0;
+    }
+    EXPECT_GE(retries, 100 * 0.2 / 2);
+}
+
+// Guards against an entry that can't repeat what one failed endpoint ran.
+TEST(retry_share, steady_callers_have_a_fifth_of_their_share_at_one_moment)
+{
+    retry_bound const bound{0.2, seconds(10), 0};
+    retry_budget budget{.started = start};
+    for (auto request = 0; request < 1000; ++request)
+    {
+        note_request(budget, start + milliseconds(25 * request));
+    }
+    auto retries = 0;
+    while (send_retry(budget, bound, known(8), start + seconds(25)))
+    {
+        ++retries;
+    }
+    EXPECT_GE(retries, 400 * 0.2 / 5);
+}
+
 } // namespace foxtailvale::direct
--- a/libs/direct/tests/retry_world.cpp
+++ b/libs/direct/tests/retry_world.cpp
@@ -4,6 +4,7 @@
 #include <direct/retry_budget.hpp>
 
 #include <algorithm>
+#include <numeric>
 #include <optional>
 
 namespace foxtailvale::direct
@@ -27,13 +28,19 @@
 
 base::time_point const start{std::chrono::hours(1)};
 
+struct retry_on_the_way
+{
+    retry_source source = retry_source::recent_requests;
+    base::time_point arrives;
+};
+
 struct played_process
 {
     retry_budget budget;
     entry_count count;
     base::time_point started;
-    // When its retries arrive that have not arrived yet.
-    std::vector<base::time_point> on_the_way;
+    // Its retries that have not arrived yet.
+    std::vector<retry_on_the_way> on_the_way;
 };
 
 struct played_entry
@@ -79,6 +86,8 @@
     base::time_point process_started;
     base::time_point given_up;
     std::size_t request = 0;
+    // What paid for it, if it is a retry.
+    std::optional<retry_source> source;
 };
 
 struct played_request
@@ -268,13 +277,13 @@
 {
     std::erase_if(
         process.on_the_way,
-        [&](base::time_point arrives)
+        [&](retry_on_the_way const& one)
         {
-            if (arrives > now)
+            if (one.arrives > now)
             {
                 return false;
             }
-            note_retry_arrived(process.budget, arrives);
+            note_retry_arrived(process.budget, one.source, one.arrives);
             return true;
         });
 }
@@ -346,24 +355,29 @@
     auto& sent = state.played[request];
     while (sent.sends < tries)
     {
-        auto const is_retry = sent.sends > 0;
-        if (is_retry && !spend_retry(process.budget, bound, process.count, now))
+        std::optional<retry_source> source;
+        if (sent.sends > 0)
         {
-            return;
+            source = spend_retry(process.budget, bound, process.count, now);
+            if (!source)
+            {
+                return;
+            }
         }
         ++sent.sends;
         if (auto const held = held_until(state, now))
         {
             sent.arrivals.push_back(*held);
             state.unseen.push_back(
-                {number, process.started, now + attempt_limit, request});
+                {number, process.started, now + attempt_limit, request,
+                 source});
             return;
         }
         auto const arrives = arrival_of(state, course, now);
         sent.arrivals.push_back(arrives);
-        if (is_retry)
+        if (source)
         {
-            process.on_the_way.push_back(arrives);
+            process.on_the_way.push_back({*source, arrives});
         }
         if (now < state.fails_from)
         {
@@ -408,9 +422,9 @@
         }
         auto& sent = state.played[one.request];
         ++sent.unseen;
-        if (sent.sends > 1)
+        if (one.source)
         {
-            note_retry_arrived(process->budget, now + max_flight);
+            note_retry_arrived(process->budget, *one.source, now + max_flight);
         }
         send_until_done(state, one.entry, one.request, course, now);
     }
@@ -535,17 +549,42 @@
     return worst_of(state);
 }
 
+std::vector<retry_course> at_all_sizes(retry_course course)
+{
+    constexpr double requests_per_entry = 15;
+    constexpr std::size_t large = 100;
+    std::vector<retry_course> courses;
+    for (auto const& fleet : std::vector<std::vector<std::size_t>>{
+             {3, 3, 2}, {15, 14, 11}, {50, 50, 50}})
+    {
+        auto const entries =
+            std::accumulate(fleet.begin(), fleet.end(), std::size_t{0});
+        course.domains = fleet;
+        course.requests_per_second =
+            requests_per_entry * static_cast<double>(entries);
+        std::uint64_t const seeds = entries > large ? 4 : 24;
+        for (std::uint64_t seed = 1; seed <= seeds; ++seed)
+        {
+            course.seed = seed * 7919;
+            courses.push_back(course);
+        }
+    }
+    return courses;
+}
+
 std::string to_string(retry_course const& course)
 {
-    return "seed " + std::to_string(course.seed) + ", " +
-           std::to_string(course.domains.size()) + " domains, " +
+    auto const entries = std::accumulate(
+        course.domains.begin(), course.domains.end(), std::size_t{0});
+    std::string const late = course.fails_late ? ", fails late" : "";
+    return std::to_string(entries) + " entries, seed " +
+           std::to_string(course.seed) + ", " +
            std::to_string(course.rounds_of_restarts) + " rounds, " +
            std::to_string(course.joins) + " joins, " +
            std::to_string(course.cuts) + " cuts, " +
            std::to_string(course.stall.count()) + " ms stalls, " +
            std::to_string(course.moves) + " moves, " +
-           std::to_string(course.hold.count()) + " ms holds" +
-           (course.fails_late ? ", fails late" : "");
+           std::to_string(course.hold.count()) + " ms holds" + late;
 }
 
 } // namespace foxtailvale::direct
--- a/libs/gateway/src/call.hpp
+++ b/libs/gateway/src/call.hpp
@@ -30,6 +30,7 @@
 struct granted_retry
 {
     base::time_point granted;
+    direct::retry_source source = direct::retry_source::recent_requests;
     // The budget before it.
     direct::retry_budget_state budget;
 };
--- a/libs/gateway/src/call_retry.cpp
+++ b/libs/gateway/src/call_retry.cpp
@@ -19,6 +19,12 @@
 using std::chrono::milliseconds;
 using clock = std::chrono::steady_clock;
 
+direct::retry_bound retry_bound_of(entry_context const& context)
+{
+    auto const& bounds = context.settings.promised;
+    return {bounds.retry_ratio, bounds.retry_window, bounds.retry_slack};
+}
+
 } // namespace
 
 void call::after_failure(ran_state ran, char const* reason)
@@ -74,20 +80,18 @@
     {
         return true;
     }
-    auto const& bounds = this->context->settings.promised;
-    direct::retry_bound const bound{
-        bounds.retry_ratio, bounds.retry_window, bounds.retry_slack};
+    auto const bound = retry_bound_of(*this->context);
     auto& own = budget_of(*this->context, this->service_name);
     auto const& entries = this->context->entries;
     auto const now = clock::now();
     this->budget = direct::state_of(own, bound, entries, now);
     auto const spent = direct::spend_retry(own, bound, entries, now);
-    this->note_budget(spent);
+    this->note_budget(spent.has_value());
     if (spent)
     {
-        this->held_retry = granted_retry{now, *this->budget};
+        this->held_retry = granted_retry{now, *spent, *this->budget};
     }
-    return spent;
+    return spent.has_value();
 }
 
 void call::note_retry_arrived(endpoint_attempt& running_attempt)
@@ -95,7 +99,8 @@
     if (auto const settled = std::exchange(running_attempt.retry, std::nullopt))
     {
         direct::note_retry_arrived(
-            budget_of(*this->context, this->service_name), clock::now());
+            budget_of(*this->context, this->service_name), settled->source,
+            clock::now());
         this->note_settled(*settled, &running_attempt, "arrived");
     }
 }
@@ -111,11 +116,13 @@
     auto& own = budget_of(*this->context, this->service_name);
     if (ended.dispatched)
     {
-        direct::note_retry_arrived(own, clock::now() + direct::max_flight);
+        direct::note_retry_arrived(
+            own, ended.retry->source, clock::now() + direct::max_flight);
         this->note_settled(*ended.retry, &ended, "unseen");
         return;
     }
-    direct::return_retry(own);
+    direct::return_retry(
+        own, retry_bound_of(*this->context), ended.retry->source);
     this->note_settled(*ended.retry, &ended, "not_sent");
 }
 
@@ -123,7 +130,9 @@
 {
     if (auto const unused = std::exchange(this->held_retry, std::nullopt))
     {
-        direct::return_retry(budget_of(*this->context, this->service_name));
+        direct::return_retry(
+            budget_of(*this->context, this->service_name),
+            retry_bound_of(*this->context), unused->source);
         this->note_settled(*unused, nullptr, "not_sent");
     }
 }
@@ -156,6 +165,7 @@
          {"retries_spent", settled.budget.spent},
          {"retries_allowed", std::floor(settled.budget.allowed)},
          {"retries_for_requests", settled.budget.requests},
+         {"retries_for_steady_requests", settled.budget.steady},
          {"retries_shared_by", settled.budget.entries}});
 }
 
@@ -187,6 +197,7 @@
     fields["retries_spent"] = this->budget->spent;
     fields["retries_allowed"] = std::floor(this->budget->allowed);
     fields["retries_for_requests"] = this->budget->requests;
+    fields["retries_for_steady_requests"] = this->budget->steady;
     fields["retries_shared_by"] = this->budget->entries;
     fields["running_ms"] = this->budget->running.count();
 }
