A retry counts while an earlier attempt of its request may arrive

Cause: an attempt that an entry gives up without a sign of the endpoint may arrive when its link moves again, up to 9 s later by the disruptions that deployments name. The budget supposed one second, and counted the retry by its own arrival although the request's first attempt is then the one beyond the first, in a later window.

Change: such an attempt may arrive until 10 s after its end, and its request's retry counts for a window after that. One whose connection ended by itself has one second as before, since nothing is held on the way any more.

--- a/libs/direct/include/direct/retry_budget.hpp
+++ b/libs/direct/include/direct/retry_budget.hpp
@@ -59,6 +59,13 @@
 // the end of the process that wrote them.
 inline constexpr std::chrono::milliseconds max_flight{1000};
 
+// The bytes of an attempt that this entry gave up may reach the endpoint this
+// much later, once the link between the two moves again. Failure: a link stands
+// still for seconds, requests on it are given up and repeated elsewhere, and
+// then all first attempts arrive at one moment, together with the retries of
+// the next window.
+inline constexpr std::chrono::milliseconds max_hold{10000};
+
 // Retries that one source has paid for. Failure: retries that were counted by
 // whole seconds dropped out of the count up to 1 s early, so that a window of
 // 10 s could hold twice the allowed number.
--- a/libs/direct/tests/retry_world.cpp
+++ b/libs/direct/tests/retry_world.cpp
@@ -32,6 +32,9 @@
 {
     retry_source source = retry_source::recent_requests;
     base::time_point arrives;
+    // By when it and the request's earlier attempts have arrived, as far as the
+    // entry knows.
+    base::time_point by;
 };
 
 struct played_process
@@ -93,8 +96,8 @@
 struct played_request
 {
     std::uint32_t sends = 0;
-    // Sends that were given up without a sign that they arrived.
-    std::uint32_t unseen = 0;
+    // By when those attempts have arrived that were given up without a sign.
+    base::time_point unseen_until;
     std::vector<base::time_point> arrivals;
 };
 
@@ -283,7 +286,7 @@
             {
                 return false;
             }
-            note_retry_arrived(process.budget, one.source, one.arrives);
+            note_retry_arrived(process.budget, one.source, one.by);
             return true;
         });
 }
@@ -377,7 +380,8 @@
         sent.arrivals.push_back(arrives);
         if (source)
         {
-            process.on_the_way.push_back({*source, arrives});
+            process.on_the_way.push_back(
+                {*source, arrives, std::max(arrives, sent.unseen_until)});
         }
         if (now < state.fails_from)
         {
@@ -421,10 +425,10 @@
             continue;
         }
         auto& sent = state.played[one.request];
-        ++sent.unseen;
+        sent.unseen_until = now + max_hold;
         if (one.source)
         {
-            note_retry_arrived(process->budget, *one.source, now + max_flight);
+            note_retry_arrived(process->budget, *one.source, sent.unseen_until);
         }
         send_until_done(state, one.entry, one.request, course, now);
     }
--- a/libs/gateway/src/call.hpp
+++ b/libs/gateway/src/call.hpp
@@ -59,6 +59,9 @@
     std::optional<granted_retry> retry;
     // When the request's bytes were passed to the connection.
     std::optional<base::time_point> dispatched;
+    // The endpoint answered, or its connection ended by itself: no byte of the
+    // request is held on the way any more.
+    bool is_over = false;
     // Its answer is not read until the caller has read what it was sent.
     bool waits_for_caller = false;
     // Number of events that the endpoint sent, and of those that were forwarded
@@ -352,6 +355,8 @@
     // Number of attempts that were given up without any byte from the endpoint
     // and may still arrive there.
     std::uint32_t unseen_sends = 0;
+    // By when all of these have arrived, if at all.
+    base::time_point unseen_until;
     // The retry budget when the request last asked for a retry.
     std::optional<direct::retry_budget_state> budget;
     std::uint64_t version = 0;
--- a/libs/gateway/src/call_attempt.cpp
+++ b/libs/gateway/src/call_attempt.cpp
@@ -346,6 +346,7 @@
         return;
     }
     auto& running_attempt = *this->current;
+    running_attempt.is_over = true;
     running_attempt.facts.written = result.written;
     this->answer_ended_with_connection =
         result.head_seen && !running_attempt.head.delimited;
--- a/libs/gateway/src/call_retry.cpp
+++ b/libs/gateway/src/call_retry.cpp
@@ -98,9 +98,11 @@
 {
     if (auto const settled = std::exchange(running_attempt.retry, std::nullopt))
     {
+        // An earlier attempt may arrive after this one and is then the one
+        // beyond the first.
         direct::note_retry_arrived(
             budget_of(*this->context, this->service_name), settled->source,
-            clock::now());
+            std::max(clock::now(), this->unseen_until));
         this->note_settled(*settled, &running_attempt, "arrived");
     }
 }
@@ -108,7 +110,14 @@
 void call::end_retry(endpoint_attempt const& ended)
 {
     auto const is_unseen = ended.dispatched && !ended.facts.head_seen;
-    this->unseen_sends += is_unseen ? 1 : 0;
+    if (is_unseen)
+    {
+        ++this->unseen_sends;
+        this->unseen_until = std::max(
+            this->unseen_until,
+            clock::now() +
+                (ended.is_over ? direct::max_flight : direct::max_hold));
+    }
     if (!ended.retry)
     {
         return;
@@ -117,7 +126,8 @@
     if (ended.dispatched)
     {
         direct::note_retry_arrived(
-            own, ended.retry->source, clock::now() + direct::max_flight);
+            own, ended.retry->source,
+            std::max(clock::now(), this->unseen_until));
         this->note_settled(*ended.retry, &ended, "unseen");
         return;
     }
