The retry world draws its courses in a file of their own

Change: retry_world_plan has the entries of a course and draws what happens to them and their links when; retry_world plays it.

--- a/libs/direct/tests/retry_world.cpp
+++ b/libs/direct/tests/retry_world.cpp
@@ -1,7 +1,6 @@
 #include "retry_world.hpp"
 
-#include <base/random.hpp>
-#include <direct/retry_budget.hpp>
+#include "retry_world_plan.hpp"
 
 #include <algorithm>
 #include <numeric>
@@ -14,236 +13,15 @@
 {
 
 using std::chrono::milliseconds;
-using std::chrono::seconds;
 
-constexpr retry_bound bound{0.2, seconds(10), 100};
+constexpr retry_bound bound{0.2, std::chrono::seconds(10), 100};
 constexpr milliseconds step{10};
-constexpr milliseconds length{40000};
-constexpr milliseconds before_traffic{15000};
 // Agents tell a new entry of the others within this time.
 constexpr milliseconds learning_time{500};
 constexpr std::uint32_t tries = 4;
 // After this time without a sign of the endpoint an attempt is given up.
 constexpr milliseconds attempt_limit{700};
 
-base::time_point const start{std::chrono::hours(1)};
-
-struct retry_on_the_way
-{
-    retry_source source = retry_source::recent_requests;
-    base::time_point arrives;
-    // By when it and the request's earlier attempts have arrived, as far as the
-    // entry knows.
-    base::time_point by;
-};
-
-struct played_process
-{
-    retry_budget budget;
-    entry_count count;
-    base::time_point started;
-    // Its retries that have not arrived yet.
-    std::vector<retry_on_the_way> on_the_way;
-};
-
-struct played_entry
-{
-    std::size_t domain = 0;
-    // When it starts; the process is absent until then.
-    base::time_point starts;
-    std::optional<played_process> process;
-};
-
-struct cut
-{
-    std::size_t domain = 0;
-    base::time_point from;
-    base::time_point until;
-};
-
-struct planned_kill
-{
-    std::size_t entry = 0;
-    base::time_point at;
-    milliseconds down{0};
-};
-
-// From this time on, this share of the callers uses these entries.
-struct caller_move
-{
-    base::time_point from;
-    std::uint64_t percent = 0;
-    std::vector<std::size_t> entries;
-};
-
-struct held_links
-{
-    base::time_point from;
-    base::time_point until;
-};
-
-// An attempt that is given up at a time, of a request with so many sends.
-struct unseen_attempt
-{
-    std::size_t entry = 0;
-    base::time_point process_started;
-    base::time_point given_up;
-    std::size_t request = 0;
-    // What paid for it, if it is a retry.
-    std::optional<retry_source> source;
-};
-
-struct played_request
-{
-    std::uint32_t sends = 0;
-    // By when those attempts have arrived that were given up without a sign.
-    base::time_point unseen_until;
-    std::vector<base::time_point> arrivals;
-};
-
-struct world
-{
-    std::vector<played_entry> entries;
-    std::vector<caller_move> moves;
-    std::vector<held_links> holds;
-    std::vector<unseen_attempt> unseen;
-    std::vector<played_request> played;
-    base::time_point fails_from;
-    std::vector<cut> cuts;
-    std::vector<planned_kill> kills;
-    std::vector<base::time_point> stalls;
-    std::vector<base::time_point> requests;
-    std::vector<base::time_point> arrivals;
-    std::size_t domains = 0;
-    base::random_state random;
-};
-
-milliseconds
-random_time(base::random_state& random, milliseconds from, milliseconds until)
-{
-    auto const span = static_cast<std::uint64_t>((until - from).count());
-    return from + milliseconds(base::random_below(random, span + 1));
-}
-
-bool one_in(base::random_state& random, std::uint64_t many)
-{
-    return base::random_below(random, many) == 0;
-}
-
-void plan_round(world& state, milliseconds at)
-{
-    auto const in_turn = one_in(state.random, 3);
-    auto const some = one_in(state.random, 3);
-    auto next = start + at;
-    for (std::size_t entry = 0; entry < state.entries.size(); ++entry)
-    {
-        if (some && one_in(state.random, 2))
-        {
-            continue;
-        }
-        state.kills.push_back(
-            {entry, next,
-             random_time(state.random, milliseconds(20), milliseconds(600))});
-        next += in_turn ? milliseconds(150) : milliseconds(0);
-    }
-}
-
-// Callers move to a random tenth to half of the entries, or to those of one
-// failure domain, and all of them move again at most some seconds later.
-void plan_moves(world& state, std::size_t count)
-{
-    auto at =
-        state.fails_from +
-        random_time(state.random, milliseconds(-4000), milliseconds(4000));
-    for (std::size_t number = 0; number < count; ++number)
-    {
-        caller_move move{at, 50 + base::random_below(state.random, 51), {}};
-        auto const of_domain = one_in(state.random, 3);
-        auto const domain = base::random_below(state.random, state.domains);
-        auto const one_of = 2 + base::random_below(state.random, 9);
-        for (std::size_t entry = 0; entry < state.entries.size(); ++entry)
-        {
-            auto const is_used = of_domain
-                                     ? state.entries[entry].domain == domain
-                                     : one_in(state.random, one_of);
-            if (is_used)
-            {
-                move.entries.push_back(entry);
-            }
-        }
-        state.moves.push_back(std::move(move));
-        at += random_time(state.random, milliseconds(1000), milliseconds(9000));
-    }
-}
-
-void plan_holds(world& state, milliseconds length_of)
-{
-    auto at =
-        start +
-        random_time(state.random, milliseconds(8000), milliseconds(12000));
-    for (auto number = 0; number < 2 && length_of.count() > 0; ++number)
-    {
-        state.holds.push_back({at, at + length_of});
-        at += length_of +
-              random_time(state.random, milliseconds(200), milliseconds(4000));
-    }
-}
-
-world make(retry_course const& course)
-{
-    world made;
-    made.random.value = course.seed;
-    made.domains = course.domains.size();
-    made.fails_from = start;
-    for (std::size_t domain = 0; domain < course.domains.size(); ++domain)
-    {
-        for (std::size_t entry = 0; entry < course.domains[domain]; ++entry)
-        {
-            made.entries.push_back({domain, start - before_traffic, {}});
-        }
-    }
-    // Rounds follow each other closely, from a random moment on.
-    auto const first =
-        random_time(made.random, milliseconds(1000), milliseconds(12000));
-    for (std::size_t round = 0; round < course.rounds_of_restarts; ++round)
-    {
-        plan_round(
-            made,
-            first + static_cast<int>(round) * milliseconds(1100) +
-                random_time(made.random, milliseconds(0), milliseconds(800)));
-    }
-    for (std::size_t join = 0; join < course.joins; ++join)
-    {
-        made.entries.push_back(
-            {base::random_below(made.random, made.domains),
-             start + random_time(made.random, milliseconds(0), length / 2),
-             {}});
-    }
-    for (std::size_t number = 0; number < course.cuts; ++number)
-    {
-        auto const from =
-            start + random_time(made.random, milliseconds(0), length / 2);
-        made.cuts.push_back(
-            {base::random_below(made.random, made.domains), from,
-             from + random_time(
-                        made.random, milliseconds(2000), milliseconds(16000))});
-    }
-    if (course.fails_late)
-    {
-        made.fails_from +=
-            random_time(made.random, milliseconds(10000), milliseconds(20000));
-    }
-    plan_moves(made, course.moves);
-    plan_holds(made, course.hold);
-    for (auto at = start; at < start + length && course.stall.count() > 0;)
-    {
-        made.stalls.push_back(at);
-        at += course.stall +
-              random_time(made.random, milliseconds(500), milliseconds(4000));
-    }
-    return made;
-}
-
 bool is_cut(world const& state, std::size_t domain, base::time_point now)
 {
     return std::ranges::any_of(
@@ -544,8 +322,9 @@
 
 retry_excess play(retry_course const& course)
 {
-    auto state = make(course);
-    for (auto now = start - before_traffic; now < start + length; now += step)
+    auto state = make_world(course);
+    for (auto now = course_start - before_traffic;
+         now < course_start + course_length; now += step)
     {
         run_processes(state, now);
         auto const known = known_processes(state, now);
@@ -558,7 +337,7 @@
             }
         }
         give_up_attempts(state, course, now);
-        if (now >= start)
+        if (now >= course_start)
         {
             send_requests(state, course, now);
         }
