--- a/libs/direct/include/direct/retry_budget.hpp
+++ b/libs/direct/include/direct/retry_budget.hpp
@@ -107,7 +107,8 @@
     // its requests in the window.
     std::size_t spent = 0;
     std::size_t requests = 0;
-    // Of these, the number that steady_requests has.
+    // The least number of its requests in any window that ended within the last
+    // one.
     std::size_t steady = 0;
     // Number of retries that this process may have in the window.
     double allowed = 0;
--- a/libs/direct/src/retry_budget.cpp
+++ b/libs/direct/src/retry_budget.cpp
@@ -54,9 +54,10 @@
     return sum;
 }
 
-// Returns the least number of requests in a window that ended within the last
-// one. A window has one slot less here, so that the one before any moment lies
-// within the same length of time before that moment.
+// Returns the least number of requests in any window that ended within the last
+// one. Windows are a slot shorter here, and end with a whole slot: the one that
+// ends before a moment then lies within a full window before it, although the
+// moment is inside a slot.
 std::size_t steady_requests(retry_budget& budget, std::int64_t window)
 {
     auto const length = window - 1;
