The retry world plays planned stops in turn, hanging attempts and pauses

Cause: the model of the retry budget restarted entries and moved callers, but no entry in it drained while its callers were elsewhere, no attempt hung until a time-out and no process stood still.

Change: courses with rolls (entries stop one after the other, end what they have, repeats included, and start again), with attempts that arrive and are never answered, and with pauses (what callers sent meanwhile is read at the end). The courses of before are drawn as before.

--- a/libs/direct/tests/retry_world.cpp
+++ b/libs/direct/tests/retry_world.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <numeric>
 #include <optional>
+#include <utility>
 
 namespace foxtailvale::direct
 {
@@ -21,6 +22,12 @@
 constexpr std::uint32_t tries = 4;
 // After this time without a sign of the endpoint an attempt is given up.
 constexpr milliseconds attempt_limit{700};
+// A process that stops runs on for this long at least.
+constexpr milliseconds balancer_drain_time{2600};
+// Callers leave an entry that stops or stands still after this time.
+constexpr milliseconds leaving_time{1000};
+// A caller waits for the beginning of its answer for this long.
+constexpr milliseconds patience{9000};
 
 bool is_cut(world const& state, std::size_t domain, base::time_point now)
 {
@@ -32,8 +39,55 @@
         });
 }
 
+bool is_paused(world const& state, std::size_t entry, base::time_point now)
+{
+    return std::ranges::any_of(
+        state.pauses,
+        [&](planned_pause const& one)
+        {
+            return one.entry == entry && one.from <= now && now < one.until;
+        });
+}
+
+bool has_unseen_attempts(world const& state, std::size_t entry)
+{
+    return std::ranges::any_of(
+        state.unseen,
+        [&](unseen_attempt const& one)
+        {
+            return one.entry == entry &&
+                   one.process_started == state.entries[entry].process->started;
+        });
+}
+
+void stop_processes(world& state, base::time_point now)
+{
+    for (auto const& stop : state.stops)
+    {
+        auto& entry = state.entries[stop.entry];
+        if (!entry.process)
+        {
+            continue;
+        }
+        if (stop.at <= now && now < stop.at + step && !entry.process->stopping)
+        {
+            entry.process->stopping = now;
+        }
+        auto const began = entry.process->stopping;
+        auto const is_done = now >= stop.at + balancer_drain_time &&
+                             !has_unseen_attempts(state, stop.entry);
+        if (began == stop.at && (is_done || now >= stop.at + stop.drain))
+        {
+            entry.process.reset();
+            entry.is_stopped = true;
+            entry.starts = now + stop.down;
+        }
+    }
+}
+
 void run_processes(world& state, base::time_point now)
 {
+    stop_processes(state, now);
     for (auto const& kill : state.kills)
     {
         auto& entry = state.entries[kill.entry];
@@ -48,6 +102,7 @@
         if (!entry.process && now >= entry.starts)
         {
             entry.process.emplace();
+            entry.is_stopped = false;
             entry.process->started = now;
             entry.process->budget.started = now;
         }
@@ -168,6 +223,13 @@
         }
         auto const arrives = arrival_of(state, course, now);
         sent.arrivals.push_back(arrives);
+        if (course.hangs && now >= state.fails_from)
+        {
+            state.unseen.push_back(
+                {number, process.started, now + attempt_limit, request,
+                 source});
+            return;
+        }
         if (source)
         {
             process.on_the_way.push_back(
@@ -184,9 +246,10 @@
     world& state,
     std::size_t number,
     retry_course const& course,
+    base::time_point sent,
     base::time_point now)
 {
-    note_request(state.entries[number].process->budget, now);
+    note_request(state.entries[number].process->budget, sent);
     state.played.emplace_back();
     send_until_done(state, number, state.played.size() - 1, course, now);
 }
@@ -200,7 +263,7 @@
         state.unseen,
         [&](unseen_attempt const& one)
         {
-            if (one.given_up > now)
+            if (one.given_up > now || is_paused(state, one.entry, now))
             {
                 return false;
             }
@@ -224,8 +287,19 @@
     }
 }
 
-// Returns the entry to which a caller sends a request now.
-std::size_t choose_entry(world& state, base::time_point now)
+// Whether callers use other entries instead.
+bool is_left(world const& state, std::size_t number, base::time_point now)
+{
+    auto const& entry = state.entries[number];
+    auto const is_stopping = entry.process && entry.process->stopping &&
+                             now >= *entry.process->stopping + leaving_time;
+    return entry.is_stopped || is_stopping ||
+           (is_paused(state, number, now) &&
+            is_paused(state, number, now - leaving_time));
+}
+
+// Returns the entry that a caller chooses, were all of them in use.
+std::size_t choose_any_entry(world& state, base::time_point now)
 {
     constexpr std::uint64_t hundred = 100;
     caller_move const* last = nullptr;
@@ -242,6 +316,39 @@
         ->entries[base::random_below(state.random, last->entries.size())];
 }
 
+// Returns the entry to which a caller sends a request now.
+std::size_t choose_entry(world& state, base::time_point now)
+{
+    auto chosen = choose_any_entry(state, now);
+    for (std::uint32_t tried = 0; tried < tries && is_left(state, chosen, now);
+         ++tried)
+    {
+        chosen = base::random_below(state.random, state.entries.size());
+    }
+    return chosen;
+}
+
+// Entries that run again read what came while they stood still.
+void read_late_requests(
+    world& state, retry_course const& course, base::time_point now)
+{
+    for (std::size_t number = 0; number < state.entries.size(); ++number)
+    {
+        auto& entry = state.entries[number];
+        if (entry.unread.empty() || is_paused(state, number, now))
+        {
+            continue;
+        }
+        for (auto const sent : std::exchange(entry.unread, {}))
+        {
+            if (entry.process && now - sent < patience)
+            {
+                handle_request(state, number, course, sent, now);
+            }
+        }
+    }
+}
+
 void send_requests(
     world& state, retry_course const& course, base::time_point now)
 {
@@ -258,9 +365,13 @@
     {
         state.requests.push_back(now);
         auto const entry = choose_entry(state, now);
-        if (state.entries[entry].process)
+        if (is_paused(state, entry, now))
+        {
+            state.entries[entry].unread.push_back(now);
+        }
+        else if (state.entries[entry].process)
         {
-            handle_request(state, entry, course, now);
+            handle_request(state, entry, course, now, now);
         }
     }
 }
@@ -328,15 +439,17 @@
     {
         run_processes(state, now);
         auto const known = known_processes(state, now);
-        for (auto& entry : state.entries)
+        for (std::size_t number = 0; number < state.entries.size(); ++number)
         {
-            if (entry.process)
+            auto& entry = state.entries[number];
+            if (entry.process && !is_paused(state, number, now))
             {
                 tell_of_others(state, known, entry, now);
                 note_arrivals(*entry.process, now);
             }
         }
         give_up_attempts(state, course, now);
+        read_late_requests(state, course, now);
         if (now >= course_start)
         {
             send_requests(state, course, now);
@@ -357,7 +470,11 @@
            std::to_string(course.cuts) + " cuts, " +
            std::to_string(course.stall.count()) + " ms stalls, " +
            std::to_string(course.moves) + " moves, " +
-           std::to_string(course.hold.count()) + " ms holds" + late;
+           std::to_string(course.hold.count()) + " ms holds, " +
+           std::to_string(course.rolls) + " rolls, " +
+           std::to_string(course.pauses) + " pauses of " +
+           std::to_string(course.pause.count()) + " ms" + late +
+           (course.hangs ? ", hangs" : "");
 }
 
 std::vector<std::string> courses_that_exceed(retry_course course)
--- a/libs/direct/tests/retry_world.hpp
+++ b/libs/direct/tests/retry_world.hpp
@@ -35,6 +35,16 @@
     // on one of them is given up and arrives when the link moves again, the
     // first one of a request included.
     std::chrono::milliseconds hold{0};
+    // Attempts arrive at once, and their endpoints never answer.
+    bool hangs = false;
+    // Number of rounds in which all entries stop one after the other. One that
+    // stops ends the requests that it has, repeats of them included, while its
+    // callers use the others; then it starts again.
+    std::size_t rolls = 0;
+    // Number of moments at which some entries stand still for this long. They
+    // read at the end what callers have sent meanwhile.
+    std::size_t pauses = 0;
+    std::chrono::milliseconds pause{0};
     // Requests a second at all entries together.
     double requests_per_second = 60;
 };
--- a/libs/direct/tests/retry_world_plan.cpp
+++ b/libs/direct/tests/retry_world_plan.cpp
@@ -76,6 +76,48 @@
     }
 }
 
+// All entries stop one after the other, within a few seconds.
+void plan_roll(world& state, base::time_point at)
+{
+    auto const length_of =
+        random_time(state.random, milliseconds(3000), milliseconds(12000));
+    auto const entries = state.entries.size();
+    for (std::size_t entry = 0; entry < entries; ++entry)
+    {
+        state.stops.push_back(
+            {entry,
+             at + length_of * static_cast<int>(entry) /
+                      static_cast<int>(entries),
+             random_time(state.random, milliseconds(2600), milliseconds(7600)),
+             random_time(state.random, milliseconds(20), milliseconds(600))});
+    }
+}
+
+// All entries, half, a third or a quarter of them stand still at once.
+void plan_pauses(world& state, retry_course const& course)
+{
+    if (course.pauses == 0)
+    {
+        return;
+    }
+    auto at =
+        state.fails_from +
+        random_time(state.random, milliseconds(-10000), milliseconds(2000));
+    for (std::size_t number = 0; number < course.pauses; ++number)
+    {
+        auto const one_of = 1 + base::random_below(state.random, 4);
+        for (std::size_t entry = 0; entry < state.entries.size(); ++entry)
+        {
+            if (one_in(state.random, one_of))
+            {
+                state.pauses.push_back({entry, at, at + course.pause});
+            }
+        }
+        at += course.pause +
+              random_time(state.random, milliseconds(-500), milliseconds(4000));
+    }
+}
+
 } // namespace
 
 bool one_in(base::random_state& random, std::uint64_t many)
@@ -131,6 +173,14 @@
     }
     plan_moves(made, course.moves);
     plan_holds(made, course.hold);
+    for (std::size_t roll = 0; roll < course.rolls; ++roll)
+    {
+        plan_roll(
+            made, made.fails_from + random_time(
+                                        made.random, milliseconds(-6000),
+                                        milliseconds(8000)));
+    }
+    plan_pauses(made, course);
     for (auto at = course_start;
          at < course_start + course_length && course.stall.count() > 0;)
     {
--- a/libs/direct/tests/retry_world_plan.hpp
+++ b/libs/direct/tests/retry_world_plan.hpp
@@ -33,6 +33,8 @@
     retry_budget budget;
     entry_count count;
     base::time_point started;
+    // When it began to stop.
+    std::optional<base::time_point> stopping;
     // Its retries that have not arrived yet.
     std::vector<retry_on_the_way> on_the_way;
 };
@@ -42,6 +44,10 @@
     std::size_t domain = 0;
     // When it starts; the process is absent until then.
     base::time_point starts;
+    // It stopped as planned and has not started again: callers use others.
+    bool is_stopped = false;
+    // When the requests were sent that wait until it runs again.
+    std::vector<base::time_point> unread;
     std::optional<played_process> process;
 };
 
@@ -59,6 +65,22 @@
     std::chrono::milliseconds down{0};
 };
 
+struct planned_stop
+{
+    std::size_t entry = 0;
+    base::time_point at;
+    // The process ends this much later at the latest.
+    std::chrono::milliseconds drain{0};
+    std::chrono::milliseconds down{0};
+};
+
+struct planned_pause
+{
+    std::size_t entry = 0;
+    base::time_point from;
+    base::time_point until;
+};
+
 // From a time on, a part of the callers uses these entries alone.
 struct caller_move
 {
@@ -104,6 +126,8 @@
     base::time_point fails_from;
     std::vector<cut> cuts;
     std::vector<planned_kill> kills;
+    std::vector<planned_stop> stops;
+    std::vector<planned_pause> pauses;
     std::vector<base::time_point> stalls;
     std::vector<base::time_point> requests;
     std::vector<base::time_point> arrivals;
