Requests that are read late pay for no retries of the window in which they are read

What callers see: a service gets more repeats than its retry budget allows when entries wake that stood still for seconds.

Cause: a request paid for retries when it was read.

Change: note_request counts a request by when it arrived at the machine, which the system tells (time since the connection's last byte). It pays as a recent request only if that is at most a second ago, and belongs to the windows of its arrival otherwise.

--- a/libs/direct/include/direct/retry_budget.hpp
+++ b/libs/direct/include/direct/retry_budget.hpp
@@ -120,7 +120,12 @@
     std::chrono::milliseconds running{0};
 };
 
-void note_request(retry_budget& budget, base::time_point now);
+// Counts a request by when it arrived at this machine, also if it is read
+// later. Failure: a process stands still for seconds, reads what came meanwhile
+// at once, and these requests pay for retries of the window in which it wakes
+// as if clients had sent them there.
+void note_request(
+    retry_budget& budget, base::time_point arrived, base::time_point now);
 
 // Returns the budget's state; drops what has left the window.
 retry_budget_state state_of(
--- a/libs/direct/src/retry_budget.cpp
+++ b/libs/direct/src/retry_budget.cpp
@@ -133,11 +133,22 @@
 
 } // namespace
 
-void note_request(retry_budget& budget, base::time_point now)
+void note_request(
+    retry_budget& budget, base::time_point arrived, base::time_point now)
 {
     advance(budget, now);
-    ++count_of(budget, budget.slot);
-    ++budget.unspent;
+    auto const slot = std::min(slot_of(arrived), budget.slot);
+    auto const oldest =
+        budget.slot - static_cast<std::int64_t>(retry_budget::max_slots);
+    if (slot <= oldest)
+    {
+        return;
+    }
+    ++count_of(budget, slot);
+    if (slot > budget.slot - slots_per_second)
+    {
+        ++budget.unspent;
+    }
 }
 
 retry_budget_state state_of(
--- a/libs/direct/tests/played_entries.cpp
+++ b/libs/direct/tests/played_entries.cpp
@@ -378,7 +378,7 @@
     call.arrived = state.now;
     call.wait_until = std::min(
         state.now + max_wait(caller_goal, entry.first_answer), call.deadline);
-    note_request(entry.retries, state.now);
+    note_request(entry.retries, state.now, state.now);
     auto const yields = call.is_resent && !entry.queue.empty();
     if (yields || !place(state, call))
     {
--- a/libs/direct/tests/retry_budget_tests.cpp
+++ b/libs/direct/tests/retry_budget_tests.cpp
@@ -51,7 +51,7 @@
         for (auto request = 0; request < 30; ++request)
         {
             auto const now = start + seconds(second) + milliseconds(request);
-            note_request(budget, now);
+            note_request(budget, now, now);
             retries += send_retry(budget, bound, known(8), now) ? 1 : 0;
         }
     }
@@ -159,7 +159,8 @@
     {
         for (auto request = 0; request < per_second; ++request)
         {
-            note_request(left, start + seconds(second));
+            note_request(
+                left, start + seconds(second), start + seconds(second));
         }
     }
     auto retries = 0;
@@ -172,7 +173,7 @@
         for (auto request = 0; request < per_second; ++request)
         {
             auto const now = start + seconds(second) + milliseconds(request);
-            note_request(joined, now);
+            note_request(joined, now, now);
             retries += send_retry(joined, bound, known(2), now) ? 1 : 0;
         }
     }
@@ -189,7 +190,7 @@
     for (auto request = 0; request < 100; ++request)
     {
         auto const now = start + milliseconds(20 * request);
-        note_request(budget, now);
+        note_request(budget, now, now);
         retries += send_retry(budget, bound, known(8), now) ? 1 : 0;
     }
     EXPECT_GE(retries, 100 * 0.2 / 2);
@@ -202,7 +203,8 @@
     retry_budget budget{.started = start};
     for (auto request = 0; request < 1000; ++request)
     {
-        note_request(budget, start + milliseconds(25 * request));
+        auto const now = start + milliseconds(25 * request);
+        note_request(budget, now, now);
     }
     auto retries = 0;
     while (send_retry(budget, bound, known(8), start + seconds(25)))
@@ -212,4 +214,30 @@
     EXPECT_GE(retries, 400 * 0.2 / 5);
 }
 
+// Guards against requests that came while the process stood still and pay for
+// retries when it wakes.
+TEST(retry_share, requests_that_are_read_seconds_late_pay_for_nothing_recent)
+{
+    retry_bound const bound{0.2, seconds(10), 0};
+    retry_budget budget{.started = start - minutes(1)};
+    auto const now = start + seconds(6);
+    for (auto request = 0; request < 500; ++request)
+    {
+        note_request(budget, start + milliseconds(10 * request), now);
+    }
+    auto const state = state_of(budget, bound, known(8), now);
+    EXPECT_EQ(state.requests, 500U);
+    EXPECT_LT(state.left[0], 1);
+}
+
+// Guards against a request that arrived longer ago than any count is kept for,
+// and is counted as a new one.
+TEST(retry_share, a_request_from_before_all_counts_is_not_counted)
+{
+    retry_bound const bound{0.2, seconds(10), 0};
+    retry_budget budget{.started = start - minutes(10)};
+    note_request(budget, start - minutes(5), start);
+    EXPECT_EQ(state_of(budget, bound, known(8), start).requests, 0U);
+}
+
 } // namespace foxtailvale::direct
--- a/libs/direct/tests/retry_world.cpp
+++ b/libs/direct/tests/retry_world.cpp
@@ -39,14 +39,19 @@
         });
 }
 
-bool is_paused(world const& state, std::size_t entry, base::time_point now)
+void pause_processes(world& state, base::time_point now)
 {
-    return std::ranges::any_of(
-        state.pauses,
-        [&](planned_pause const& one)
+    for (auto& entry : state.entries)
+    {
+        entry.paused.reset();
+    }
+    for (auto const& pause : state.pauses)
+    {
+        if (pause.from <= now && now < pause.until)
         {
-            return one.entry == entry && one.from <= now && now < one.until;
-        });
+            state.entries[pause.entry].paused = pause.from;
+        }
+    }
 }
 
 bool has_unseen_attempts(world const& state, std::size_t entry)
@@ -87,6 +92,7 @@
 
 void run_processes(world& state, base::time_point now)
 {
+    pause_processes(state, now);
     stop_processes(state, now);
     for (auto const& kill : state.kills)
     {
@@ -249,7 +255,7 @@
     base::time_point sent,
     base::time_point now)
 {
-    note_request(state.entries[number].process->budget, sent);
+    note_request(state.entries[number].process->budget, sent, now);
     state.played.emplace_back();
     send_until_done(state, number, state.played.size() - 1, course, now);
 }
@@ -263,7 +269,7 @@
         state.unseen,
         [&](unseen_attempt const& one)
         {
-            if (one.given_up > now || is_paused(state, one.entry, now))
+            if (one.given_up > now || state.entries[one.entry].paused)
             {
                 return false;
             }
@@ -287,15 +293,14 @@
     }
 }
 
-// Whether callers use other entries instead.
-bool is_left(world const& state, std::size_t number, base::time_point now)
+// Whether callers have noticed that they must use other entries.
+bool is_avoided(world const& state, std::size_t number, base::time_point now)
 {
     auto const& entry = state.entries[number];
     auto const is_stopping = entry.process && entry.process->stopping &&
                              now >= *entry.process->stopping + leaving_time;
-    return entry.is_stopped || is_stopping ||
-           (is_paused(state, number, now) &&
-            is_paused(state, number, now - leaving_time));
+    auto const is_paused = entry.paused && now >= *entry.paused + leaving_time;
+    return entry.is_stopped || is_stopping || is_paused;
 }
 
 // Returns the entry that a caller chooses, were all of them in use.
@@ -320,8 +325,8 @@
 std::size_t choose_entry(world& state, base::time_point now)
 {
     auto chosen = choose_any_entry(state, now);
-    for (std::uint32_t tried = 0; tried < tries && is_left(state, chosen, now);
-         ++tried)
+    for (std::uint32_t tried = 0;
+         tried < tries && is_avoided(state, chosen, now); ++tried)
     {
         chosen = base::random_below(state.random, state.entries.size());
     }
@@ -335,7 +340,7 @@
     for (std::size_t number = 0; number < state.entries.size(); ++number)
     {
         auto& entry = state.entries[number];
-        if (entry.unread.empty() || is_paused(state, number, now))
+        if (entry.unread.empty() || entry.paused)
         {
             continue;
         }
@@ -365,7 +370,7 @@
     {
         state.requests.push_back(now);
         auto const entry = choose_entry(state, now);
-        if (is_paused(state, entry, now))
+        if (state.entries[entry].paused)
         {
             state.entries[entry].unread.push_back(now);
         }
@@ -439,10 +444,9 @@
     {
         run_processes(state, now);
         auto const known = known_processes(state, now);
-        for (std::size_t number = 0; number < state.entries.size(); ++number)
+        for (auto& entry : state.entries)
         {
-            auto& entry = state.entries[number];
-            if (entry.process && !is_paused(state, number, now))
+            if (entry.process && !entry.paused)
             {
                 tell_of_others(state, known, entry, now);
                 note_arrivals(*entry.process, now);
--- a/libs/direct/tests/retry_world_plan.hpp
+++ b/libs/direct/tests/retry_world_plan.hpp
@@ -46,6 +46,8 @@
     base::time_point starts;
     // It stopped as planned and has not started again: callers use others.
     bool is_stopped = false;
+    // Since when it stands still.
+    std::optional<base::time_point> paused;
     // When the requests were sent that wait until it runs again.
     std::vector<base::time_point> unread;
     std::optional<played_process> process;
--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -58,7 +58,8 @@
         return;
     }
     direct::note_request(
-        budget_of(*this->context, this->service_name), this->arrived);
+        budget_of(*this->context, this->service_name), this->arrived,
+        clock::now());
     this->context->counters.count(
         "foxtailvale_retry_budget_requests_total",
         {{"service", this->service_name}});
