Retries after an attempt that may still arrive have a small part of the budget

What callers see: a service gets more repeats than its retry budget allows where links stand still for seconds and callers move between entries.

Cause: an attempt that is given up while its link stands still arrives when it moves again, after its request's retry. The arrival beyond the first is then paid for by requests of a window before, at an entry that its callers have left, on top of what those callers' requests pay for elsewhere.

Change: such a retry is paid for by 0.04 of the ratio or the fixed number alone; over two windows of it fit beside the other shares. An attempt counts as held if the system has bytes of it that the endpoint's machine has not acknowledged (SIOCOUTQ), or if the endpoint is out of reach; one at an engine that takes requests and does not answer has arrived, and its retry is paid for as before. retry_settled names held attempts and what paid.

--- a/libs/direct/include/direct/retry_budget.hpp
+++ b/libs/direct/include/direct/retry_budget.hpp
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <deque>
 #include <optional>
+#include <string_view>
 
 // The budget from which all entries together send requests of one service once
 // more. Each entry spends a part of its own that needs no messages.
@@ -23,7 +24,7 @@
 // Failure: callers move from some entries to others. If requests back retries
 // for a whole window, those before the move back the retries of the first
 // entries and those after it the retries of the others in the same window, up
-// to twice what is allowed. A retry is therefore paid from one of three
+// to twice what is allowed. A retry is therefore paid from one of several
 // sources, and the sum over all entries of what each of them pays in any window
 // follows from requests of one and the same window, wherever the callers were.
 namespace foxtailvale::direct
@@ -44,6 +45,11 @@
     // Requests of the last second. In any window, those of all entries together
     // pay for a share of the requests in that window.
     recent_requests,
+    // The same with a smaller share, for retries whose request has an earlier
+    // attempt that may still arrive. The arrival beyond the first is then that
+    // attempt, up to max_hold after the retry, so that requests of two windows
+    // pay for the arrivals in one.
+    held_requests,
     // The least number of requests that this entry had in any window that ended
     // in the last one. Whenever a retry of a window is sent, the window that
     // ended as that one began is among them, so that all entries together pay
@@ -53,7 +59,19 @@
     fixed_number,
 };
 
-inline constexpr std::size_t retry_sources = 3;
+inline constexpr std::size_t retry_sources = 4;
+
+// Returns the name that logs use.
+std::string_view name_of(retry_source source);
+
+// What is known of a request's earlier attempts when a retry is asked for.
+enum class earlier_attempts : std::uint8_t
+{
+    // They have arrived, or never will.
+    settled,
+    // One was given up whose bytes the link or the endpoint holds.
+    held,
+};
 
 // Bytes that were written may reach the endpoint this much later, also after
 // the end of the process that wrote them.
@@ -66,6 +84,10 @@
 // the next window.
 inline constexpr std::chrono::milliseconds max_hold{10000};
 
+// Returns what is known of a request whose held attempts have arrived by a time
+// that may lie ahead. Every window allows for the last max_flight before that.
+earlier_attempts state_at(base::time_point held_until, base::time_point now);
+
 // Retries that one source has paid for. Failure: retries that were counted by
 // whole seconds dropped out of the count up to 1 s early, so that a window of
 // 10 s could hold twice the allowed number.
@@ -94,8 +116,9 @@
     std::array<std::uint32_t, max_slots> requests{};
     // The newest slot, counted from the clock's epoch.
     std::int64_t slot = 0;
-    // Number of recent requests that have not paid for a retry.
-    double unspent = 0;
+    // Number of recent requests that have not paid for a retry, for each source
+    // of which they are part.
+    std::array<double, retry_sources> unspent{};
     // By source.
     std::array<paid_retries, retry_sources> paid;
 };
@@ -141,6 +164,7 @@
     retry_budget& budget,
     retry_bound const& bound,
     entry_count const& count,
+    earlier_attempts earlier,
     base::time_point now);
 
 // Records that a granted retry has arrived by this time, which may lie ahead.
--- a/libs/direct/src/retry_budget.cpp
+++ b/libs/direct/src/retry_budget.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <numeric>
 
 namespace foxtailvale::direct
 {
@@ -9,12 +10,23 @@
 namespace
 {
 
-// Fractions of the ratio for which recent and steady requests pay. The rest
-// covers arrivals up to max_flight after the window in which they were paid
-// for, and the requests of the second before it.
+// Fractions of the ratio for which each source of requests pays. That of held
+// requests counts more than twice, as over two windows of them pay for arrivals
+// in one. The rest covers arrivals up to max_flight after the window in which
+// they were paid for, and the requests of the second before it.
 constexpr double recent_fraction = 0.7;
+constexpr double held_fraction = 0.04;
 constexpr double steady_fraction = 0.2;
 
+// In the order in which they are asked.
+constexpr std::array<retry_source, retry_sources> all_sources{
+    retry_source::recent_requests, retry_source::held_requests,
+    retry_source::steady_requests, retry_source::fixed_number};
+
+// Sources whose requests pay within a second or not at all.
+constexpr std::array recent_sources{
+    retry_source::recent_requests, retry_source::held_requests};
+
 constexpr std::int64_t slots_per_second =
     std::chrono::seconds(1) / retry_budget::slot_length;
 
@@ -72,21 +84,50 @@
     return least;
 }
 
-// Number of requests that pay for one retry while they are recent.
-double price_of(retry_bound const& bound)
+bool is_recent(retry_source source)
+{
+    return std::ranges::find(recent_sources, source) != recent_sources.end();
+}
+
+// Number of requests of a recent source that pay for one retry.
+double price_of(retry_bound const& bound, retry_source source)
 {
-    return bound.ratio > 0 ? 1 / (recent_fraction * bound.ratio)
+    auto const fraction =
+        source == retry_source::held_requests ? held_fraction : recent_fraction;
+    return bound.ratio > 0 ? 1 / (fraction * bound.ratio)
                            : std::numeric_limits<double>::infinity();
 }
 
+bool may_pay(retry_source source, earlier_attempts earlier)
+{
+    switch (source)
+    {
+    case retry_source::held_requests:
+        return earlier == earlier_attempts::held;
+    case retry_source::fixed_number:
+        return true;
+    default:
+        return earlier == earlier_attempts::settled;
+    }
+}
+
+template <typename Value>
+Value& value_of(std::array<Value, retry_sources>& values, retry_source source)
+{
+    return values[static_cast<std::size_t>(source)];
+}
+
 // Forgets unspent requests that are not recent any more, down to what pays for
 // one retry.
 void drop_old_requests(retry_budget& budget, retry_bound const& bound)
 {
     auto const recent =
         static_cast<double>(requests_in(budget, budget.slot, slots_per_second));
-    budget.unspent =
-        std::min(budget.unspent, std::max(recent, price_of(bound)));
+    for (auto const source : recent_sources)
+    {
+        auto& unspent = value_of(budget.unspent, source);
+        unspent = std::min(unspent, std::max(recent, price_of(bound, source)));
+    }
 }
 
 std::size_t spent_in_window(
@@ -115,24 +156,36 @@
                : bound.slack / static_cast<double>(sharers(count));
 }
 
-paid_retries& paid_by(retry_budget& budget, retry_source source)
+void end_way(retry_budget& budget, retry_source source)
 {
-    return budget.paid[static_cast<std::size_t>(source)];
+    auto& paid = value_of(budget.paid, source);
+    paid.on_the_way -= std::min<std::size_t>(1, paid.on_the_way);
 }
 
-double& left_of(retry_budget_state& state, retry_source source)
+} // namespace
+
+earlier_attempts state_at(base::time_point held_until, base::time_point now)
 {
-    return state.left[static_cast<std::size_t>(source)];
+    return held_until > now + max_flight ? earlier_attempts::held
+                                         : earlier_attempts::settled;
 }
 
-void end_way(retry_budget& budget, retry_source source)
+std::string_view name_of(retry_source source)
 {
-    auto& paid = paid_by(budget, source);
-    paid.on_the_way -= std::min<std::size_t>(1, paid.on_the_way);
+    switch (source)
+    {
+    case retry_source::recent_requests:
+        return "recent_requests";
+    case retry_source::held_requests:
+        return "held_requests";
+    case retry_source::steady_requests:
+        return "steady_requests";
+    case retry_source::fixed_number:
+        return "fixed_number";
+    }
+    return "unknown";
 }
 
-} // namespace
-
 void note_request(
     retry_budget& budget, base::time_point arrived, base::time_point now)
 {
@@ -147,7 +200,10 @@
     ++count_of(budget, slot);
     if (slot > budget.slot - slots_per_second)
     {
-        ++budget.unspent;
+        for (auto const source : recent_sources)
+        {
+            ++value_of(budget.unspent, source);
+        }
     }
 }
 
@@ -168,30 +224,30 @@
         {
             return static_cast<double>(spent_in_window(paid, bound, now));
         });
-    auto const spent_by = [&spent](retry_source source)
-    {
-        return spent[static_cast<std::size_t>(source)];
-    };
     auto const slack =
         assigned_fraction * part_of_slack(budget, bound, count, now);
 
     retry_budget_state found;
     found.requests = requests_in(budget, budget.slot, window);
     found.steady = steady_requests(budget, window);
-    found.spent = static_cast<std::size_t>(spent[0] + spent[1] + spent[2]);
+    found.spent = static_cast<std::size_t>(
+        std::accumulate(spent.begin(), spent.end(), 0.0));
     found.entries = sharers(count);
     found.allowed =
         assigned_fraction * bound.ratio * static_cast<double>(found.requests) +
         slack;
     found.running = std::chrono::duration_cast<std::chrono::milliseconds>(
         now - budget.started);
-    left_of(found, retry_source::recent_requests) =
-        budget.unspent / price_of(bound);
-    left_of(found, retry_source::steady_requests) =
+    for (auto const source : recent_sources)
+    {
+        value_of(found.left, source) =
+            value_of(budget.unspent, source) / price_of(bound, source);
+    }
+    value_of(found.left, retry_source::steady_requests) =
         steady_fraction * bound.ratio * static_cast<double>(found.steady) -
-        spent_by(retry_source::steady_requests);
-    left_of(found, retry_source::fixed_number) =
-        slack - spent_by(retry_source::fixed_number);
+        value_of(spent, retry_source::steady_requests);
+    value_of(found.left, retry_source::fixed_number) =
+        slack - value_of(spent, retry_source::fixed_number);
     return found;
 }
 
@@ -199,34 +255,35 @@
     retry_budget& budget,
     retry_bound const& bound,
     entry_count const& count,
+    earlier_attempts earlier,
     base::time_point now)
 {
-    auto const state = state_of(budget, bound, count, now);
+    auto state = state_of(budget, bound, count, now);
     auto const payer = std::ranges::find_if(
-        state.left,
-        [](double left)
+        all_sources,
+        [&](retry_source source)
         {
-            return left >= 1;
+            return may_pay(source, earlier) &&
+                   value_of(state.left, source) >= 1;
         });
     if (static_cast<double>(state.spent) + 1 > state.allowed ||
-        payer == state.left.end())
+        payer == all_sources.end())
     {
         return std::nullopt;
     }
-    auto const source = static_cast<retry_source>(payer - state.left.begin());
-    ++paid_by(budget, source).on_the_way;
-    if (source == retry_source::recent_requests)
+    ++value_of(budget.paid, *payer).on_the_way;
+    if (is_recent(*payer))
     {
-        budget.unspent -= price_of(bound);
+        value_of(budget.unspent, *payer) -= price_of(bound, *payer);
     }
-    return source;
+    return *payer;
 }
 
 void note_retry_arrived(
     retry_budget& budget, retry_source source, base::time_point by)
 {
     end_way(budget, source);
-    auto& arrived = paid_by(budget, source).arrived;
+    auto& arrived = value_of(budget.paid, source).arrived;
     arrived.insert(std::ranges::upper_bound(arrived, by), by);
 }
 
@@ -234,9 +291,9 @@
     retry_budget& budget, retry_bound const& bound, retry_source source)
 {
     end_way(budget, source);
-    if (source == retry_source::recent_requests)
+    if (is_recent(source))
     {
-        budget.unspent += price_of(bound);
+        value_of(budget.unspent, source) += price_of(bound, source);
     }
 }
 
--- a/libs/direct/tests/played_entries.cpp
+++ b/libs/direct/tests/played_entries.cpp
@@ -32,7 +32,8 @@
 bool send_retry(simulation const& state, simulated_entry& entry)
 {
     auto const granted = spend_retry(
-        entry.retries, retry_limit, known_entries(state), state.now);
+        entry.retries, retry_limit, known_entries(state),
+        earlier_attempts::settled, state.now);
     if (granted)
     {
         note_retry_arrived(entry.retries, *granted, state.now);
--- a/libs/direct/tests/retry_budget_tests.cpp
+++ b/libs/direct/tests/retry_budget_tests.cpp
@@ -29,7 +29,8 @@
     entry_count const& count,
     base::time_point now)
 {
-    auto const granted = spend_retry(budget, bound, count, now);
+    auto const granted =
+        spend_retry(budget, bound, count, earlier_attempts::settled, now);
     if (granted)
     {
         note_retry_arrived(budget, *granted, now);
@@ -127,12 +128,15 @@
 {
     retry_budget budget{.started = start - minutes(1)};
     retry_bound const bound{0, seconds(10), 10};
-    while (spend_retry(budget, bound, known(1), start))
+    while (
+        spend_retry(budget, bound, known(1), earlier_attempts::settled, start))
     {
     }
     return_retry(budget, bound, retry_source::fixed_number);
-    EXPECT_TRUE(spend_retry(budget, bound, known(1), start));
-    EXPECT_FALSE(spend_retry(budget, bound, known(1), start));
+    EXPECT_TRUE(
+        spend_retry(budget, bound, known(1), earlier_attempts::settled, start));
+    EXPECT_FALSE(
+        spend_retry(budget, bound, known(1), earlier_attempts::settled, start));
 }
 
 // Guards against a retry that drops out of the count while it is on the way.
@@ -140,11 +144,18 @@
 {
     retry_budget budget{.started = start - minutes(1)};
     retry_bound const bound{0, seconds(10), 2};
-    EXPECT_TRUE(spend_retry(budget, bound, known(1), start));
-    EXPECT_FALSE(spend_retry(budget, bound, known(1), start + seconds(15)));
+    EXPECT_TRUE(
+        spend_retry(budget, bound, known(1), earlier_attempts::settled, start));
+    EXPECT_FALSE(spend_retry(
+        budget, bound, known(1), earlier_attempts::settled,
+        start + seconds(15)));
     note_retry_arrived(budget, retry_source::fixed_number, start + seconds(15));
-    EXPECT_FALSE(spend_retry(budget, bound, known(1), start + seconds(24)));
-    EXPECT_TRUE(spend_retry(budget, bound, known(1), start + seconds(25)));
+    EXPECT_FALSE(spend_retry(
+        budget, bound, known(1), earlier_attempts::settled,
+        start + seconds(24)));
+    EXPECT_TRUE(spend_retry(
+        budget, bound, known(1), earlier_attempts::settled,
+        start + seconds(25)));
 }
 
 // Guards against an entry whose requests before a move of its callers and
@@ -214,6 +225,47 @@
     EXPECT_GE(retries, 400 * 0.2 / 5);
 }
 
+// Guards against retries whose requests have an earlier attempt that is held,
+// and which arrive with the retries of the next window.
+TEST(retry_share, held_attempts_have_a_small_share_of_their_own)
+{
+    retry_bound const bound{0.2, seconds(10), 0};
+    retry_budget budget{.started = start - minutes(1)};
+    auto held = 0;
+    auto settled = 0;
+    for (auto request = 0; request < 1000; ++request)
+    {
+        auto const now = start + milliseconds(10 * request);
+        note_request(budget, now, now);
+        auto const granted =
+            spend_retry(budget, bound, known(8), earlier_attempts::held, now);
+        if (granted)
+        {
+            EXPECT_EQ(*granted, retry_source::held_requests);
+            note_retry_arrived(budget, *granted, now + max_hold);
+            ++held;
+        }
+        settled += send_retry(budget, bound, known(8), now) ? 1 : 0;
+    }
+    EXPECT_GT(held, 0);
+    EXPECT_LE(held, 1000 * 0.2 / 20);
+    EXPECT_GE(settled, 1000 * 0.2 / 2);
+}
+
+// Guards against a request at a machine that stands still which is not sent to
+// another although the fixed number is unspent.
+TEST(retry_share, held_attempts_have_the_fixed_number)
+{
+    retry_bound const bound{0.2, seconds(10), 100};
+    retry_budget budget{.started = start - minutes(1)};
+    auto granted = 0;
+    while (spend_retry(budget, bound, known(8), earlier_attempts::held, start))
+    {
+        ++granted;
+    }
+    EXPECT_EQ(granted, 10);
+}
+
 // Guards against requests that came while the process stood still and pay for
 // retries when it wakes.
 TEST(retry_share, requests_that_are_read_seconds_late_pay_for_nothing_recent)
--- a/libs/direct/tests/retry_world.cpp
+++ b/libs/direct/tests/retry_world.cpp
@@ -212,7 +212,9 @@
         std::optional<retry_source> source;
         if (sent.sends > 0)
         {
-            source = spend_retry(process.budget, bound, process.count, now);
+            source = spend_retry(
+                process.budget, bound, process.count,
+                state_at(sent.held_until, now), now);
             if (!source)
             {
                 return;
@@ -232,8 +234,8 @@
         if (course.hangs && now >= state.fails_from)
         {
             state.unseen.push_back(
-                {number, process.started, now + attempt_limit, request,
-                 source});
+                {number, process.started, now + attempt_limit, request, source,
+                 true});
             return;
         }
         if (source)
@@ -285,6 +287,10 @@
         }
         auto& sent = state.played[one.request];
         sent.unseen_until = now + max_hold;
+        if (!one.has_arrived)
+        {
+            sent.held_until = sent.unseen_until;
+        }
         if (one.source)
         {
             note_retry_arrived(process->budget, *one.source, sent.unseen_until);
--- a/libs/direct/tests/retry_world_plan.hpp
+++ b/libs/direct/tests/retry_world_plan.hpp
@@ -108,13 +108,17 @@
     std::size_t request = 0;
     // What paid for it, if it is a retry.
     std::optional<retry_source> source;
+    // The endpoint has it although it does not answer.
+    bool has_arrived = false;
 };
 
 struct played_request
 {
     std::uint32_t sends = 0;
-    // By when those attempts have arrived that were given up without a sign.
+    // By when those attempts have arrived that were given up without a sign,
+    // and those of them that a link held.
     base::time_point unseen_until;
+    base::time_point held_until;
     std::vector<base::time_point> arrivals;
 };
 
--- a/libs/gateway/src/call.hpp
+++ b/libs/gateway/src/call.hpp
@@ -255,6 +255,9 @@
     bool spend_retry();
     // Records that the endpoint has the request, as it has answered.
     void note_retry_arrived(endpoint_attempt& running_attempt);
+    // Whether the link or the endpoint holds an attempt that is given up
+    // without any byte from there.
+    bool is_held(endpoint_attempt const& ended) const;
     // Settles the retry that the attempt used, if any.
     void end_retry(endpoint_attempt const& ended);
     // Gives back a retry that no attempt has used.
@@ -352,11 +355,13 @@
     std::optional<std::uint64_t> last_event;
     // A granted retry that no attempt has used.
     std::optional<granted_retry> held_retry;
-    // Number of attempts that were given up without any byte from the endpoint
-    // and may still arrive there.
+    // Number of attempts that were given up without any byte from the endpoint,
+    // and by when all of these have arrived, if at all.
     std::uint32_t unseen_sends = 0;
-    // By when all of these have arrived, if at all.
     base::time_point unseen_until;
+    // The same for those among them whose bytes the link or the endpoint held.
+    std::uint32_t held_sends = 0;
+    base::time_point held_until;
     // The retry budget when the request last asked for a retry.
     std::optional<direct::retry_budget_state> budget;
     std::uint64_t version = 0;
--- a/libs/gateway/src/call_retry.cpp
+++ b/libs/gateway/src/call_retry.cpp
@@ -85,7 +85,8 @@
     auto const& entries = this->context->entries;
     auto const now = clock::now();
     this->budget = direct::state_of(own, bound, entries, now);
-    auto const spent = direct::spend_retry(own, bound, entries, now);
+    auto const earlier = direct::state_at(this->held_until, now);
+    auto const spent = direct::spend_retry(own, bound, entries, earlier, now);
     this->note_budget(spent.has_value());
     if (spent)
     {
@@ -107,16 +108,35 @@
     }
 }
 
+bool call::is_held(endpoint_attempt const& ended) const
+{
+    if (ended.is_over)
+    {
+        return false;
+    }
+    auto const& known = this->context->book.endpoints;
+    auto const found = known.find(ended.endpoint);
+    // A program that stands still may read what its machine has acknowledged
+    // once it goes on.
+    return !ended.connection->is_all_acknowledged() || found == known.end() ||
+           direct::is_unreachable(found->second, clock::now());
+}
+
 void call::end_retry(endpoint_attempt const& ended)
 {
     auto const is_unseen = ended.dispatched && !ended.facts.head_seen;
     if (is_unseen)
     {
+        auto const now = clock::now();
         ++this->unseen_sends;
         this->unseen_until = std::max(
             this->unseen_until,
-            clock::now() +
-                (ended.is_over ? direct::max_flight : direct::max_hold));
+            now + (ended.is_over ? direct::max_flight : direct::max_hold));
+        if (this->is_held(ended))
+        {
+            ++this->held_sends;
+            this->held_until = this->unseen_until;
+        }
     }
     if (!ended.retry)
     {
@@ -171,6 +191,8 @@
          {"waited_ms", since(settled.granted, sent)},
          {"sent_ago_ms", was_sent ? since(sent, now) : -1},
          {"unseen_sends", this->unseen_sends},
+         {"held_sends", this->held_sends},
+         {"paid_by", direct::name_of(settled.source)},
          {"sends", this->sends},
          {"retries_spent", settled.budget.spent},
          {"retries_allowed", std::floor(settled.budget.allowed)},
--- a/libs/net/include/net/client_connection.hpp
+++ b/libs/net/include/net/client_connection.hpp
@@ -141,6 +141,11 @@
     // announced last; zero when it announced none.
     std::chrono::seconds announced_idle_limit() const;
 
+    // Whether the server's machine has acknowledged all bytes that this
+    // connection was given. False if that is unknown. Its program need not have
+    // read them.
+    bool is_all_acknowledged();
+
     // Whether the connection is established.
     bool is_open() const;
 
--- a/libs/net/src/client_connection.cpp
+++ b/libs/net/src/client_connection.cpp
@@ -6,6 +6,8 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 
 #include <charconv>
 
@@ -138,6 +140,14 @@
     return this->idle_limit;
 }
 
+bool client_connection::is_all_acknowledged()
+{
+    auto unacknowledged = 0;
+    auto const is_known =
+        ::ioctl(this->socket.native_handle(), SIOCOUTQ, &unacknowledged) == 0;
+    return is_known && unacknowledged == 0 && this->sent == this->output.size();
+}
+
 bool client_connection::is_open() const
 {
     return this->open && !this->closed;
--- a/libs/net/tests/exchange_tests.cpp
+++ b/libs/net/tests/exchange_tests.cpp
@@ -160,6 +160,23 @@
     tcp::socket socket;
 };
 
+// Whether a stalled server's machine has acknowledged a request with this body.
+bool is_acknowledged_by_stalled_server(std::string body)
+{
+    boost::asio::io_context loop;
+    stalled_server server(loop);
+    auto const connection =
+        std::make_shared<client_connection>(loop, server.address());
+    exchange_outcome found;
+    connection->start(
+        serialize(request{"POST", "/", {{"Host", "here"}}, std::move(body)}),
+        record_into(found));
+    loop.run_for(std::chrono::milliseconds(50));
+    auto const acknowledged = connection->is_all_acknowledged();
+    connection->close();
+    return acknowledged;
+}
+
 // Sends a request with this body to a stalled server, closes the connection
 // once the system has accepted all of it, and resumes the server.
 std::pair<std::string, boost::system::error_code>
@@ -436,4 +453,13 @@
     EXPECT_EQ(end, boost::asio::error::connection_reset);
 }
 
+// A request that a link holds must be told from one that has reached a server
+// which does not answer.
+TEST(exchange, a_request_that_the_system_holds_is_not_acknowledged)
+{
+    EXPECT_TRUE(is_acknowledged_by_stalled_server("x"));
+    constexpr std::size_t size = 40000;
+    EXPECT_FALSE(is_acknowledged_by_stalled_server(std::string(size, 'x')));
+}
+
 } // namespace foxtailvale::net
--- a/tools/tests/retries_tests.py
+++ b/tools/tests/retries_tests.py
@@ -15,16 +15,16 @@
 LIMITS = argparse.Namespace(ratio=0.2, slack=1, window=10)
 
 
-def retry(time, vm, backed, outcome="arrived", unseen_sends=0, start=1):
+def retry(time, vm, backed, outcome="arrived", held_sends=0, start=1):
     return retries.Retry(time, retries.Process(vm, start), {
-        "outcome": outcome, "unseen_sends": unseen_sends,
+        "outcome": outcome, "held_sends": held_sends,
         "retries_for_requests": backed})
 
 
 def settled(vm, sent_ago_ms, backed):
     return vm, {"name": "retry_settled", "service": "s",
                 "sent_ago_ms": sent_ago_ms, "outcome": "arrived",
-                "unseen_sends": 0, "retries_for_requests": backed}
+                "held_sends": 0, "retries_for_requests": backed}
 
 
 class Retries(unittest.TestCase):
