An answer whose connection closes within its head or body is no answer

Other operators saw clients that got a 200 with an empty or short body, framed as whole, when a worker stopped in the middle of its answer's head and closed. On the project's own interface it does happen: http::call(), and with it an agent's attempt at its endpoint, returned status 200 and an empty body for closes at the ends of lines and within the value of a field.

Cause: POCO's parser takes the end of input for the empty line after a head. A length that comes after the cut is lost, and an answer with neither a length nor chunks ends with its connection.

Change: reading the end of input throws on the client's sockets, except after a complete head that gives neither a length nor chunks. This replaces the check of a body's length, and a stream that ends before its last chunk is an error, too. One rule for all callers of the library, in place of a check at each.

--- a/libs/http/src/http_client.cpp
+++ b/libs/http/src/http_client.cpp
@@ -1,4 +1,5 @@
 #include "chunked_body.hpp"
+#include "message_socket.hpp"
 
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
@@ -35,7 +36,7 @@
 {
     Poco::Net::SocketAddress const address(
         call_request.base.substr(scheme.size()));
-    Poco::Net::StreamSocket socket;
+    auto socket = make_message_socket();
     socket.connect(address, timespan(call_request.timeout));
     socket.setNoDelay(true);
     socket.setReceiveTimeout(timespan(call_request.timeout));
@@ -74,15 +75,6 @@
     return head;
 }
 
-// Whether a body is shorter than its announced length. When the connection
-// breaks in the middle of a body, POCO ends the stream as if it were complete,
-// and a caller would get a truncated document.
-bool is_truncated(Poco::Net::HTTPResponse const& head, std::size_t read)
-{
-    return head.hasContentLength() &&
-           static_cast<std::size_t>(head.getContentLength()) != read;
-}
-
 std::string read_all(std::istream& body)
 {
     return {std::istreambuf_iterator<char>(body), {}};
@@ -113,17 +105,30 @@
 {
     Poco::Net::HTTPResponse answer;
     auto& body = session.receiveResponse(answer);
+    // POCO's parser goes on where the head was cut within its last line.
+    if (session.networkException() != nullptr)
+    {
+        session.networkException()->rethrow();
+    }
     auto const head = read_head(answer);
+    if (!answer.hasContentLength() && !answer.getChunkedTransferEncoding())
+    {
+        allow_end_of_input(session.socket());
+    }
     session.setKeepAlive(answer.getKeepAlive());
     if (head.content_type.starts_with("text/event-stream"))
     {
         relay_events(body, head, handle);
+        if (body.bad())
+        {
+            return base::fail(base::error_kind::endpoint_lost, "short stream");
+        }
         return head;
     }
     auto text = answer.getChunkedTransferEncoding()
                     ? read_chunks(session)
                     : std::optional(read_all(body));
-    if (!text || is_truncated(answer, text->size()))
+    if (!text)
     {
         return base::fail(base::error_kind::endpoint_lost, "short body");
     }
--- /dev/null
+++ b/libs/http/src/message_socket.hpp
@@ -0,0 +1,27 @@
+#ifndef FOXTAILVALE_HTTP_MESSAGE_SOCKET_HPP
+#define FOXTAILVALE_HTTP_MESSAGE_SOCKET_HPP
+
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/StreamSocket.h>
+
+// Sockets on which a message cannot end by accident. POCO takes the end of
+// input for the empty line after a head, for the end of a body with a length
+// and for the last chunk. A connection that closed within a message would pass
+// for a whole one: an answer with status 200 and an empty body, or a request
+// that is carried out with half of its body.
+namespace foxtailvale::http
+{
+
+// A peer closed its connection within a message.
+POCO_DECLARE_EXCEPTION(, cut_message, Poco::Net::NetException)
+
+// Opens a socket for one side of HTTP: reading the end of its input throws
+// cut_message until allow_end_of_input() is called.
+Poco::Net::StreamSocket make_message_socket();
+
+// For a body that ends with its connection.
+void allow_end_of_input(Poco::Net::StreamSocket& socket);
+
+} // namespace foxtailvale::http
+
+#endif
