A request whose connection closes or stalls within it is not carried out

Callers of the project's own interface could have a booking made with half of its request: where their connection closed within the head or body, or stalled for ten seconds, the entry went on with what had come, without the fields and the rest of the body. An operator's or stand-in's server did the same.

Cause: as for answers, POCO takes the end of input for the empty line after a head and for the end of a body, and read_body() took every end of its stream for the end of the body, a time-out included.

Change: the servers' connections, too, throw where their input ends within a message, and read_body() throws when it cannot read all of a body. answer_one(), which both servers use, answers 400 through the server's owner, so no handler has to check. A request with neither a length nor chunks has no body, in place of one that lasts until the connection ends.

The servers' tests end up to ten seconds late, before this change as well: POCO's dispatcher now and then misses its stop and waits for its idle time.

--- a/libs/http/include/http/http_server.hpp
+++ b/libs/http/include/http/http_server.hpp
@@ -27,8 +27,9 @@
 using server_handler = std::function<void(
     Poco::Net::HTTPServerRequest&, Poco::Net::HTTPServerResponse&)>;
 
-// Answers a request head that cannot be parsed; gets a description of the fault
-// and the caller's IP. The connection is closed afterwards.
+// Answers a request whose head cannot be parsed or that is cut; gets a
+// description of the fault and the caller's IP. The connection is closed
+// afterwards.
 using bad_head_handler = std::function<void(
     std::string const& what,
     std::string const& caller,
@@ -70,7 +71,10 @@
     std::unique_ptr<Poco::Net::TCPServer> listener;
 };
 
-// Reads a request's body; returns false when it is longer than the limit.
+// Reads a request's body; returns false when it is longer than the limit. A
+// request with neither a length nor chunks has none. Throws cut_message when
+// the connection ends or stalls within the body: the server then answers the
+// request as a bad one, and its handler must not.
 bool read_body(
     Poco::Net::HTTPServerRequest& request,
     std::uint64_t max_bytes,
--- a/libs/http/src/connection.cpp
+++ b/libs/http/src/connection.cpp
@@ -2,7 +2,6 @@
 
 #include "exchange.hpp"
 
-#include <Poco/Net/HTTPServerSession.h>
 #include <Poco/Net/NetException.h>
 
 #include <algorithm>
@@ -13,8 +12,6 @@
 namespace
 {
 
-using Poco::Net::HTTPServerSession;
-
 // Ignores errors, since a socket that its peer has closed cannot be shut down
 // again.
 void shutdown_quietly(Poco::Net::StreamSocket& socket, bool both_ways)
@@ -137,7 +134,7 @@
 void connection::run()
 {
     auto params = this->shared->params;
-    HTTPServerSession session(this->socket(), params);
+    server_session session(this->socket(), params);
     exchange_context const exchange{
         this->shared->handler, this->shared->bad_head, params,
         [this]
--- a/libs/http/src/exchange.cpp
+++ b/libs/http/src/exchange.cpp
@@ -1,5 +1,7 @@
 #include "exchange.hpp"
 
+#include "message_socket.hpp"
+
 #include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/Net/HTTPServerResponseImpl.h>
 #include <Poco/Net/HTTPServerSession.h>
@@ -22,7 +24,7 @@
 constexpr std::size_t piece_bytes = 16 * 1024;
 constexpr std::chrono::milliseconds max_linger{1000};
 
-void answer_bad_head(
+void answer_bad_request(
     HTTPServerSession& session,
     Poco::Net::StreamSocket const& socket,
     exchange_context const& context,
@@ -42,13 +44,38 @@
     send_text(response, 400, "text/plain", what + "\n");
 }
 
+// Whether the caller closed the connection within the request. POCO reports it
+// by exceptions of its own.
+bool is_cut(server_session const& session)
+{
+    return dynamic_cast<cut_message const*>(session.networkException()) !=
+           nullptr;
+}
+
+// Whether a request begins before the caller closes the connection.
+bool has_input(server_session& session)
+{
+    try
+    {
+        return session.peek() >= 0;
+    }
+    catch (cut_message const&)
+    {
+        return false;
+    }
+}
+
 } // namespace
 
 bool answer_one(
-    HTTPServerSession& session,
+    server_session& session,
     Poco::Net::StreamSocket const& socket,
     exchange_context const& context)
 {
+    if (!has_input(session))
+    {
+        return false;
+    }
     HTTPServerResponseImpl response(session);
     std::unique_ptr<HTTPServerRequestImpl> request;
     auto params = context.params;
@@ -56,14 +83,25 @@
     {
         request = std::make_unique<HTTPServerRequestImpl>(
             response, session, params.get());
+        // POCO's parser goes on where the head was cut within its last line.
+        if (session.networkException() != nullptr)
+        {
+            session.networkException()->rethrow();
+        }
     }
-    catch (Poco::Net::NoMessageException const&)
+    catch (Poco::Net::MessageException const& fault)
     {
+        answer_bad_request(session, socket, context, fault.message());
         return false;
     }
-    catch (Poco::Net::MessageException const& fault)
+    catch (Poco::Net::NetException const&)
     {
-        answer_bad_head(session, socket, context, fault.message());
+        if (!is_cut(session))
+        {
+            throw;
+        }
+        answer_bad_request(
+            session, socket, context, session.networkException()->message());
         return false;
     }
     response.setDate(Poco::Timestamp());
@@ -75,7 +113,18 @@
     {
         response.sendContinue();
     }
-    context.handler(*request, response);
+    try
+    {
+        context.handler(*request, response);
+    }
+    catch (cut_message const& fault)
+    {
+        if (!response.sent())
+        {
+            answer_bad_request(session, socket, context, fault.message());
+        }
+        return false;
+    }
     session.setKeepAlive(response.getKeepAlive() && session.canKeepAlive());
     return session.getKeepAlive();
 }
--- a/libs/http/src/exchange.hpp
+++ b/libs/http/src/exchange.hpp
@@ -2,18 +2,22 @@
 #define FOXTAILVALE_HTTP_EXCHANGE_HPP
 
 #include <Poco/Net/HTTPServerParams.h>
+#include <Poco/Net/HTTPServerSession.h>
 #include <Poco/Net/StreamSocket.h>
 #include <http/http_server.hpp>
 
 #include <functional>
 
-namespace Poco::Net
+namespace foxtailvale::http
 {
-class HTTPServerSession;
-}
 
-namespace foxtailvale::http
+// A session that shows whether its input has begun.
+class server_session : public Poco::Net::HTTPServerSession
 {
+public:
+    using HTTPServerSession::HTTPServerSession;
+    using HTTPServerSession::peek;
+};
 
 // What a server provides for reading and answering one request.
 struct exchange_context
@@ -27,9 +31,10 @@
 
 // Reads one request and answers it; returns false when the connection ends.
 // POCO's own connection class answers an unreadable head with an empty page,
-// which nothing counts; this function passes it to the server's owner.
+// which nothing counts; this function passes it to the server's owner, and
+// likewise a request that the caller cut.
 bool answer_one(
-    Poco::Net::HTTPServerSession& session,
+    server_session& session,
     Poco::Net::StreamSocket const& socket,
     exchange_context const& context);
 
--- a/libs/http/src/http_server.cpp
+++ b/libs/http/src/http_server.cpp
@@ -1,4 +1,5 @@
 #include "connection.hpp"
+#include "message_socket.hpp"
 
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketAddress.h>
@@ -30,7 +31,7 @@
     Poco::Net::SocketAddress const address(options.address, options.port);
     try
     {
-        return {address, max_queued_connections};
+        return message_server_socket(address, max_queued_connections);
     }
     catch (Poco::Exception const& fault)
     {
@@ -87,10 +88,16 @@
 {
     constexpr std::size_t piece_bytes = 16 * 1024;
     std::array<char, piece_bytes> piece{};
+    auto const has_body =
+        request.hasContentLength() || request.getChunkedTransferEncoding();
     auto& stream = request.stream();
-    while (stream)
+    while (has_body && stream)
     {
         stream.read(piece.data(), piece.size());
+        if (stream.bad())
+        {
+            throw cut_message("request body is not complete");
+        }
         body.append(piece.data(), static_cast<std::size_t>(stream.gcount()));
         if (body.size() > max_bytes)
         {
--- a/libs/http/src/message_socket.cpp
+++ b/libs/http/src/message_socket.cpp
@@ -1,7 +1,10 @@
 #include "message_socket.hpp"
 
+#include <Poco/Net/ServerSocketImpl.h>
 #include <Poco/Net/StreamSocketImpl.h>
+#include <sys/socket.h>
 
+#include <cerrno>
 #include <typeinfo>
 
 namespace foxtailvale::http
@@ -33,6 +36,30 @@
     bool may_end = false;
 };
 
+class message_server_socket_impl : public Poco::Net::ServerSocketImpl
+{
+public:
+    // POCO's own makes sockets of its own kind.
+    Poco::Net::SocketImpl*
+    acceptConnection(Poco::Net::SocketAddress& peer) override
+    {
+        sockaddr_storage address{};
+        auto* const generic = reinterpret_cast<sockaddr*>(&address);
+        socklen_t length = sizeof address;
+        auto accepted = ::accept(this->sockfd(), generic, &length);
+        while (accepted < 0 && errno == EINTR)
+        {
+            accepted = ::accept(this->sockfd(), generic, &length);
+        }
+        if (accepted < 0)
+        {
+            error();
+        }
+        peer = Poco::Net::SocketAddress(generic, length);
+        return new message_socket_impl(accepted);
+    }
+};
+
 } // namespace
 
 Poco::Net::StreamSocket make_message_socket()
@@ -48,4 +75,12 @@
     }
 }
 
+message_server_socket::message_server_socket(
+    Poco::Net::SocketAddress const& address, int backlog)
+    : ServerSocket(new message_server_socket_impl, true)
+{
+    this->bind(address, true);
+    this->listen(backlog);
+}
+
 } // namespace foxtailvale::http
--- a/libs/http/src/message_socket.hpp
+++ b/libs/http/src/message_socket.hpp
@@ -2,6 +2,8 @@
 #define FOXTAILVALE_HTTP_MESSAGE_SOCKET_HPP
 
 #include <Poco/Net/NetException.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocket.h>
 
 // Sockets on which a message cannot end by accident. POCO takes the end of
@@ -22,6 +24,14 @@
 // For a body that ends with its connection.
 void allow_end_of_input(Poco::Net::StreamSocket& socket);
 
+// A listening socket whose connections are message sockets.
+class message_server_socket : public Poco::Net::ServerSocket
+{
+public:
+    // Throws Poco::Exception when it cannot listen at the address.
+    message_server_socket(Poco::Net::SocketAddress const& address, int backlog);
+};
+
 } // namespace foxtailvale::http
 
 #endif
--- a/libs/http/src/parking_server.cpp
+++ b/libs/http/src/parking_server.cpp
@@ -1,8 +1,8 @@
 #include "exchange.hpp"
+#include "message_socket.hpp"
 
 #include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/Net/HTTPServerResponseImpl.h>
-#include <Poco/Net/HTTPServerSession.h>
 #include <Poco/Net/SocketAddress.h>
 #include <http/parking_server.hpp>
 #include <sys/socket.h>
@@ -59,7 +59,7 @@
     parked_connection& operator=(parked_connection const&) = delete;
 
     Poco::Net::StreamSocket socket;
-    Poco::Net::HTTPServerSession session;
+    server_session session;
     steady::time_point parked_at;
 
 private:
@@ -73,7 +73,8 @@
     : options(how), handler(std::move(answer)),
       bad_head(std::move(on_bad_head)),
       parameters(make_parameters(how.stall_limit)),
-      listener(Poco::Net::SocketAddress(how.address, how.port), listen_backlog)
+      listener(message_server_socket(
+          Poco::Net::SocketAddress(how.address, how.port), listen_backlog))
 {
     this->listener.setBlocking(false);
     this->polled.add(this->listener, Poco::Net::PollSet::POLL_READ);
--- a/libs/node/src/caller_server.cpp
+++ b/libs/node/src/caller_server.cpp
@@ -259,7 +259,7 @@
         {
             this->refuse(
                 response,
-                {base::error_kind::malformed_request, "HTTP head: " + what},
+                {base::error_kind::malformed_request, "HTTP request: " + what},
                 caller);
         });
 }
--- a/libs/node/tests/caller_server_tests.cpp
+++ b/libs/node/tests/caller_server_tests.cpp
@@ -87,6 +87,7 @@
         {
             return;
         }
+        ++this->requests;
         if (request->service == "slow")
         {
             this->deliver(request->caller, "data: one\n\n", false);
@@ -120,13 +121,18 @@
         return made;
     }
 
-    // Sends raw bytes and reads until the server closes the connection.
-    std::string exchange(std::string const& bytes) const
+    // Sends raw bytes and reads until the server closes the connection. A
+    // caller that has finished sends nothing after them.
+    std::string exchange(std::string const& bytes, bool finished = false) const
     {
         Poco::Net::StreamSocket socket(
             Poco::Net::SocketAddress(testing::own_address(), port));
         socket.setReceiveTimeout(Poco::Timespan(5, 0));
         socket.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+        if (finished)
+        {
+            socket.shutdownSend();
+        }
         std::string text;
         std::array<char, 1024> piece{};
         while (true)
@@ -161,6 +167,8 @@
     // The caller whose response was started and not finished.
     std::atomic<entry_core::caller_handle> held{0};
     std::vector<base::error_kind> faults;
+    // Requests that reached the core.
+    std::atomic<std::size_t> requests{0};
     caller_server server;
     std::thread runner;
 };
@@ -228,6 +236,31 @@
     EXPECT_EQ(this->faults.size(), heads.size());
 }
 
+// Guards against a booking that is made with half of its request: the caller's
+// connection ended within the head or body.
+TEST_F(served, a_request_that_is_cut_does_not_reach_the_core)
+{
+    std::string const head =
+        "POST /services/booking/visits HTTP/1.1\r\nHost: entry\r\n"
+        "X-Workspace: split\r\n";
+    std::vector<std::string> const samples{
+        head + "Content-Length: 5\r\n\r\nvisit",
+        head + "Transfer-Encoding: chunked\r\n\r\n5\r\nvisit\r\n0\r\n\r\n"};
+    for (auto const& sample : samples)
+    {
+        for (std::size_t size = 1; size < sample.size(); ++size)
+        {
+            auto const text = this->exchange(sample.substr(0, size), true);
+            EXPECT_TRUE(text.starts_with("HTTP/1.1 400")) << size << text;
+            EXPECT_NE(text.find("\"ran\":\"no\""), std::string::npos) << text;
+        }
+    }
+    EXPECT_EQ(this->requests, 0U);
+    auto const whole = this->exchange(samples.front(), true);
+    EXPECT_TRUE(whole.starts_with("HTTP/1.1 200")) << whole;
+    EXPECT_EQ(this->requests, 1U);
+}
+
 // An entry is stopped while a caller reads a long response. The connection must
 // stay open until the last byte is written; new connections are no longer
 // accepted.
