A version is kept while its staged chunks are verified

Cause: an agent drops the oldest of four versions, which may be the one whose staged chunks it reads back before the order. The next read looked for the digests in an entry that the look itself had made, without a manifest.

Change: a version that is being verified is spared, as one with an unanswered order is.

--- a/libs/gateway/src/agent.cpp
+++ b/libs/gateway/src/agent.cpp
@@ -391,13 +391,14 @@
     // The version before the newest may still be needed by slower agents.
     constexpr std::size_t max_held = 3;
     auto& held = this->context->versions;
-    // A version that an unanswered order may still load is kept in addition.
-    // Failure: after several announcements in a row it was dropped, and other
-    // chunks were staged over those that the order was for.
+    // A version that the engine is being switched to is kept in addition.
+    // Failure: after several announcements in a row it was dropped. Other
+    // chunks were staged over those that an unanswered order was for, and the
+    // process ended when it looked for the digests of those it verified.
     auto excess = held.size() - std::min(held.size(), max_held);
     for (auto oldest = held.begin(); excess > 0; --excess)
     {
-        oldest = this->switcher->may_still_load(oldest->first)
+        oldest = this->switcher->is_in_use(oldest->first)
                      ? std::next(oldest)
                      : held.erase(oldest);
     }
--- a/libs/gateway/src/engine_switch.cpp
+++ b/libs/gateway/src/engine_switch.cpp
@@ -52,9 +52,10 @@
            held != state.versions.end() && held->second.manifest;
 }
 
-bool engine_switch::may_still_load(std::uint64_t version) const
+bool engine_switch::is_in_use(std::uint64_t version) const
 {
-    return this->staged_version == version && this->has_unanswered_order();
+    return this->staged_version == version &&
+           (this->verification || this->has_unanswered_order());
 }
 
 bool engine_switch::has_recovered(std::uint64_t version) const
--- a/libs/gateway/src/engine_switch.hpp
+++ b/libs/gateway/src/engine_switch.hpp
@@ -35,9 +35,9 @@
     // start.
     bool has_recovered(std::uint64_t version) const;
 
-    // Whether an order that has not been answered may still load the version's
-    // chunks.
-    bool may_still_load(std::uint64_t version) const;
+    // Whether the version must be kept: its staged chunks are being verified, or
+    // an order that has not been answered may still load them.
+    bool is_in_use(std::uint64_t version) const;
 
     // Called before an order is sent.
     std::function<void()> on_order;
