A manifest whose chunks do not match it is asked of the origin again

Cause: one digit of one digest had arrived wrong. A manifest that can be parsed was kept for good and handed on to the domain's other agents; its chunk was fetched and refused again and again, which counted against the chunk's source.

Change: a chunk that arrives twice and does not match raises a doubt in the manifest (log event 1317). The origin is asked for it again, never another agent. Another manifest replaces it, and chunks that match both stay.

--- a/libs/gateway/src/agent_context.hpp
+++ b/libs/gateway/src/agent_context.hpp
@@ -34,6 +34,9 @@
     // Source of the last manifest request: "origin" or a peer's address.
     std::string manifest_source;
     base::time_point next_manifest_try;
+    // How often each chunk has arrived and did not match the manifest, since
+    // the manifest was last received.
+    std::map<std::uint32_t, std::uint32_t> refused_chunks;
     // When this agent first needed the version.
     std::optional<base::time_point> wanted_since;
     // When the last missing chunk arrived.
--- a/libs/gateway/src/version_fetch.cpp
+++ b/libs/gateway/src/version_fetch.cpp
@@ -141,10 +141,28 @@
     {
         return;
     }
-    held.manifest_pending = true;
-    held.manifest_source = source->empty() ? "origin" : *source;
     auto const from_origin = source->empty();
-    auto const address = from_origin ? state.origin : *source;
+    this->request_manifest(
+        version, from_origin ? state.origin : *source, from_origin);
+}
+
+void version_fetch::refetch_manifest(std::uint64_t version)
+{
+    auto& state = *this->context;
+    auto const& held = state.versions[version];
+    if (!held.manifest_pending && clock::now() >= held.next_manifest_try)
+    {
+        this->request_manifest(version, state.origin, true);
+    }
+}
+
+void version_fetch::request_manifest(
+    std::uint64_t version, std::string const& address, bool from_origin)
+{
+    auto& state = *this->context;
+    auto& held = state.versions[version];
+    held.manifest_pending = true;
+    held.manifest_source = from_origin ? "origin" : address;
     auto const request = from_origin
                              ? platform::manifest_request(state.model, version)
                              : peer_manifest_request(state.model, version);
@@ -185,7 +203,8 @@
                      : base::fail(base::error_kind::origin_unavailable);
     auto const matches = read.has_value() && read.value().version == version &&
                          read.value().model == state.model;
-    if (!matches || held.manifest)
+    held.refused_chunks.clear();
+    if (!matches || held.manifest == read.value())
     {
         ++held.manifest_tries;
         held.next_manifest_try = clock::now() + manifest_retry_delay;
@@ -197,7 +216,14 @@
          {"chunks", read.value().digests.size()},
          {"from", held.manifest_source},
          {"tries", held.manifest_tries}});
+    while (!held.transfer.pending.empty())
+    {
+        weights::withdraw(
+            held.transfer, state.sources, held.transfer.pending.begin()->first);
+    }
+    auto const former = std::move(held.transfer);
     weights::begin(held.transfer, read.value().digests, clock::now());
+    weights::reuse(held.transfer, former);
     held.last_progress = clock::now();
     for (auto const& [other, earlier] : state.versions)
     {
@@ -478,9 +504,7 @@
         held.transfer, state.sources, index, std::move(bytes), clock::now());
     if (!good)
     {
-        kernel::log_event(
-            kernel::event_id::chunk_refused,
-            {{"version", version}, {"chunk", index}});
+        this->on_chunk_refused(version, index);
     }
     else
     {
@@ -494,4 +518,27 @@
     this->on_progress();
 }
 
+void version_fetch::on_chunk_refused(std::uint64_t version, std::uint32_t index)
+{
+    // Any chunk may arrive corrupt once.
+    constexpr std::uint32_t max_refusals = 2;
+    auto& held = this->context->versions[version];
+    kernel::log_event(
+        kernel::event_id::chunk_refused,
+        {{"version", version}, {"chunk", index}});
+    auto const& chunks = held.transfer.chunks;
+    if (index >= chunks.size() || chunks[index])
+    {
+        return;
+    }
+    auto const refusals = ++held.refused_chunks[index];
+    if (refusals >= max_refusals)
+    {
+        kernel::log_event(
+            kernel::event_id::manifest_doubted,
+            {{"version", version}, {"chunk", index}, {"refusals", refusals}});
+        this->refetch_manifest(version);
+    }
+}
+
 } // namespace foxtailvale::gateway
--- a/libs/gateway/src/version_fetch.hpp
+++ b/libs/gateway/src/version_fetch.hpp
@@ -33,6 +33,14 @@
     std::optional<std::string>
     manifest_source(held_version& held, std::uint64_t version) const;
     void fetch_manifest(std::uint64_t version);
+    // Asks the origin for the manifest of a version again whose chunks do not
+    // match it. Failure: one digest of a manifest had arrived corrupt; its
+    // chunk was fetched and refused for ever, by all agents that had the
+    // manifest from this one.
+    void refetch_manifest(std::uint64_t version);
+    // Requests the manifest from the origin or from the peer at the address.
+    void request_manifest(
+        std::uint64_t version, std::string const& address, bool from_origin);
     void
     on_manifest(std::uint64_t version, std::optional<std::string> const& body);
     void request_chunks(std::uint64_t version);
@@ -62,6 +70,7 @@
     void on_chunk_failed(ready_chunk const& asked, unsigned status);
     void
     on_chunk(std::uint64_t version, std::uint32_t index, std::string bytes);
+    void on_chunk_refused(std::uint64_t version, std::uint32_t index);
 
     // Withdraws the request and returns true when the chunk has already arrived
     // from another source.
--- a/libs/kernel/include/kernel/events.hpp
+++ b/libs/kernel/include/kernel/events.hpp
@@ -54,6 +54,7 @@
     engine_order_accepted = 1314,
     fetcher_silent = 1315,
     staged_reads_outdated = 1316,
+    manifest_doubted = 1317,
     request_refused = 1401,
     request_retried = 1402,
     request_failed = 1403,
--- a/libs/kernel/src/events.cpp
+++ b/libs/kernel/src/events.cpp
@@ -55,6 +55,7 @@
     event_row{event_id::engine_order_accepted, "engine_order_accepted"},
     event_row{event_id::fetcher_silent, "fetcher_silent"},
     event_row{event_id::staged_reads_outdated, "staged_reads_outdated"},
+    event_row{event_id::manifest_doubted, "manifest_doubted"},
     event_row{event_id::request_refused, "request_refused"},
     event_row{event_id::request_retried, "request_retried"},
     event_row{event_id::request_failed, "request_failed"},
