A complete later version is taken when the chosen one does not come

Cause: choose_target() begins with the first newer version, which the origin had dropped (410), and goes on to a later one only if that comes before the one in use has expired. choose_fallback_target() looked below the chosen one only, and waited without a limit for a version of which few chunks were missing.

Change: the newest complete version after the one in use is taken when the chosen one will not come in time, or still misses chunks 1.5 s after the expiry.

--- a/libs/weights/src/switch_time.cpp
+++ b/libs/weights/src/switch_time.cpp
@@ -144,17 +144,19 @@
     {
         return chosen;
     }
-    auto const remaining =
-        chunk_interval * static_cast<int>(chunks_to_come(chosen));
-    if (remaining < switch_cost ||
-        now + remaining <= first_newer->named + context.bound)
+    auto const missing = chunks_to_come(chosen);
+    auto const remaining = chunk_interval * static_cast<int>(missing);
+    auto const expiry = first_newer->named + context.bound;
+    // Chunks that are still missing then may never arrive.
+    auto const is_overdue = missing > 0 && now > expiry + switch_cost;
+    if (!is_overdue && (remaining < switch_cost || now + remaining <= expiry))
     {
         return chosen;
     }
     auto best = chosen;
     for (auto const& target : context.targets)
     {
-        if (target.version > context.serving && target.version < chosen &&
+        if (target.version > context.serving &&
             chunks_to_come(target.version) == 0)
         {
             best = target.version;
--- a/libs/weights/tests/switch_time_tests.cpp
+++ b/libs/weights/tests/switch_time_tests.cpp
@@ -270,6 +270,30 @@
     EXPECT_EQ(choose_fallback_target(context, 3, none, start + seconds(6)), 3U);
 }
 
+// Guards against engines that wait for ever for a version that the origin has
+// dropped, with a later one complete beside them.
+TEST(
+    switch_time, a_version_that_does_not_come_gives_way_to_a_complete_later_one)
+{
+    std::vector<announced_target> const named{
+        {2, start}, {3, start + seconds(3)}, {4, start + seconds(6)}};
+    switch_context const context{1, named, bound, 0, 4, arrival, {}};
+    for (std::size_t const missing : {1UL, 5UL, 64UL})
+    {
+        auto const only_last_complete =
+            [missing](std::uint64_t version) -> std::size_t
+        {
+            return version == 4 ? 0 : missing;
+        };
+        EXPECT_EQ(
+            choose_fallback_target(
+                context, 2, only_last_complete,
+                start + bound + milliseconds(1600)),
+            4U)
+            << missing;
+    }
+}
+
 // If all engines of a failure domain left a version before the last of them had
 // the newer one, streams cut off by a fault could not continue, and callers
 // would find no engine.
