--- a/libs/gateway/src/engine_switch.cpp
+++ b/libs/gateway/src/engine_switch.cpp
@@ -383,9 +383,14 @@
 void engine_switch::on_order_answered(std::optional<fetched> const& response)
 {
     this->ordering = false;
+    auto fields = this->order_fields();
+    fields["status"] = response ? response->status : 0;
+    fields["written"] = this->order_written;
     if (!this->order_written)
     {
         this->context->switching = false;
+        kernel::log_event(
+            kernel::event_id::engine_order_failed, std::move(fields));
         return;
     }
     this->discard_verification();
@@ -395,8 +400,6 @@
                                  : platform::order_answer::conflict;
     auto const accepted = answer == platform::order_answer::begun ||
                           answer == platform::order_answer::in_effect;
-    auto fields = this->order_fields();
-    fields["status"] = response ? response->status : 0;
     if (!accepted)
     {
         fields["answer"] = response ? response->body : "";
