A kept connection does not allow the next answer to end within its head

An answer without a body, as a 204, on a connection that is kept left the permission to end with the connection in place. The next answer on it could end within its head and count as whole with an empty body, as any could before the permission existed.

Change: the permission is set for each answer anew.

--- a/libs/http/src/http_client.cpp
+++ b/libs/http/src/http_client.cpp
@@ -104,6 +104,7 @@
 read_answer(client_session& session, piece_handler const& handle)
 {
     Poco::Net::HTTPResponse answer;
+    allow_end_of_input(session.socket(), false);
     auto& body = session.receiveResponse(answer);
     // POCO's parser goes on where the head was cut within its last line.
     if (session.networkException() != nullptr)
@@ -111,10 +112,9 @@
         session.networkException()->rethrow();
     }
     auto const head = read_head(answer);
-    if (!answer.hasContentLength() && !answer.getChunkedTransferEncoding())
-    {
-        allow_end_of_input(session.socket());
-    }
+    auto const has_end =
+        answer.hasContentLength() || answer.getChunkedTransferEncoding();
+    allow_end_of_input(session.socket(), !has_end);
     session.setKeepAlive(answer.getKeepAlive());
     if (head.content_type.starts_with("text/event-stream"))
     {
--- a/libs/http/src/message_socket.hpp
+++ b/libs/http/src/message_socket.hpp
@@ -17,12 +17,12 @@
 // A peer closed its connection within a message.
 POCO_DECLARE_EXCEPTION(, cut_message, Poco::Net::NetException)
 
-// Opens a socket for one side of HTTP: reading the end of its input throws
-// cut_message until allow_end_of_input() is called.
+// Makes a socket for one side of HTTP: reading the end of its input throws
+// cut_message while that is not allowed, as at first.
 Poco::Net::StreamSocket make_message_socket();
 
-// For a body that ends with its connection.
-void allow_end_of_input(Poco::Net::StreamSocket& socket);
+// Sets whether the input may end, for a body that ends with its connection.
+void allow_end_of_input(Poco::Net::StreamSocket& socket, bool allowed);
 
 // A listening socket whose connections are message sockets.
 class message_server_socket : public Poco::Net::ServerSocket
--- a/libs/http/tests/cut_answer_tests.cpp
+++ b/libs/http/tests/cut_answer_tests.cpp
@@ -143,6 +143,48 @@
     expect_cut_answers_to_fail(stream_in_chunks);
 }
 
+// Guards against the same on a connection that carried an answer without a body
+// before.
+TEST(cut_answer, one_after_an_answer_without_a_body_fails)
+{
+    Poco::Net::ServerSocket listener(
+        Poco::Net::SocketAddress(testing::own_address(), 0));
+    auto const answer =
+        [](Poco::Net::StreamSocket& socket, std::string const& bytes)
+    {
+        char piece[1024];
+        socket.receiveBytes(piece, sizeof piece);
+        socket.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+    };
+    std::thread server(
+        [&]
+        {
+            {
+                auto socket = listener.acceptConnection();
+                answer(socket, answer_without_body.bytes());
+                answer(socket, "HTTP/1.1 200 OK\r\nContent-Type: te");
+            }
+            if (listener.poll(
+                    Poco::Timespan(2, 0), Poco::Net::Socket::SELECT_READ))
+            {
+                auto socket = listener.acceptConnection();
+                answer(socket, answer_with_length.bytes());
+            }
+        });
+    request call_request;
+    call_request.base = "http://" + listener.address().toString();
+    call_request.path = "/";
+    call_request.timeout = std::chrono::seconds(5);
+    call_request.idle_pool = make_idle_connection_pool();
+    auto const first = call(call_request);
+    auto const second = call(call_request);
+    server.join();
+    ASSERT_TRUE(first);
+    EXPECT_EQ(first.value().status, 204U);
+    ASSERT_TRUE(second);
+    EXPECT_EQ(second.value().body, answer_with_length.body);
+}
+
 // The end of the connection is the end of such a body, but not of a head.
 TEST(cut_answer, one_without_a_length_fails_in_its_head_or_when_it_is_reset)
 {
