--- a/libs/gateway/src/agent.cpp
+++ b/libs/gateway/src/agent.cpp
@@ -398,9 +398,8 @@
     auto excess = held.size() - std::min(held.size(), max_held);
     for (auto oldest = held.begin(); excess > 0; --excess)
     {
-        oldest = this->switcher->is_in_use(oldest->first)
-                     ? std::next(oldest)
-                     : held.erase(oldest);
+        oldest = this->switcher->is_in_use(oldest->first) ? std::next(oldest)
+                                                          : held.erase(oldest);
     }
 }
 
--- a/libs/gateway/src/engine_switch.hpp
+++ b/libs/gateway/src/engine_switch.hpp
@@ -35,8 +35,8 @@
     // start.
     bool has_recovered(std::uint64_t version) const;
 
-    // Whether the version must be kept: its staged chunks are being verified, or
-    // an order that has not been answered may still load them.
+    // Whether the version must be kept: its staged chunks are being verified,
+    // or an order that has not been answered may still load them.
     bool is_in_use(std::uint64_t version) const;
 
     // Called before an order is sent.
--- a/libs/weights/include/weights/switch_time.hpp
+++ b/libs/weights/include/weights/switch_time.hpp
@@ -61,10 +61,10 @@
 // chunks will not arrive before the served version expires: the newest version
 // after the served one that this agent holds completely. Failures: the origin
 // dies just after a second version was announced, and engines that skipped the
-// first version serve no requests until the origin is back; the origin drops the
-// chosen version before its chunks have arrived, and engines wait for it for
-// ever. `chunks_to_come` returns how many chunks of a version are missing at
-// this agent.
+// first version serve no requests until the origin is back; the origin drops
+// the chosen version before its chunks have arrived, and engines wait for it
+// for ever. `chunks_to_come` returns how many chunks of a version are missing
+// at this agent.
 std::uint64_t choose_fallback_target(
     switch_context const& context,
     std::uint64_t chosen,
