Log and metrics tell why an attempt is taken for not run, and where the request goes

A retry's line had its reason as text, not the bytes behind it, and no line named the second endpoint.

1422 has the ground (declined, not written, withheld) and what the endpoint said: status, id, seal, field, how long after the writing, on a new connection or a reused one. 1423 names the endpoint that is sent the request again, 1424 answers to other requests. foxtailvale_attempts_not_run_total counts them.

No logic changed.

--- a/libs/gateway/src/call.hpp
+++ b/libs/gateway/src/call.hpp
@@ -35,6 +35,17 @@
     direct::retry_budget_state budget;
 };
 
+// Why an attempt is taken for not run.
+enum class not_run_ground
+{
+    // Its endpoint says so.
+    declined,
+    // No byte of the request was written.
+    not_written,
+    // The request was kept back when the connection was ready for it.
+    withheld,
+};
+
 // One attempt to run a request at an endpoint.
 struct endpoint_attempt
 {
@@ -245,6 +256,17 @@
     // It counts however much of the answer came: a request may crash its
     // endpoint at any moment of its run.
     void note_lost_answer(endpoint_attempt const& ended);
+    // Logs and counts on what grounds an attempt is taken for not run.
+    void note_not_run(
+        endpoint_attempt const& ended,
+        net::exchange_result const& result,
+        not_run_ground ground) const;
+    // Logs where a request is sent that was sent before.
+    void log_sent_again(bool is_reused) const;
+    // Logs and counts an answer to another request.
+    void note_skipped(
+        endpoint_attempt const& asked,
+        platform::endpoint_head const& answer) const;
     // Continues with the silent attempt if there is one. Otherwise sends the
     // request again if that is allowed, or fails it.
     void after_failure(base::ran_state ran, char const* reason);
--- a/libs/gateway/src/call_attempt.cpp
+++ b/libs/gateway/src/call_attempt.cpp
@@ -65,6 +65,7 @@
         this->after_failure(ran_state::no, "endpoint address cannot be parsed");
         return;
     }
+    auto const is_reused = connection->is_open();
     connection->limit_body(net::client_connection::no_body_limit);
     ++this->sends;
     if (this->sends == 1)
@@ -96,6 +97,10 @@
     direct::note_request_begun(this->context->book, target.id, now);
     this->note_prompt_sent(now);
     this->note_placed(chosen);
+    if (this->sends > 1)
+    {
+        this->log_sent_again(is_reused);
+    }
     auto const number = this->current->number;
     auto const self = this->shared_from_this();
     connection->start(
@@ -171,7 +176,7 @@
     if (!read.attempt.empty() && read.attempt != this->parsed.attempt)
     {
         // The late answer to an earlier request on this connection.
-        this->context->counters.count("foxtailvale_foreign_answers_total", {});
+        this->note_skipped(running_attempt, read);
         return net::head_verdict::skip;
     }
     this->note_retry_arrived(running_attempt);
@@ -359,6 +364,10 @@
         this->answer();
         return;
     }
+    if (result.written && ran == ran_state::no)
+    {
+        this->note_not_run(running_attempt, result, not_run_ground::declined);
+    }
     if (is_whole && !is_broken_off(running_attempt))
     {
         auto const misdirected = running_attempt.parsed.misdirected;
@@ -373,6 +382,7 @@
     }
     if (result.end == net::exchange_end::withheld)
     {
+        this->note_not_run(running_attempt, result, not_run_ground::withheld);
         this->end_attempt(direct::request_outcome::cancelled);
         this->after_failure(
             ran_state::no, "too late when the request was to be written");
@@ -380,6 +390,8 @@
     }
     if (!result.written)
     {
+        this->note_not_run(
+            running_attempt, result, not_run_ground::not_written);
         note_gone(*this->context, running_attempt.endpoint);
         this->end_attempt(direct::request_outcome::not_connected);
         this->after_failure(ran_state::no, "connection to the endpoint failed");
--- a/libs/gateway/src/call_observation.cpp
+++ b/libs/gateway/src/call_observation.cpp
@@ -40,8 +40,89 @@
         static_cast<double>(left.count()));
 }
 
+constexpr std::size_t max_logged_id = 64;
+
+// Identifiers come from outside and may be of any length.
+std::string logged_id(std::string const& id)
+{
+    return id.substr(0, max_logged_id);
+}
+
+char const* name_of(not_run_ground ground)
+{
+    switch (ground)
+    {
+    case not_run_ground::declined:
+        return "declined";
+    case not_run_ground::not_written:
+        return "not_written";
+    case not_run_ground::withheld:
+        break;
+    }
+    return "withheld";
+}
+
+std::int64_t written_ago(endpoint_attempt const& attempt)
+{
+    return attempt.dispatched
+               ? in_ms(clock::now() - *attempt.dispatched).count()
+               : -1;
+}
+
 } // namespace
 
+void call::note_not_run(
+    endpoint_attempt const& ended,
+    net::exchange_result const& result,
+    not_run_ground ground) const
+{
+    auto const& answer = ended.parsed;
+    this->context->counters.count(
+        "foxtailvale_attempts_not_run_total",
+        {{"ground", name_of(ground)},
+         {"connection", result.reused ? "reused" : "new"}});
+    kernel::log_event(
+        kernel::event_id::attempt_not_run,
+        {{"request", this->parsed.attempt},
+         {"endpoint", ended.endpoint},
+         {"address", ended.address},
+         {"sends", this->sends},
+         {"ground", name_of(ground)},
+         {"status", answer.status},
+         {"answer_to", logged_id(answer.attempt)},
+         {"sealed", answer.sealed},
+         {"not_run_field", answer.has_not_run_field},
+         {"written_ago_ms", written_ago(ended)},
+         {"reused", result.reused}});
+}
+
+void call::log_sent_again(bool is_reused) const
+{
+    kernel::log_event(
+        kernel::event_id::request_sent_again,
+        {{"request", this->parsed.attempt},
+         {"endpoint", this->current->endpoint},
+         {"address", this->current->address},
+         {"sends", this->sends},
+         {"runs", this->runs},
+         {"reused", is_reused}});
+}
+
+void call::note_skipped(
+    endpoint_attempt const& asked, platform::endpoint_head const& answer) const
+{
+    this->context->counters.count("foxtailvale_foreign_answers_total", {});
+    kernel::log_event(
+        kernel::event_id::answer_skipped,
+        {{"request", this->parsed.attempt},
+         {"endpoint", asked.endpoint},
+         {"status", answer.status},
+         {"answer_to", logged_id(answer.attempt)},
+         {"sealed", answer.sealed},
+         {"not_run_field", answer.has_not_run_field},
+         {"written_ago_ms", written_ago(asked)}});
+}
+
 void call::note_placed(direct::choice const& chosen)
 {
     this->observation.emplace();
--- a/libs/kernel/include/kernel/events.hpp
+++ b/libs/kernel/include/kernel/events.hpp
@@ -76,6 +76,9 @@
     rest_asked = 1419,
     endpoint_leaving = 1420,
     retry_settled = 1421,
+    attempt_not_run = 1422,
+    request_sent_again = 1423,
+    answer_skipped = 1424,
     domain_out = 1501,
     domain_in = 1502,
 };
--- a/libs/kernel/src/events.cpp
+++ b/libs/kernel/src/events.cpp
@@ -77,6 +77,9 @@
     event_row{event_id::rest_asked, "rest_asked"},
     event_row{event_id::endpoint_leaving, "endpoint_leaving"},
     event_row{event_id::retry_settled, "retry_settled"},
+    event_row{event_id::attempt_not_run, "attempt_not_run"},
+    event_row{event_id::request_sent_again, "request_sent_again"},
+    event_row{event_id::answer_skipped, "answer_skipped"},
     event_row{event_id::domain_out, "domain_out"},
     event_row{event_id::domain_in, "domain_in"},
 };
