--- a/tools/scenario/src/child_process.cpp
+++ b/tools/scenario/src/child_process.cpp
@@ -31,6 +31,8 @@
         &files, STDOUT_FILENO, log_path.c_str(), O_WRONLY | O_CREAT | O_APPEND,
         0644);
     posix_spawn_file_actions_adddup2(&files, STDOUT_FILENO, STDERR_FILENO);
+    // A child that inherits a listening socket keeps its address in use.
+    posix_spawn_file_actions_addclosefrom_np(&files, STDERR_FILENO + 1);
     std::vector<char*> arguments;
     for (auto const& argument : command)
     {
@@ -96,4 +98,13 @@
                              : signal_exit_base + WTERMSIG(status);
 }
 
+bool child_process::has_ended()
+{
+    if (this->id > 0 && waitpid(this->id, nullptr, WNOHANG) == this->id)
+    {
+        this->id = -1;
+    }
+    return this->id <= 0;
+}
+
 } // namespace foxtailvale::scenario
--- a/tools/scenario/src/child_process.hpp
+++ b/tools/scenario/src/child_process.hpp
@@ -31,6 +31,9 @@
     // number of the signal that ended it.
     int wait();
 
+    // Whether the process has ended. Does not wait.
+    bool has_ended();
+
 private:
     pid_t id = -1;
 };
