A connection is looked at once more before a request is written to it

What came before a request was written belongs to no request, but the loop may run the handler that writes it before the one that reads: a stray refusal was then taken for the request's own, which ran, and a close that had arrived made it end as one that may have run (502 to its caller).

A new exchange now looks into the socket; if there is anything, it opens another connection. Bytes stay in the socket until they are handled, as an operation that had read them would hide them.

The test of a request that crosses its server's end was made with an end that had arrived before the request was sent. Such a request now goes to another connection, which the test's second case holds; its first case has the end arrive just behind the writing, with the same three checks as before and one more, that no second connection is opened.

--- a/libs/net/include/net/client_connection.hpp
+++ b/libs/net/include/net/client_connection.hpp
@@ -90,8 +90,9 @@
 class response_reader;
 
 // One connection to a server, which carries one exchange after the other. It
-// reads at all times, so that a close or stray bytes between two exchanges are
-// detected before the next one begins. Pending operations keep the object
+// reads at all times, and looks once more as an exchange begins, so that a
+// close or stray bytes between two exchanges are detected before the next one
+// begins; that one opens another connection. Pending operations keep the object
 // alive.
 class client_connection : public std::enable_shared_from_this<client_connection>
 {
@@ -149,8 +150,16 @@
     // Whether the connection is established.
     bool is_open() const;
 
+    // Whether it carried another exchange before the running one.
+    bool is_reused() const;
+
 private:
     void begin(exchange_handlers next);
+    // Whether the socket has bytes or an end that were not read yet. What came
+    // before a request was written belongs to no request.
+    bool has_input();
+    // Closes the socket, so that the next exchange opens another one.
+    void reopen();
     void reset_on_close();
     void connect();
     // Gets the bytes of the request from the source and writes them.
@@ -160,6 +169,7 @@
     void write();
     void await_writable();
     void read();
+    void on_readable(boost::system::error_code error);
     void on_read(boost::system::error_code error, std::size_t count);
     void parse_input();
     void on_input_end(bool orderly);
@@ -186,8 +196,13 @@
     // A read is in progress.
     bool reading = false;
     bool paused = false;
+    // Bytes came in the running exchange.
+    bool response_begun = false;
     bool keeps_alive = true;
+    // Of the socket that is open.
     std::size_t exchanges = 0;
+    // Number of sockets that were closed for another one.
+    std::size_t replaced = 0;
     std::size_t body_limit = no_body_limit;
     // Bytes of the running exchange before the head that its owner took, and of
     // its body.
--- a/libs/net/src/client_connection.cpp
+++ b/libs/net/src/client_connection.cpp
@@ -8,7 +8,9 @@
 #include <boost/beast/http/error.hpp>
 #include <linux/sockios.h>
 #include <sys/ioctl.h>
+#include <sys/socket.h>
 
+#include <cerrno>
 #include <charconv>
 
 namespace foxtailvale::net
@@ -93,11 +95,16 @@
     this->handlers = std::make_shared<exchange_handlers const>(std::move(next));
     this->running = true;
     this->result = {};
+    this->response_begun = false;
     this->untaken_bytes = 0;
     this->body_bytes = 0;
+    this->reader.reset();
+    if (this->open && this->has_input())
+    {
+        this->reopen();
+    }
     this->result.reused = this->exchanges > 0;
     ++this->exchanges;
-    this->reader.reset();
     if (this->open)
     {
         this->write_request();
@@ -106,6 +113,26 @@
     this->connect();
 }
 
+bool client_connection::has_input()
+{
+    char next = 0;
+    auto const got =
+        ::recv(this->socket.native_handle(), &next, 1, MSG_PEEK | MSG_DONTWAIT);
+    return got >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+void client_connection::reopen()
+{
+    boost::system::error_code ignored;
+    this->socket.close(ignored);
+    ++this->replaced;
+    this->open = false;
+    this->reading = false;
+    this->keeps_alive = true;
+    this->exchanges = 0;
+    this->idle_limit = std::chrono::seconds{0};
+}
+
 void client_connection::close()
 {
     if (this->running)
@@ -153,6 +180,11 @@
     return this->open && !this->closed;
 }
 
+bool client_connection::is_reused() const
+{
+    return this->result.reused;
+}
+
 void client_connection::connect()
 {
     this->socket.async_connect(
@@ -261,19 +293,52 @@
 
 void client_connection::read()
 {
-    if (this->paused || std::exchange(this->reading, true))
+    if (this->paused || !this->open || std::exchange(this->reading, true))
     {
         return;
     }
-    this->socket.async_read_some(
-        boost::asio::buffer(this->read_buffer),
-        [self = this->shared_from_this()](
-            boost::system::error_code error, std::size_t count)
+    if (this->running && this->response_begun)
+    {
+        this->socket.async_read_some(
+            boost::asio::buffer(this->read_buffer),
+            [self = this->shared_from_this()](
+                boost::system::error_code error, std::size_t count)
+            {
+                self->on_read(error, count);
+            });
+        return;
+    }
+    // Until a response begins, bytes stay in the socket for the handler, so
+    // that begin() sees those that came before a request was written.
+    this->socket.async_wait(
+        boost::asio::ip::tcp::socket::wait_read,
+        [self = this->shared_from_this(),
+         number = this->replaced](boost::system::error_code error)
         {
-            self->on_read(error, count);
+            if (number == self->replaced)
+            {
+                self->on_readable(error);
+            }
         });
 }
 
+void client_connection::on_readable(boost::system::error_code error)
+{
+    std::size_t count = 0;
+    if (!error && !this->closed)
+    {
+        count = this->socket.read_some(
+            boost::asio::buffer(this->read_buffer), error);
+    }
+    if (error == boost::asio::error::would_block)
+    {
+        this->reading = false;
+        this->read();
+        return;
+    }
+    this->on_read(error, count);
+}
+
 void client_connection::on_read(
     boost::system::error_code error, std::size_t count)
 {
@@ -295,6 +360,7 @@
         return;
     }
     this->last_use = clock::now();
+    this->response_begun = true;
     this->input.append(this->read_buffer.data(), count);
     this->untaken_bytes += this->result.head_seen ? 0 : count;
     this->parse_input();
--- a/libs/net/tests/exchange_tests.cpp
+++ b/libs/net/tests/exchange_tests.cpp
@@ -5,6 +5,8 @@
 #include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
+#include <functional>
+
 namespace foxtailvale::net
 {
 
@@ -33,6 +35,23 @@
         return this->acceptor.local_endpoint();
     }
 
+    std::size_t connections() const
+    {
+        return this->sockets.size();
+    }
+
+    // Writes to the connection that was accepted first, or closes it, without
+    // running the loop.
+    void write_stray(std::string const& bytes)
+    {
+        boost::asio::write(*this->sockets.front(), boost::asio::buffer(bytes));
+    }
+
+    void close_first()
+    {
+        this->sockets.front()->close();
+    }
+
 private:
     void accept()
     {
@@ -121,6 +140,40 @@
     return found;
 }
 
+// A server whose connection is kept between two exchanges, and what it answers.
+class kept_connection
+{
+public:
+    kept_connection()
+        : server(
+              this->loop,
+              "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nyes",
+              false),
+          connection(std::make_shared<client_connection>(
+              this->loop, this->server.address()))
+    {
+    }
+
+    ~kept_connection()
+    {
+        this->connection->close();
+    }
+
+    exchange_outcome exchange()
+    {
+        exchange_outcome found;
+        this->connection->start(plain_request, record_into(found));
+        while (!found.result && this->loop.run_one() > 0)
+        {
+        }
+        return found;
+    }
+
+    boost::asio::io_context loop;
+    raw_server server;
+    std::shared_ptr<client_connection> connection;
+};
+
 // A stalled server: its system accepts connections, but it reads nothing until
 // read_all().
 class stalled_server
@@ -281,58 +334,122 @@
     connection->close();
 }
 
-// A booking is sent on a kept-alive connection just as the endpoint shuts down
-// its sending direction; the endpoint still reads. The close is seen before the
-// write is reported. If the booking counted as not written, it would be sent to
-// a second endpoint and run twice.
-TEST(exchange, a_request_that_crosses_the_servers_end_counts_as_written)
+// A kept connection whose server shuts down its sending direction, and still
+// reads, about when the next request is sent.
+class crossed_end : public ::testing::Test
 {
-    boost::asio::io_context loop;
-    tcp::acceptor acceptor(loop, loopback);
-    auto const connection =
-        std::make_shared<client_connection>(loop, acceptor.local_endpoint());
-    exchange_outcome first;
-    connection->start(plain_request, record_into(first));
-    auto server = acceptor.accept();
-    while (server.available() < plain_request.size())
+protected:
+    crossed_end() : acceptor(loop, loopback), server(loop)
+    {
+        this->connection = std::make_shared<client_connection>(
+            this->loop, this->acceptor.local_endpoint());
+        exchange_outcome first;
+        this->connection->start(plain_request, record_into(first));
+        this->acceptor.accept(this->server);
+        while (this->server.available() < plain_request.size())
+        {
+            this->loop.run_one();
+        }
+        std::string bytes(plain_request.size(), ' ');
+        boost::asio::read(this->server, boost::asio::buffer(bytes));
+        boost::asio::write(
+            this->server,
+            boost::asio::buffer(
+                std::string("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi")));
+        while (!first.result)
+        {
+            this->loop.run_one();
+        }
+    }
+
+    ~crossed_end() override
     {
-        loop.run_one();
+        this->connection->close();
+    }
+
+    // Sends the second request from the handler of another socket, which the
+    // loop finds readable together with what happens to the connection before.
+    void send_from_handler(
+        std::function<void()> const& before,
+        std::function<void()> const& behind)
+    {
+        tcp::socket trigger(this->loop);
+        trigger.connect(this->acceptor.local_endpoint());
+        auto other_end = this->acceptor.accept();
+        auto sent = false;
+        std::array<char, 1> block{};
+        trigger.async_read_some(
+            boost::asio::buffer(block),
+            [&](boost::system::error_code, std::size_t)
+            {
+                this->connection->start(
+                    plain_request, record_into(this->second));
+                behind();
+                sent = true;
+            });
+        this->loop.poll();
+        boost::asio::write(other_end, boost::asio::buffer("x", 1));
+        before();
+        while (!sent)
+        {
+            this->loop.run_one();
+        }
     }
-    std::string bytes(plain_request.size(), ' ');
-    boost::asio::read(server, boost::asio::buffer(bytes));
-    boost::asio::write(
-        server, boost::asio::buffer(std::string(
-                    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi")));
-    while (!first.result)
+
+    void shut_down()
     {
-        loop.run_one();
+        this->server.shutdown(tcp::socket::shutdown_send);
     }
-    ASSERT_TRUE(connection->is_idle());
 
-    // Another socket becomes readable just before the close arrives, and its
-    // handler sends the second request, so that the loop finds both events
-    // together.
-    tcp::socket trigger(loop);
-    trigger.connect(acceptor.local_endpoint());
-    auto other_end = acceptor.accept();
+    boost::asio::io_context loop;
+    tcp::acceptor acceptor;
+    tcp::socket server;
+    std::shared_ptr<client_connection> connection;
     exchange_outcome second;
-    std::array<char, 1> block{};
-    trigger.async_read_some(
-        boost::asio::buffer(block),
-        [&](boost::system::error_code, std::size_t)
+};
+
+// A booking is sent on a kept-alive connection just as the endpoint shuts down
+// its sending direction; the endpoint still reads. The close is seen before the
+// write is reported. If the booking counted as not written, it would be sent to
+// a second endpoint and run twice.
+TEST_F(crossed_end, a_request_that_was_written_counts_as_written)
+{
+    this->send_from_handler(
+        [] {},
+        [this]
         {
-            connection->start(plain_request, record_into(second));
+            this->shut_down();
         });
-    loop.poll();
-    boost::asio::write(other_end, boost::asio::buffer("x", 1));
-    server.shutdown(tcp::socket::shutdown_send);
-    while (!second.result)
+    while (!this->second.result)
+    {
+        this->loop.run_one();
+    }
+    EXPECT_EQ(this->server.available(), plain_request.size());
+    EXPECT_EQ(this->second.result->end, exchange_end::cut);
+    EXPECT_TRUE(this->second.result->written);
+    this->acceptor.non_blocking(true);
+    boost::system::error_code error;
+    this->acceptor.accept(error);
+    EXPECT_EQ(error, boost::asio::error::would_block);
+}
+
+// Guards against a booking that the endpoint reads behind its own end, and that
+// is sent to a second endpoint or whose outcome is not known.
+TEST_F(crossed_end, a_request_is_not_written_behind_an_end_that_has_arrived)
+{
+    this->send_from_handler(
+        [this]
+        {
+            this->shut_down();
+        },
+        [] {});
+    auto other = this->acceptor.accept();
+    while (other.available() < plain_request.size())
     {
-        loop.run_one();
+        this->loop.run_one();
     }
-    EXPECT_EQ(server.available(), plain_request.size());
-    EXPECT_EQ(second.result->end, exchange_end::cut);
-    EXPECT_TRUE(second.result->written);
+    EXPECT_EQ(this->server.available(), 0U);
+    EXPECT_FALSE(this->second.result);
 }
 
 // Opening a connection takes time. Time limits in the request that were
@@ -462,4 +579,32 @@
     EXPECT_FALSE(is_acknowledged_by_stalled_server(std::string(size, 'x')));
 }
 
+// Guards against an answer that came before the request was written and was
+// taken for its own: the request then counted as declined while it ran.
+TEST(exchange, bytes_that_came_before_the_request_are_not_its_answer)
+{
+    kept_connection kept;
+    EXPECT_EQ(kept.exchange().status, 200U);
+    kept.server.write_stray("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n");
+    auto const second = kept.exchange();
+    EXPECT_EQ(second.status, 200U);
+    EXPECT_EQ(second.body, "yes");
+    EXPECT_FALSE(second.result->reused);
+    EXPECT_EQ(kept.server.connections(), 2U);
+    EXPECT_TRUE(kept.exchange().result->reused);
+}
+
+// Guards against a request that is written to a connection which its server has
+// closed: whether it ran is not known then.
+TEST(exchange, a_request_is_not_written_to_a_closed_connection)
+{
+    kept_connection kept;
+    EXPECT_EQ(kept.exchange().status, 200U);
+    kept.server.close_first();
+    auto const second = kept.exchange();
+    EXPECT_EQ(second.status, 200U);
+    EXPECT_EQ(second.result->end, exchange_end::whole);
+    EXPECT_FALSE(second.result->reused);
+}
+
 } // namespace foxtailvale::net
