A request that is sent again gets a connection of its own

A request that an endpoint declines may be sent to the same address once more, as another instance there, and on the same kept connection. If the refusal comes twice, the second one bears the request's id and was taken for the second sending's: the request ran there, and was sent to a third endpoint. Late answers are told apart by their id, which all sendings of a request have in common.

Only the first sending uses a kept connection now, whatever the kind of request.

--- a/libs/gateway/include/gateway/connection_pool.hpp
+++ b/libs/gateway/include/gateway/connection_pool.hpp
@@ -30,6 +30,9 @@
     std::shared_ptr<net::client_connection>
     take(std::string const& address, std::chrono::milliseconds max_idle);
 
+    // Returns a new connection; null when the address cannot be parsed.
+    std::shared_ptr<net::client_connection> open(std::string const& address);
+
     // Returns a connection to the pool after its exchange; a closed one is
     // dropped.
     void give(
--- a/libs/gateway/src/call_attempt.cpp
+++ b/libs/gateway/src/call_attempt.cpp
@@ -56,9 +56,14 @@
     auto const now = clock::now();
     auto const is_non_idempotent =
         this->allowed.chosen->repeats == retry_safety::non_idempotent;
-    auto connection = this->context->pool.take(
-        target.address,
-        is_non_idempotent ? max_idle_non_idempotent : max_idle_repeatable);
+    // A refusal that comes twice bears the identifier of the next attempt, too,
+    // and could be taken for its answer on the same connection.
+    auto connection =
+        this->sends > 0
+            ? this->context->pool.open(target.address)
+            : this->context->pool.take(
+                  target.address, is_non_idempotent ? max_idle_non_idempotent
+                                                    : max_idle_repeatable);
     if (!connection)
     {
         this->tried.insert(target.id);
--- a/libs/gateway/src/connection_pool.cpp
+++ b/libs/gateway/src/connection_pool.cpp
@@ -49,6 +49,12 @@
         }
         connection->close();
     }
+    return this->open(address);
+}
+
+std::shared_ptr<net::client_connection>
+connection_pool::open(std::string const& address)
+{
     auto const target = net::parse_endpoint(address);
     if (!target)
     {
