"Not run" is believed only in a refusal that bears the request's id

What callers saw: an order ran at two endpoints, or ran though its caller was told that it had not and never would (503).

Cause: an answer without an Attempt-Id was taken for the running request's, and its "not run" (Not-Executed, or a bare 421) was believed without id or seal, while a success needs both. Endpoints may send a second answer at the place of a later one; without an id it made the entry send the order again while it ran. The same was believed of a success that said Not-Executed.

An answer tells "not run" only if it bears this request's id and no other and its status is a refusal (400, 421, 429, 503). On a connection that carried other requests and stays open, an answer without an id is left unread, as one with another id is: the request's own follows. Elsewhere it is the end of an attempt that may have run. A request without an id is refused at once (400), as endpoints do: no answer could be told to be its own.

The random courses of repeat_tests took what an answer said for what was true; the courses tell the two apart now.

--- a/libs/direct/include/direct/retry.hpp
+++ b/libs/direct/include/direct/retry.hpp
@@ -17,7 +17,9 @@
     bool written = false;
     // The head of the response arrived.
     bool head_seen = false;
-    // The response states that the endpoint did not run the request.
+    // The response bears the request's identifier and no other.
+    bool identified = false;
+    // The response states that the endpoint did not run its request.
     bool says_not_run = false;
     // The response arrived completely and carries the endpoint's seal.
     bool whole = false;
@@ -26,11 +28,35 @@
     unsigned status = 0;
 };
 
-// Returns whether the endpoint ran the request. It counts as not run only if
-// the endpoint says so or if no byte was written to the connection. Failure: a
-// connection that is reset, closed or unresponsive after the first byte may
-// hide a run whose answer was lost; a booking that is sent again then runs
-// twice.
+// Whose answer a response is, as far as its identifiers tell.
+enum class answer_owner
+{
+    this_request,
+    other_request,
+    // The response has no identifier, or an empty one.
+    unnamed,
+};
+
+// What is to be done with a response's head.
+enum class head_use
+{
+    take,
+    // The response is to another request: the request's own may follow.
+    skip,
+};
+
+// Returns what to do with a response on a connection that carried other
+// requests before (`reused`) and stays open behind it (`stays_open`). Without
+// an identifier it is most likely a second response to an earlier request: an
+// endpoint returns the identifier in each of its own.
+head_use use_of(answer_owner owner, bool reused, bool stays_open);
+
+// Returns whether the endpoint ran the request. It counts as not run only if no
+// byte was written to the connection, or if the endpoint says so in a refusal
+// that bears the request's identifier. Failure: a connection that is reset,
+// closed or unresponsive after the first byte may hide a run whose answer was
+// lost, and a refusal without the identifier may belong to an earlier request
+// on the connection; a booking that is sent again then runs twice.
 base::ran_state judge_run(attempt_facts const& facts);
 
 // Whether the attempt's response is to be returned to the caller.
--- a/libs/direct/src/retry.cpp
+++ b/libs/direct/src/retry.cpp
@@ -1,5 +1,8 @@
 #include <direct/retry.hpp>
 
+#include <algorithm>
+#include <array>
+
 namespace foxtailvale::direct
 {
 
@@ -7,26 +10,47 @@
 using base::ran_state;
 using routing::retry_safety;
 
+namespace
+{
+
+// Statuses with which an endpoint may state that it did not run a request. With
+// any other, the statement contradicts the status.
+bool is_refusal(unsigned status)
+{
+    constexpr std::array refusals{400U, 421U, 429U, 503U};
+    return std::ranges::find(refusals, status) != refusals.end();
+}
+
+} // namespace
+
+head_use use_of(answer_owner owner, bool reused, bool stays_open)
+{
+    auto const may_be_late = owner == answer_owner::unnamed && reused;
+    return owner == answer_owner::other_request || (may_be_late && stays_open)
+               ? head_use::skip
+               : head_use::take;
+}
+
 base::ran_state judge_run(attempt_facts const& facts)
 {
     if (!facts.written)
     {
         return ran_state::no;
     }
-    if (facts.head_seen && facts.says_not_run)
+    if (!facts.head_seen || !facts.identified)
     {
-        return ran_state::no;
+        return ran_state::unknown;
     }
-    if (facts.head_seen && facts.sealed)
+    if (facts.says_not_run)
     {
-        return ran_state::yes;
+        return is_refusal(facts.status) ? ran_state::no : ran_state::unknown;
     }
-    return ran_state::unknown;
+    return facts.sealed ? ran_state::yes : ran_state::unknown;
 }
 
 bool is_answer(attempt_facts const& facts)
 {
-    return facts.head_seen && facts.sealed && facts.whole &&
+    return facts.head_seen && facts.identified && facts.sealed && facts.whole &&
            !facts.says_not_run;
 }
 
--- a/libs/direct/tests/repeat_tests.cpp
+++ b/libs/direct/tests/repeat_tests.cpp
@@ -39,17 +39,73 @@
 
 TEST(judge_run, only_the_endpoints_own_word_says_not_run)
 {
-    attempt_facts facts{.written = true, .head_seen = true, .status = 503};
+    attempt_facts facts{
+        .written = true, .head_seen = true, .identified = true, .status = 503};
     EXPECT_EQ(judge_run(facts), ran_state::unknown);
     facts.says_not_run = true;
     EXPECT_EQ(judge_run(facts), ran_state::no);
 }
 
+// Guards against a booking that is sent again while it runs, as a refusal of
+// another request was taken for its own.
+TEST(judge_run, a_refusal_without_the_requests_identifier_tells_nothing)
+{
+    for (auto const status : {400U, 421U, 429U, 503U})
+    {
+        for (auto const sealed : {false, true})
+        {
+            EXPECT_EQ(
+                judge_run(
+                    {.written = true,
+                     .head_seen = true,
+                     .says_not_run = true,
+                     .whole = true,
+                     .sealed = sealed,
+                     .status = status}),
+                ran_state::unknown)
+                << status;
+        }
+    }
+}
+
+// Guards against a booking that is sent again though its endpoint reports a
+// success or a failure of its run.
+TEST(judge_run, only_a_refusal_can_say_not_run)
+{
+    for (auto const status : {200U, 202U, 302U, 404U, 408U, 500U, 502U, 504U})
+    {
+        EXPECT_EQ(
+            judge_run(
+                {.written = true,
+                 .head_seen = true,
+                 .identified = true,
+                 .says_not_run = true,
+                 .whole = true,
+                 .sealed = true,
+                 .status = status}),
+            ran_state::unknown)
+            << status;
+    }
+}
+
+TEST(use_of, an_answer_that_may_be_another_requests_is_skipped)
+{
+    EXPECT_EQ(use_of(answer_owner::this_request, true, true), head_use::take);
+    EXPECT_EQ(use_of(answer_owner::other_request, true, true), head_use::skip);
+    EXPECT_EQ(
+        use_of(answer_owner::other_request, false, false), head_use::skip);
+    EXPECT_EQ(use_of(answer_owner::unnamed, true, true), head_use::skip);
+    // Nothing can follow it, or nothing was asked before.
+    EXPECT_EQ(use_of(answer_owner::unnamed, true, false), head_use::take);
+    EXPECT_EQ(use_of(answer_owner::unnamed, false, true), head_use::take);
+}
+
 TEST(judge_run, a_sealed_answer_ran)
 {
     attempt_facts const facts{
         .written = true,
         .head_seen = true,
+        .identified = true,
         .whole = true,
         .sealed = true,
         .status = 500};
@@ -62,13 +118,18 @@
     attempt_facts facts{
         .written = true,
         .head_seen = true,
+        .identified = true,
         .whole = true,
         .sealed = false,
         .status = 200};
     EXPECT_FALSE(is_answer(facts));
     facts.sealed = true;
+    EXPECT_TRUE(is_answer(facts));
     facts.whole = false;
     EXPECT_FALSE(is_answer(facts));
+    facts.whole = true;
+    facts.identified = false;
+    EXPECT_FALSE(is_answer(facts));
 }
 
 TEST(may_repeat, what_may_run_once_is_repeated_only_when_it_did_not_run)
@@ -117,12 +178,18 @@
             facts.written = base::random_below(random, 4) != 0;
             facts.head_seen =
                 facts.written && base::random_below(random, 2) == 0;
+            facts.identified =
+                facts.head_seen && base::random_below(random, 4) != 0;
             facts.says_not_run =
                 facts.head_seen && base::random_below(random, 2) == 0;
             facts.sealed = base::random_below(random, 2) == 0;
             facts.whole = base::random_below(random, 2) == 0;
+            facts.status = base::random_below(random, 4) != 0 ? 503 : 200;
             query.ran = judge_run(facts);
-            may_have_run = facts.written && !facts.says_not_run;
+            // What is said of another request tells nothing of this one.
+            auto const is_own_refusal =
+                facts.identified && facts.says_not_run && facts.status == 503;
+            may_have_run = facts.written && !is_own_refusal;
             query.runs += may_have_run ? 1 : 0;
             if (!is_retry_allowed(query))
             {
--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -163,6 +163,12 @@
         this->refuse(permitted.error().kind, "admission");
         return false;
     }
+    if (this->parsed.attempt.empty())
+    {
+        // Endpoints refuse it, and no answer could be told to be its own.
+        this->refuse(error_kind::malformed_request, "request has no id");
+        return false;
+    }
     this->allowed = permitted.value();
     auto const& chosen = *this->allowed.chosen;
     this->service_name = routing::choose_service(chosen, this->parsed.attempt);
--- a/libs/gateway/src/call.hpp
+++ b/libs/gateway/src/call.hpp
@@ -237,6 +237,8 @@
     // it was sent.
     void pause_for_slow_caller();
     void on_end(std::uint64_t number, net::exchange_result const& result);
+    // Whose answer it is.
+    direct::answer_owner owner_of(platform::endpoint_head const& answer) const;
     bool is_current(std::uint64_t number) const;
     void end_attempt(direct::request_outcome how);
     // Frees the attempt's place at its endpoint.
--- a/libs/gateway/src/call_attempt.cpp
+++ b/libs/gateway/src/call_attempt.cpp
@@ -159,6 +159,17 @@
     return platform::write_dispatch(this->request, added);
 }
 
+direct::answer_owner call::owner_of(platform::endpoint_head const& answer) const
+{
+    if (answer.attempt.empty() && !answer.names_several)
+    {
+        return direct::answer_owner::unnamed;
+    }
+    return answer.attempt == this->parsed.attempt && !answer.names_several
+               ? direct::answer_owner::this_request
+               : direct::answer_owner::other_request;
+}
+
 bool call::is_current(std::uint64_t number) const
 {
     return !this->done && this->current && this->current->number == number;
@@ -178,9 +189,12 @@
     }
     auto& running_attempt = *this->current;
     note_answer_head(*this->context, running_attempt.endpoint, read);
-    if (!read.attempt.empty() && read.attempt != this->parsed.attempt)
+    auto const owner = this->owner_of(read);
+    auto const use = direct::use_of(
+        owner, running_attempt.connection->is_reused(),
+        head.keep_alive && head.delimited);
+    if (use == direct::head_use::skip)
     {
-        // The late answer to an earlier request on this connection.
         this->note_skipped(running_attempt, read);
         return net::head_verdict::skip;
     }
@@ -195,12 +209,14 @@
     running_attempt.parsed = read;
     running_attempt.facts.head_seen = true;
     running_attempt.facts.status = read.status;
+    running_attempt.facts.identified =
+        owner == direct::answer_owner::this_request;
     running_attempt.facts.says_not_run = read.says_not_run;
-    running_attempt.facts.sealed = read.sealed && !read.attempt.empty();
-    running_attempt.is_stream = this->allowed.chosen->streams &&
-                                running_attempt.facts.sealed &&
-                                is_success(read.status);
-    if (is_success(read.status) && !running_attempt.facts.sealed)
+    running_attempt.facts.sealed = read.sealed;
+    auto const is_genuine = read.sealed && running_attempt.facts.identified;
+    running_attempt.is_stream =
+        this->allowed.chosen->streams && is_genuine && is_success(read.status);
+    if (is_success(read.status) && !is_genuine)
     {
         // Whatever follows, and for how long, is not the endpoint's answer.
         this->give_up_answer(ran_state::unknown, not_from_endpoint);
