A route's stricter kind is in force for requests under way

A request that waits or runs kept the kind and the max_attempts that its route had at its arrival: where a configuration made the route one of requests that run once, the request was still sent to a second endpoint after its answer was lost.

The newest configuration's limits are taken over before each decision to send it again, as its regions were; the stricter of both binds.

Measured: changed_kind.is_in_force_for_requests_under_way failed before (two endpoints were asked), passes now.

--- a/libs/direct/include/direct/retry.hpp
+++ b/libs/direct/include/direct/retry.hpp
@@ -77,6 +77,12 @@
     bool answer_begun = false;
 };
 
+// Returns how a request may be retried whose route changed from one to the
+// other while it waited: not at all if either forbids it, else as at its
+// arrival.
+routing::retry_safety
+stricter(routing::retry_safety at_arrival, routing::retry_safety now);
+
 // Maximum number of times one request is sent, whatever the results. Each time
 // counts against the shared retry budget, and after four failures the endpoints
 // are considered unavailable.
--- a/libs/direct/src/retry.cpp
+++ b/libs/direct/src/retry.cpp
@@ -76,6 +76,11 @@
     return query.runs < query.most_attempts;
 }
 
+retry_safety stricter(retry_safety at_arrival, retry_safety now)
+{
+    return now == retry_safety::non_idempotent ? now : at_arrival;
+}
+
 base::error_kind final_error(base::ran_state ran, bool time_is_up)
 {
     if (ran == ran_state::no)
--- a/libs/gateway/src/call.cpp
+++ b/libs/gateway/src/call.cpp
@@ -132,11 +132,25 @@
     {
         return false;
     }
+    auto const& route = *permitted.value().chosen;
     this->allowed.regions = permitted.value().regions;
+    this->repeats = direct::stricter(this->repeats, route.repeats);
+    this->most_attempts = std::min(this->most_attempts, route.most_attempts);
     this->checked_configuration = newest;
     return true;
 }
 
+void call::fail_as_forbidden()
+{
+    // Not refused as forbidden: the request was allowed when the caller sent
+    // it.
+    this->fail(
+        this->ran_so_far == ran_state::no
+            ? error_kind::stale_configuration
+            : direct::final_error(this->ran_so_far, false),
+        "request is no longer allowed");
+}
+
 bool call::admit()
 {
     this->prints.whole = base::stable_hash(
@@ -171,6 +185,8 @@
     }
     this->allowed = permitted.value();
     auto const& chosen = *this->allowed.chosen;
+    this->repeats = chosen.repeats;
+    this->most_attempts = chosen.most_attempts;
     this->service_name = routing::choose_service(chosen, this->parsed.attempt);
     auto const found = this->configuration->services.find(this->service_name);
     if (found == this->configuration->services.end())
@@ -254,13 +270,7 @@
 {
     if (!this->is_still_allowed())
     {
-        // Not refused as forbidden: the request was allowed when the caller
-        // sent it.
-        this->fail(
-            this->ran_so_far == ran_state::no
-                ? error_kind::stale_configuration
-                : direct::final_error(this->ran_so_far, false),
-            "request is no longer allowed");
+        this->fail_as_forbidden();
         return true;
     }
     if (this->is_suspect())
--- a/libs/gateway/src/call.hpp
+++ b/libs/gateway/src/call.hpp
@@ -149,9 +149,12 @@
     // and returns false when one of them rules the request out.
     bool admit();
     // Checks the permission again if the configuration changed since the last
-    // check. Failure: a key was withdrawn while a request waited, and the
-    // permission from its arrival let it run seconds later.
+    // check, and takes over its regions and stricter limits of attempts.
+    // Failure: a key was withdrawn while a request waited, and the permission
+    // from its arrival let it run seconds later.
     bool is_still_allowed();
+    // Fails a request that a later configuration does not allow.
+    void fail_as_forbidden();
     // Whether the request, or a part of its prompt, crashed too many endpoints,
     // as is known now, and this attempt is no probe. Asked before each attempt.
     bool is_suspect() const;
@@ -337,6 +340,9 @@
     // The configuration against which permission was last checked.
     std::shared_ptr<routing::configuration const> checked_configuration;
     routing::permission allowed;
+    // The strictest that any configuration said since the request's arrival.
+    routing::retry_safety repeats = routing::retry_safety::non_idempotent;
+    std::uint32_t most_attempts = 1;
     std::string service_name;
     routing::service const* service = nullptr;
     boost::asio::steady_timer timer;
--- a/libs/gateway/src/call_attempt.cpp
+++ b/libs/gateway/src/call_attempt.cpp
@@ -55,7 +55,7 @@
     auto const& target = chosen.chosen->listed;
     auto const now = clock::now();
     auto const is_non_idempotent =
-        this->allowed.chosen->repeats == retry_safety::non_idempotent;
+        this->repeats == retry_safety::non_idempotent;
     // A refusal that comes twice bears the identifier of the next attempt, too,
     // and could be taken for its answer on the same connection.
     auto connection =
--- a/libs/gateway/src/call_end.cpp
+++ b/libs/gateway/src/call_end.cpp
@@ -57,16 +57,16 @@
     // A failure reported by the endpoint may be retried elsewhere if the route
     // allows it.
     if (!is_success(status) && status >= 500 && !this->answer_begun &&
-        this->allowed.chosen->repeats != retry_safety::non_idempotent &&
-        this->runs + 1 < this->allowed.chosen->most_attempts)
+        this->is_still_allowed() &&
+        this->repeats != retry_safety::non_idempotent &&
+        this->runs + 1 < this->most_attempts)
     {
         auto const failed = running_attempt;
         this->end_attempt(direct::request_outcome::faulty);
         ++this->runs;
         this->ran_so_far = ran_state::yes;
         auto const spent = this->time_left() > milliseconds(0) &&
-                           !this->is_suspect() && this->is_still_allowed() &&
-                           this->spend_retry();
+                           !this->is_suspect() && this->spend_retry();
         auto const chosen = spent ? direct::choose(
                                         this->context->book, this->placement(),
                                         clock::now(), this->context->random)
--- a/libs/gateway/src/call_resume.cpp
+++ b/libs/gateway/src/call_resume.cpp
@@ -17,9 +17,9 @@
 
 bool call::resume_elsewhere(base::time_point now)
 {
-    if (this->silent || !direct::is_resume_due(this->progress(), now) ||
-        this->sends >= direct::max_sends || this->is_suspect() ||
-        !this->is_still_allowed())
+    if (this->silent || !this->is_still_allowed() ||
+        !direct::is_resume_due(this->progress(), now) ||
+        this->sends >= direct::max_sends || this->is_suspect())
     {
         return false;
     }
--- a/libs/gateway/src/call_retry.cpp
+++ b/libs/gateway/src/call_retry.cpp
@@ -40,11 +40,16 @@
         return;
     }
     auto const time_is_up = this->time_left() <= milliseconds(0);
+    if (!time_is_up && !this->is_still_allowed())
+    {
+        this->fail_as_forbidden();
+        return;
+    }
     direct::retry_query const ask{
-        .repeats = this->allowed.chosen->repeats,
+        .repeats = this->repeats,
         .ran = ran,
         .runs = this->runs,
-        .most_attempts = this->allowed.chosen->most_attempts,
+        .most_attempts = this->most_attempts,
         .sends = this->sends,
         .answer_begun = this->answer_begun};
     if (time_is_up || this->is_suspect() || !direct::is_retry_allowed(ask))
--- a/libs/gateway/src/call_timer.cpp
+++ b/libs/gateway/src/call_timer.cpp
@@ -159,12 +159,12 @@
             ? now
             : this->last_forwarded.value_or(this->arrived);
     direct::attempt_progress state{
-        .repeats = chosen.repeats,
+        .repeats = this->repeats,
         .streams = chosen.streams,
         .goal = chosen.goal,
         .gap_goal = chosen.gap_goal,
         .runs = this->runs,
-        .most_attempts = chosen.most_attempts,
+        .most_attempts = this->most_attempts,
         .events = running_attempt.events_sent,
         .answer_begun = this->answer_begun,
         .begun = running_attempt.begun,
