--- a/libs/gateway/include/gateway/entry_views.hpp
+++ b/libs/gateway/include/gateway/entry_views.hpp
@@ -5,6 +5,9 @@
 #include <gateway/entry_context.hpp>
 #include <gateway/view_feed.hpp>
 
+#include <optional>
+#include <set>
+#include <string>
 #include <utility>
 
 namespace foxtailvale::gateway
@@ -46,6 +49,12 @@
     void watch_domains();
     void watch_versions();
     void adopt_configuration(platform::store_object const& object);
+    // Reads an entry of the list of endpoints; nothing for one that is
+    // unusable, which is noted.
+    std::optional<direct::endpoint_record>
+    read_listed(platform::store_object const& object);
+    // Exports the number of unusable entries.
+    void count_unusable() const;
     void apply_endpoint(platform::store_object const& object, bool was_lost);
     void apply_version(
         platform::store_object const& object, base::boot_time accepted);
@@ -62,6 +71,9 @@
 
     std::shared_ptr<entry_context> context;
     std::vector<std::shared_ptr<view_feed>> view_feeds;
+    // Names of unusable entries in the list now, and of those that were logged.
+    std::set<std::string> unusable;
+    std::set<std::string> logged_unusable;
     bool endpoints_known = false;
     bool versions_known = false;
     base::boot_time versions_confirmed;
--- a/libs/gateway/src/entry_views.cpp
+++ b/libs/gateway/src/entry_views.cpp
@@ -35,6 +35,9 @@
 // that a request may wait at the endpoint is accounted for by the placement.
 constexpr milliseconds version_margin{400};
 
+// Bounds the memory for names of other writers.
+constexpr std::size_t max_logged_unusable = 1000;
+
 char const* name_of(platform::object_kind kind)
 {
     switch (kind)
@@ -221,14 +224,15 @@
              std::vector<platform::store_object> const& objects, bool was_lost)
          {
              std::vector<direct::endpoint_record> records;
+             self->unusable.clear();
              for (auto const& object : objects)
              {
-                 if (auto record =
-                         platform::read_endpoint(object.name, object.content))
+                 if (auto record = self->read_listed(object))
                  {
                      records.push_back(std::move(*record));
                  }
              }
+             self->count_unusable();
              direct::replace_all(
                  self->context->book, std::move(records), was_lost,
                  clock::now());
@@ -243,12 +247,44 @@
          [](base::boot_time) {}, this->make_loss_logger("endpoints")});
 }
 
+std::optional<direct::endpoint_record>
+entry_views::read_listed(platform::store_object const& object)
+{
+    auto read = platform::read_endpoint(object.name, object.content);
+    auto const& settings = this->context->settings;
+    // Requests that this entry sends to itself would go round in a circle.
+    auto const is_own = read && (read->address == settings.caller_address ||
+                                 read->address == settings.readiness_address);
+    if (read && !is_own)
+    {
+        return read;
+    }
+    this->unusable.insert(object.name);
+    if (this->logged_unusable.size() < max_logged_unusable &&
+        this->logged_unusable.insert(object.name).second)
+    {
+        kernel::log_event(
+            kernel::event_id::endpoint_unusable,
+            {{"endpoint", object.name}, {"unusable", this->unusable.size()}});
+    }
+    return std::nullopt;
+}
+
+void entry_views::count_unusable() const
+{
+    this->context->counters.gauge(
+        "foxtailvale_endpoints_unusable", {},
+        static_cast<double>(this->unusable.size()));
+}
+
 void entry_views::apply_endpoint(
     platform::store_object const& object, bool was_lost)
 {
     auto const now = clock::now();
-    auto record = platform::read_endpoint(object.name, object.content);
-    if (object.removed || !record)
+    this->unusable.erase(object.name);
+    auto record = object.removed ? std::nullopt : this->read_listed(object);
+    this->count_unusable();
+    if (!record)
     {
         note_gone(*this->context, object.name);
         direct::remove(this->context->book, object.name, was_lost, now);
--- a/libs/kernel/include/kernel/events.hpp
+++ b/libs/kernel/include/kernel/events.hpp
@@ -34,6 +34,7 @@
     watching_began = 1109,
     watching_ended = 1110,
     store_returned = 1111,
+    endpoint_unusable = 1112,
     peer_suspected = 1201,
     peer_back = 1202,
     peer_leaving = 1203,
--- a/libs/kernel/src/events.cpp
+++ b/libs/kernel/src/events.cpp
@@ -35,6 +35,7 @@
     event_row{event_id::watching_began, "watching_began"},
     event_row{event_id::watching_ended, "watching_ended"},
     event_row{event_id::store_returned, "store_returned"},
+    event_row{event_id::endpoint_unusable, "endpoint_unusable"},
     event_row{event_id::peer_suspected, "peer_suspected"},
     event_row{event_id::peer_back, "peer_back"},
     event_row{event_id::peer_leaving, "peer_leaving"},
--- a/libs/net/src/client_connection.cpp
+++ b/libs/net/src/client_connection.cpp
@@ -58,7 +58,9 @@
     boost::system::error_code error;
     auto const ip = boost::asio::ip::make_address(
         std::string(text.substr(0, colon)), error);
-    if (error || parsed.ec != std::errc{} || port == 0)
+    auto const is_number =
+        parsed.ec == std::errc{} && parsed.ptr == digits.data() + digits.size();
+    if (error || !is_number || port == 0)
     {
         return std::nullopt;
     }
