--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 SOURCES = $(shell git ls-files --cached --others --exclude-standard \
 	'*.cpp' '*.hpp' | grep -v '\.pb\.')
 
-.PHONY: all deps configure build demo capacity scenarios chaos \
+.PHONY: all deps configure build demo capacity scenarios chaos soak \
 	bench-requests bench-weights bench-control test lint lint-changed \
 	format tidy proto \
 	test-sanitize test-thread test-known-red
@@ -69,6 +69,13 @@
 	    --work $(BUILD)/chaos --network $(NETWORK) --seed $(SEED) \
 	    --seconds $(SECONDS) chaos scenarios/deployments/two-domains.json
 
+# Real entries against endpoints, callers and signals that misbehave: SEEDS seeds
+# from SEED on.
+SEEDS ?= 50
+soak: build
+	@$(BUILD)/bin/foxtailvale-soak --entry $(BUILD)/bin/foxtailvale-entry \
+	    --work $(BUILD)/soak-long --seed $(SEED) --seeds $(SEEDS)
+
 bench-weights: build
 	@$(BUILD)/bin/foxtailvale-bench-weights --programs $(BUILD)/bin \
 	    --work $(BUILD)/bench-weights --network $(NETWORK) \
