A request's body is held once, also while it is sent

Callers saw: an entry that many callers send whole bodies within the limits, for endpoints that answer slowly, ran out of memory. Cause: the bytes for an endpoint were a text of their own, so that a body of 4 MiB took 8.1 MB while it was sent, and a connection that went back to the pool kept the memory of its last request.

The body now stays with the received request and is written from there behind the head; the connection drops its bytes with the end of the exchange. It waits for bytes without a buffer of its own.

--- a/libs/gateway/src/call.hpp
+++ b/libs/gateway/src/call.hpp
@@ -230,7 +230,7 @@
     void send(direct::choice const& chosen);
     // Returns the bytes for the attempt's endpoint, with the time that is left
     // now; nothing when the time is up or the connection took too long to open.
-    std::optional<std::string> dispatch(std::uint64_t number);
+    std::optional<net::outgoing_request> dispatch(std::uint64_t number);
     net::head_verdict
     on_head(std::uint64_t number, net::response_head const& head);
     void on_data(std::uint64_t number, std::string_view data);
--- a/libs/gateway/src/call_attempt.cpp
+++ b/libs/gateway/src/call_attempt.cpp
@@ -128,7 +128,7 @@
     this->set_timer();
 }
 
-std::optional<std::string> call::dispatch(std::uint64_t number)
+std::optional<net::outgoing_request> call::dispatch(std::uint64_t number)
 {
     if (!this->is_current(number))
     {
--- a/libs/gateway/src/fetch.cpp
+++ b/libs/gateway/src/fetch.cpp
@@ -48,7 +48,7 @@
 {
     auto const source = [bytes = net::serialize(request)]() mutable
     {
-        return std::optional(std::move(bytes));
+        return std::optional<net::outgoing_request>(std::move(bytes));
     };
     fetch(loop, pool, address, source, timeout, std::move(done));
 }
--- a/libs/net/include/net/client_connection.hpp
+++ b/libs/net/include/net/client_connection.hpp
@@ -6,7 +6,6 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
-#include <array>
 #include <chrono>
 #include <cstddef>
 #include <functional>
@@ -68,7 +67,7 @@
 // nothing when the request must no longer be sent. Opening a connection can
 // take seconds: a time limit in the request that was computed at the decision
 // to send would end that much too late at the server.
-using request_source = std::function<std::optional<std::string>()>;
+using request_source = std::function<std::optional<outgoing_request>()>;
 
 // Callbacks of an exchange. They run on the loop, never inside start(). All
 // three must be set.
@@ -168,9 +167,12 @@
     // writable again.
     void write();
     void await_writable();
+    bool is_all_sent() const;
+    // Drops the request. An idle connection would keep its memory.
+    void release_output();
     void read();
     void on_readable(boost::system::error_code error);
-    void on_read(boost::system::error_code error, std::size_t count);
+    void on_read(boost::system::error_code error, std::string_view bytes);
     void parse_input();
     void on_input_end(bool orderly);
     void finish(exchange_end end);
@@ -181,11 +183,12 @@
 
     boost::asio::ip::tcp::socket socket;
     tcp_endpoint address;
-    std::array<char, 8192> read_buffer{};
     std::string input;
     // Called once, when the connection is open.
     request_source source;
+    // The request being written, and how many bytes of its head and body are.
     std::string output;
+    std::string_view output_body;
     std::size_t sent = 0;
     std::unique_ptr<response_reader> reader;
     std::shared_ptr<exchange_handlers const> handlers;
--- a/libs/net/include/net/message.hpp
+++ b/libs/net/include/net/message.hpp
@@ -1,9 +1,11 @@
 #ifndef FOXTAILVALE_NET_MESSAGE_HPP
 #define FOXTAILVALE_NET_MESSAGE_HPP
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace foxtailvale::net
@@ -28,6 +30,19 @@
     std::string body;
 };
 
+// The bytes of a request as they are written.
+struct outgoing_request
+{
+    outgoing_request(std::string text, std::string_view separate_body = {})
+        : head(std::move(text)), body(separate_body)
+    {
+    }
+
+    std::string head;
+    // Written behind the head. Its owner keeps it until the exchange ends.
+    std::string_view body;
+};
+
 // The head of a response, before its body.
 struct response_head
 {
@@ -59,6 +74,9 @@
 // usually have one.
 std::string serialize(request const& message);
 
+// The same without the body, whose length it names.
+std::string serialize_head(request const& message, std::size_t body_bytes);
+
 // Serializes the head of a response, including the blank line.
 std::string serialize_head(unsigned status, field_list const& fields);
 
--- a/libs/net/src/client_connection.cpp
+++ b/libs/net/src/client_connection.cpp
@@ -10,6 +10,8 @@
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
+#include <algorithm>
+#include <array>
 #include <cerrno>
 #include <charconv>
 
@@ -21,6 +23,9 @@
 
 using clock = std::chrono::steady_clock;
 
+// Most bytes that are taken from the system at once.
+constexpr std::size_t bytes_per_read = 8192;
+
 // Reads the seconds after "timeout=" in a Keep-Alive field; zero when there are
 // none.
 std::chrono::seconds read_idle_limit(std::string_view value)
@@ -79,7 +84,7 @@
 {
     this->source = [held = std::move(bytes)]() mutable
     {
-        return std::optional(std::move(held));
+        return std::optional<outgoing_request>(std::move(held));
     };
     this->begin(std::move(next));
 }
@@ -92,8 +97,7 @@
 
 void client_connection::begin(exchange_handlers next)
 {
-    this->output.clear();
-    this->sent = 0;
+    this->release_output();
     this->handlers = std::make_shared<exchange_handlers const>(std::move(next));
     this->running = true;
     this->result = {};
@@ -144,10 +148,23 @@
     this->closed = true;
     this->running = false;
     this->handlers.reset();
+    this->release_output();
     boost::system::error_code ignored;
     this->socket.close(ignored);
 }
 
+void client_connection::release_output()
+{
+    std::string().swap(this->output);
+    this->output_body = {};
+    this->sent = 0;
+}
+
+bool client_connection::is_all_sent() const
+{
+    return this->sent == this->output.size() + this->output_body.size();
+}
+
 void client_connection::reset_on_close()
 {
     boost::system::error_code ignored;
@@ -174,7 +191,7 @@
     auto unacknowledged = 0;
     auto const is_known =
         ::ioctl(this->socket.native_handle(), SIOCOUTQ, &unacknowledged) == 0;
-    return is_known && unacknowledged == 0 && this->sent == this->output.size();
+    return is_known && unacknowledged == 0 && this->is_all_sent();
 }
 
 bool client_connection::is_open() const
@@ -217,7 +234,8 @@
     auto bytes = std::exchange(this->source, {})();
     if (bytes)
     {
-        this->output = std::move(*bytes);
+        this->output = std::move(bytes->head);
+        this->output_body = bytes->body;
         this->write();
         return;
     }
@@ -239,10 +257,13 @@
     // report the server's close before it reports the write. The request would
     // then count as never written, and one that must run only once would be
     // sent to a second server.
-    while (this->sent < this->output.size())
+    while (!this->is_all_sent())
     {
         boost::system::error_code error;
-        auto const rest = boost::asio::buffer(this->output) + this->sent;
+        auto const head_sent = std::min(this->sent, this->output.size());
+        std::array<boost::asio::const_buffer, 2> const rest{
+            boost::asio::buffer(this->output) + head_sent,
+            boost::asio::buffer(this->output_body) + (this->sent - head_sent)};
         auto const count = this->socket.write_some(rest, error);
         this->sent += count;
         this->result.written = this->result.written || count > 0;
@@ -299,19 +320,9 @@
     {
         return;
     }
-    if (this->running && this->response_begun)
-    {
-        this->socket.async_read_some(
-            boost::asio::buffer(this->read_buffer),
-            [self = this->shared_from_this()](
-                boost::system::error_code error, std::size_t count)
-            {
-                self->on_read(error, count);
-            });
-        return;
-    }
-    // Until a response begins, bytes stay in the socket for the handler, so
-    // that begin() sees those that came before a request was written.
+    // Bytes stay in the socket for the handler, so that begin() sees those that
+    // came before a request was written, and a waiting connection holds no
+    // buffer.
     this->socket.async_wait(
         boost::asio::ip::tcp::socket::wait_read,
         [self = this->shared_from_this(),
@@ -326,11 +337,11 @@
 
 void client_connection::on_readable(boost::system::error_code error)
 {
+    std::array<char, bytes_per_read> block;
     std::size_t count = 0;
     if (!error && !this->closed)
     {
-        count = this->socket.read_some(
-            boost::asio::buffer(this->read_buffer), error);
+        count = this->socket.read_some(boost::asio::buffer(block), error);
     }
     if (error == boost::asio::error::would_block)
     {
@@ -338,11 +349,11 @@
         this->read();
         return;
     }
-    this->on_read(error, count);
+    this->on_read(error, {block.data(), count});
 }
 
 void client_connection::on_read(
-    boost::system::error_code error, std::size_t count)
+    boost::system::error_code error, std::string_view bytes)
 {
     this->reading = false;
     if (this->closed)
@@ -363,8 +374,8 @@
     }
     this->last_use = clock::now();
     this->response_begun = true;
-    this->input.append(this->read_buffer.data(), count);
-    this->untaken_bytes += this->result.head_seen ? 0 : count;
+    this->input.append(bytes);
+    this->untaken_bytes += this->result.head_seen ? 0 : bytes.size();
     this->parse_input();
     if (this->running && this->is_too_large())
     {
@@ -512,7 +523,8 @@
     auto const orderly =
         end == exchange_end::whole || end == exchange_end::withheld;
     auto const clean = orderly && this->keeps_alive && this->input.empty() &&
-                       this->sent == this->output.size();
+                       this->is_all_sent();
+    this->release_output();
     auto const held = std::move(this->handlers);
     auto const facts = this->result;
     if (!clean)
--- a/libs/net/src/message.cpp
+++ b/libs/net/src/message.cpp
@@ -121,22 +121,27 @@
 
 std::string serialize(request const& message)
 {
+    return serialize_head(message, message.body.size()) + message.body;
+}
+
+std::string serialize_head(request const& message, std::size_t body_bytes)
+{
+    constexpr std::size_t usual_bytes = 512;
     std::string text;
-    text.reserve(512 + message.body.size());
+    text.reserve(usual_bytes);
     text.append(message.method).append(" ").append(message.target);
     text.append(" HTTP/1.1\r\n");
     for (auto const& entry : message.fields)
     {
         append_field(text, entry.name, entry.value);
     }
-    auto const has_length = !message.body.empty() || message.method == "POST" ||
-                            message.method == "PUT";
+    auto const has_length =
+        body_bytes > 0 || message.method == "POST" || message.method == "PUT";
     if (has_length)
     {
-        append_field(
-            text, "Content-Length", std::to_string(message.body.size()));
+        append_field(text, "Content-Length", std::to_string(body_bytes));
     }
-    text.append("\r\n").append(message.body);
+    text.append("\r\n");
     return text;
 }
 
