Freed memory of large requests goes back to the system

After a crowd of large bodies had left, an entry kept 186 to 211 MB of its peak: glibc raises the size from which it maps memory by itself whenever such a block is freed, up to 32 MiB, and later blocks stay in its heap. Both daemons fix that size.

--- a/libs/cli/src/daemon_options.cpp
+++ b/libs/cli/src/daemon_options.cpp
@@ -1,4 +1,5 @@
 #include <cli/daemon_options.hpp>
+#include <malloc.h>
 #include <tclap/CmdLine.h>
 
 #include <csignal>
@@ -43,8 +44,22 @@
     std::signal(SIGHUP, SIG_IGN);
 }
 
+namespace
+{
+
+// Failure: after a crowd of large requests the process kept their memory, as
+// glibc raises this threshold when a large block is freed.
+void return_freed_memory()
+{
+    constexpr int threshold_bytes = 128 * 1024;
+    mallopt(M_MMAP_THRESHOLD, threshold_bytes);
+}
+
+} // namespace
+
 int run_daemon(int argc, char const* const* argv, daemon const& daemon)
 {
+    return_freed_memory();
     std::string path;
     auto check_only = false;
     auto on_platform = false;
