What callers make an entry hold has bounds, and those who hold most go first

Callers saw: an entry was killed for its memory by callers that send many bodies and stop before their end, or do not read their answers; with its descriptors taken, or its endpoints' places held by unread streams, ordinary requests got nothing. With no descriptor left, and with 20 places held by unread streams, no ordinary request was answered within a minute.

Causes: limits were for one caller, and nothing summed over them; memory_mb and max_fds of the settings were not read. Each answer to a caller that sends ahead read on without a look at what had been read, so its input grew with each. While a request is answered no time was asked of its reader. A body had no time of its own. A failed accept was tried again at once, for ever.

Now requests, unread answers and connections have shares of memory and sockets (net/server_capacity, without a network). At a limit the one that has held most for the longest time goes: incomplete requests with 503 entry_overloaded, which is true as no endpoint has them; unread answers and idle connections by a close. Large requests leave a quarter to small ones. A body ends with its caller's own time (408), an answer of which no byte is taken with the idle time. After a failed accept some connections are closed, and the next comes 50 ms later. The same for the ports for readiness, metrics and peers. An idle connection holds no read buffer.

--- a/libs/base/include/base/error.hpp
+++ b/libs/base/include/base/error.hpp
@@ -29,6 +29,7 @@
     no_region,
     head_too_large,
     head_timed_out,
+    body_timed_out,
     // Refusals because of load or an ongoing change; the request was not run.
     queue_full,
     deadline_unreachable,
@@ -48,6 +49,7 @@
     answer_not_kept,
     no_configuration,
     stale_configuration,
+    entry_overloaded,
     // Failures after the request may have started to run.
     endpoint_lost,
     endpoint_failed,
--- a/libs/base/src/error.cpp
+++ b/libs/base/src/error.cpp
@@ -52,6 +52,9 @@
     error_row{
         kind::head_timed_out, "head_timed_out", 408, ran_state::no, no_retry,
         2011, "The head of the request did not come in time."},
+    error_row{
+        kind::body_timed_out, "body_timed_out", 408, ran_state::no, no_retry,
+        2012, "The body of the request did not come in the caller's time."},
     error_row{
         kind::queue_full, "queue_full", 503, ran_state::no, retry_later, 2101,
         "Too many requests are waiting."},
@@ -108,6 +111,9 @@
     error_row{
         kind::stale_configuration, "stale_configuration", 503, ran_state::no,
         retry_later, 2118, "The configuration was not confirmed for too long."},
+    error_row{
+        kind::entry_overloaded, "entry_overloaded", 503, ran_state::no,
+        retry_later, 2119, "Callers send this entry more than it can hold."},
     error_row{
         kind::endpoint_lost, "endpoint_lost", 502, ran_state::unknown,
         retry_soon, 2201, "The endpoint was lost while it ran the request."},
--- a/libs/gateway/include/gateway/entry.hpp
+++ b/libs/gateway/include/gateway/entry.hpp
@@ -50,6 +50,11 @@
     // listed at about the same time are subscribed to together.
     void schedule_subscribe();
     bool is_ready() const;
+    // Logs and counts a caller's connection that is closed.
+    void
+    note_closed(net::server_session const& session, net::close_reason reason);
+    // Exports what callers make this process hold.
+    void note_load();
 
     boost::asio::io_context& loop;
     settings_file& file;
--- a/libs/gateway/src/call_attempt.cpp
+++ b/libs/gateway/src/call_attempt.cpp
@@ -254,12 +254,14 @@
 bool call::count_held_bytes()
 {
     auto& running_attempt = *this->current;
-    auto const held =
-        running_attempt.body.size() + running_attempt.events.incomplete.size();
+    auto const held = running_attempt.body.capacity() +
+                      running_attempt.events.incomplete.capacity();
     auto& all = this->context->held_answer_bytes;
     all += held;
     all -= std::exchange(running_attempt.held_bytes, held);
-    return !is_too_large(held, all) && !is_too_long(running_attempt.events);
+    auto const max_all = max_all_answers(this->context->settings.memory_bytes);
+    return !is_too_large(held, all, max_all) &&
+           !is_too_long(running_attempt.events);
 }
 
 void call::give_up_answer(ran_state ran, char const* reason)
--- a/libs/gateway/src/entry.cpp
+++ b/libs/gateway/src/entry.cpp
@@ -39,12 +39,49 @@
         return base::error_kind::request_too_large;
     case net::read_fault::head_timed_out:
         return base::error_kind::head_timed_out;
+    case net::read_fault::body_timed_out:
+        return base::error_kind::body_timed_out;
+    case net::read_fault::capacity_exceeded:
+        return base::error_kind::entry_overloaded;
     case net::read_fault::malformed:
         break;
     }
     return base::error_kind::malformed_request;
 }
 
+char const* name_of(net::close_reason reason)
+{
+    switch (reason)
+    {
+    case net::close_reason::connections_exhausted:
+        return "connections_exhausted";
+    case net::close_reason::answers_exhausted:
+        return "answers_exhausted";
+    case net::close_reason::reader_stalled:
+        break;
+    }
+    return "reader_stalled";
+}
+
+net::process_limits limits_of(platform::settings const& settings)
+{
+    return net::limits_of_process(
+        settings.memory_bytes, settings.max_descriptors);
+}
+
+// Retry-After for a caller whose request was refused before its head was known.
+milliseconds retry_after_of(base::error_row const& row, entry_context& context)
+{
+    // Random, so that callers who were refused together do not come back
+    // together.
+    return row.retry_after.count() == 0
+               ? row.retry_after
+               : row.retry_after / 2 +
+                     milliseconds(base::random_below(
+                         context.random,
+                         static_cast<std::uint64_t>(row.retry_after.count())));
+}
+
 } // namespace
 
 entry_process::entry_process(
@@ -97,13 +134,28 @@
         auto const& row = base::row_of(kind);
         shared->counters.count_error(kind);
         kernel::log_event(
-            kernel::event_id::request_refused, {{"kind", row.name}});
+            kernel::event_id::request_refused,
+            {{"kind", row.name},
+             {"caller", session.client().address().to_string()}});
         session.respond(
-            static_cast<unsigned>(row.status), {},
+            static_cast<unsigned>(row.status),
+            platform::refusal_fields("", retry_after_of(row, *shared)),
             std::string(row.name) + "\n");
     };
+    handlers.request_time = platform::read_time_limit;
+    handlers.on_close =
+        [this](net::server_session const& session, net::close_reason reason)
+    {
+        this->note_closed(session, reason);
+    };
+    handlers.on_accept_failed = [shared](std::string const& fault)
+    {
+        shared->counters.count("foxtailvale_accept_failures_total", {});
+        kernel::log_event(kernel::event_id::accept_failed, {{"why", fault}});
+    };
     return std::make_shared<net::http_server>(
-        this->loop, net::server_limits{}, std::move(handlers));
+        this->loop, net::server_limits{}, std::move(handlers),
+        net::caller_capacity(limits_of(shared->settings)));
 }
 
 std::shared_ptr<net::http_server> entry_process::make_readiness_server()
@@ -121,7 +173,40 @@
         session.abort();
     };
     return std::make_shared<net::http_server>(
-        this->loop, net::server_limits{}, std::move(handlers));
+        this->loop, net::server_limits{}, std::move(handlers),
+        net::question_capacity());
+}
+
+void entry_process::note_closed(
+    net::server_session const& session, net::close_reason reason)
+{
+    auto const all = this->caller_server->current_load();
+    auto const held = session.current_load(clock::now());
+    this->context->counters.count(
+        "foxtailvale_connections_closed_total", {{"why", name_of(reason)}});
+    kernel::log_event(
+        kernel::event_id::connection_closed,
+        {{"caller", session.client().address().to_string()},
+         {"request", session.request_name()},
+         {"why", name_of(reason)},
+         {"request_bytes", held.request_bytes},
+         {"unsent_bytes", held.unsent_bytes},
+         {"all_request_bytes", all.request_bytes},
+         {"all_unsent_bytes", all.unsent_bytes},
+         {"connections", all.connections}});
+}
+
+void entry_process::note_load()
+{
+    auto const all = this->caller_server->current_load();
+    auto& counters = this->context->counters;
+    auto const set = [&counters](char const* name, std::size_t value)
+    {
+        counters.gauge(name, {}, static_cast<double>(value));
+    };
+    set("foxtailvale_caller_connections", all.connections);
+    set("foxtailvale_caller_request_bytes", all.request_bytes);
+    set("foxtailvale_caller_unsent_bytes", all.unsent_bytes);
 }
 
 bool entry_process::is_ready() const
@@ -300,9 +385,14 @@
         settings.promised = changed->promised;
         settings.scheduling = changed->scheduling;
         settings.ranks_compete = changed->ranks_compete;
+        settings.memory_bytes = changed->memory_bytes;
+        settings.max_descriptors = changed->max_descriptors;
+        this->caller_server->set_capacity(
+            net::caller_capacity(limits_of(settings)));
         kernel::log_event(
             kernel::event_id::settings_reloaded, {{"node", changed->name}});
     }
+    this->note_load();
     this->context->pool.sweep();
     request::expire(this->context->suspects, clock::now());
     request::expire(this->context->lost_answers, clock::now());
--- a/libs/gateway/src/metrics_server.cpp
+++ b/libs/gateway/src/metrics_server.cpp
@@ -30,7 +30,8 @@
         session.abort();
     };
     auto server = std::make_shared<net::http_server>(
-        loop, net::server_limits{}, std::move(handlers));
+        loop, net::server_limits{}, std::move(handlers),
+        net::question_capacity());
     boost::system::error_code error;
     auto const address = boost::asio::ip::make_address(ip, error);
     auto const fault = error ? std::optional(error.message())
--- a/libs/gateway/src/peer_weights_server.cpp
+++ b/libs/gateway/src/peer_weights_server.cpp
@@ -152,7 +152,10 @@
         session.abort();
     };
     this->server = std::make_shared<net::http_server>(
-        this->context->loop, net::server_limits{}, std::move(handlers));
+        this->context->loop, net::server_limits{}, std::move(handlers),
+        net::peer_capacity(net::limits_of_process(
+            this->context->settings.memory_bytes,
+            this->context->settings.max_descriptors)));
     auto const& settings = this->context->settings;
     boost::system::error_code error;
     auto const ip = boost::asio::ip::make_address(settings.ip, error);
--- a/libs/gateway/src/view_relay.cpp
+++ b/libs/gateway/src/view_relay.cpp
@@ -706,7 +706,10 @@
         session.abort();
     };
     return std::make_shared<net::http_server>(
-        this->context->loop, net::server_limits{}, std::move(handlers));
+        this->context->loop, net::server_limits{}, std::move(handlers),
+        net::peer_capacity(net::limits_of_process(
+            this->context->settings.memory_bytes,
+            this->context->settings.max_descriptors)));
 }
 
 } // namespace foxtailvale::gateway
--- a/libs/kernel/include/kernel/events.hpp
+++ b/libs/kernel/include/kernel/events.hpp
@@ -82,6 +82,8 @@
     request_sent_again = 1423,
     answer_skipped = 1424,
     answer_unsent = 1425,
+    connection_closed = 1426,
+    accept_failed = 1427,
     domain_out = 1501,
     domain_in = 1502,
 };
--- a/libs/kernel/src/events.cpp
+++ b/libs/kernel/src/events.cpp
@@ -83,6 +83,8 @@
     event_row{event_id::request_sent_again, "request_sent_again"},
     event_row{event_id::answer_skipped, "answer_skipped"},
     event_row{event_id::answer_unsent, "answer_unsent"},
+    event_row{event_id::connection_closed, "connection_closed"},
+    event_row{event_id::accept_failed, "accept_failed"},
     event_row{event_id::domain_out, "domain_out"},
     event_row{event_id::domain_in, "domain_in"},
 };
--- a/libs/net/include/net/http_server.hpp
+++ b/libs/net/include/net/http_server.hpp
@@ -3,12 +3,12 @@
 
 #include <net/client_connection.hpp>
 #include <net/message.hpp>
+#include <net/server_capacity.hpp>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include <array>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -41,6 +41,21 @@
     head_too_large,
     body_too_large,
     head_timed_out,
+    // The client's own time for its request has passed.
+    body_timed_out,
+    // The server's clients hold more than its capacity, and this request most.
+    capacity_exceeded,
+};
+
+// Why a connection was closed without an answer, or in the middle of one.
+enum class close_reason
+{
+    // For a new connection.
+    connections_exhausted,
+    // Unread answers take more than the server's capacity.
+    answers_exhausted,
+    // The client took no byte of its answer for the idle time.
+    reader_stalled,
 };
 
 class server_session;
@@ -52,22 +67,14 @@
         on_request;
     // Sends the error response; the session is closed afterwards.
     std::function<void(server_session&, read_fault)> on_fault;
-};
-
-// What a session is doing.
-enum class session_state
-{
-    // Between two requests.
-    idle,
-    // A part of a request has arrived.
-    reading,
-    // A request is being handled.
-    busy,
-    // The last bytes of an answer are being written.
-    writing,
-    // The last answer is written; the client is to close the connection.
-    lingering,
-    closed,
+    // The time that the client gives its request, by its head; none if the
+    // function is not set.
+    std::function<std::optional<std::chrono::milliseconds>(field_list const&)>
+        request_time;
+    // A session is about to be closed for this reason. May be left out.
+    std::function<void(server_session const&, close_reason)> on_close;
+    // The system gave no descriptor for a new connection. May be left out.
+    std::function<void(std::string const&)> on_accept_failed;
 };
 
 // Numbers of sessions by state.
@@ -97,6 +104,12 @@
     bool closing = false;
     std::size_t open_sessions = 0;
     std::size_t running_requests = 0;
+    server_capacity capacity;
+    total_load load;
+    // Refuses incomplete requests while they exceed the capacity.
+    std::function<void()> refuse_requests;
+    // Closes slow readers while their answers exceed the capacity, later on.
+    std::function<void()> close_readers_later;
 };
 
 // One client's connection: reads one request at a time, passes it to the
@@ -160,7 +173,8 @@
     bool awaits_answer() const;
 
     // Enforces the time limits: closes the session when it is idle for too
-    // long, and rejects a request whose head takes too long.
+    // long or its client does not read, and rejects a request whose head takes
+    // too long or whose own time has passed.
     void enforce_limits(std::chrono::steady_clock::time_point now);
 
     // Closes the session if it is between two requests, nothing was sent or
@@ -172,29 +186,44 @@
 
     session_state current_state() const;
 
+    session_load current_load(std::chrono::steady_clock::time_point now) const;
+
+    // Refuses the request that is being read.
+    void refuse_for_capacity();
+
+    // Closes the connection as if the client had closed it.
+    void close_for(close_reason reason);
+
+    // Whether bytes of the client wait to be read. A loop that was late has not
+    // read what came meanwhile, and takes the connection for idle.
+    bool has_unread_input();
+
     tcp_endpoint client() const;
 
 private:
     class reader;
 
     void read();
-    void on_read(boost::system::error_code error, std::size_t count);
+    void on_readable(boost::system::error_code error);
     void parse_input();
     // Whether the client closed its connection right behind what was read of
     // it. Without this check, a process that was stalled would read the
     // requests of callers that disconnected meanwhile and forward them before
     // it reads that they are gone.
     bool has_client_closed();
-    // Whether bytes of the client wait to be read. A loop that was late has not
-    // read what came meanwhile, and takes the connection for idle.
-    bool has_unread_input();
     // Whether the client's system has acknowledged everything that was written;
     // true when this system does not tell.
     bool is_all_received();
+    // Whether the request that was read may be handled. Refuses incomplete
+    // requests, or this one, if it would exceed the server's capacity.
+    bool has_room();
     void dispatch();
     void fail(read_fault fault);
-    void write(std::string_view bytes);
+    void write(std::string_view bytes, std::string_view more = {});
     void write_next();
+    // Brings the server's totals up to date with what this session holds.
+    void update_load();
+    void note_request_time();
     void finish_answer();
     void on_client_lost();
     void close();
@@ -202,7 +231,6 @@
     boost::asio::ip::tcp::socket socket;
     std::shared_ptr<server_state> state;
     tcp_endpoint remote;
-    std::array<char, 8192> read_buffer{};
     std::string input;
     // Bytes being written, and bytes queued behind them.
     std::string writing;
@@ -222,8 +250,17 @@
     bool lingering = false;
     bool closed = false;
     bool client_keeps_alive = true;
+    bool has_answered = false;
+    // Of the request that is being handled.
+    std::size_t handled_bytes = 0;
+    // What the server's totals contain of this session.
+    std::size_t counted_request_bytes = 0;
+    std::size_t counted_unsent_bytes = 0;
     std::chrono::steady_clock::time_point last_byte;
+    // When the client last took bytes of an answer, or had taken all.
+    std::chrono::steady_clock::time_point last_written;
     std::chrono::steady_clock::time_point request_began;
+    std::chrono::steady_clock::time_point linger_began;
 };
 
 // Listens at an address and opens a session for each connection.
@@ -233,7 +270,8 @@
     http_server(
         boost::asio::io_context& loop,
         server_limits limits,
-        server_handlers handlers);
+        server_handlers handlers,
+        server_capacity capacity = {});
 
     // Binds and listens; returns an error text on failure.
     std::optional<std::string> listen(tcp_endpoint address);
@@ -241,6 +279,12 @@
     // Sets the limits for requests read from now on.
     void set_limits(server_limits limits);
 
+    // Sets what all clients together may hold. What exceeds it is refused or
+    // closed at once.
+    void set_capacity(server_capacity capacity);
+
+    total_load current_load() const;
+
     // From now on, each response announces that its connection is closed after
     // it.
     void announce_close();
@@ -265,14 +309,24 @@
 private:
     void accept();
     void accept_waiting();
+    void accept_later(std::string const& fault);
     void open_session(boost::asio::ip::tcp::socket socket);
+    // Closes the session that is the first to go for a new connection. Returns
+    // false if none is.
+    bool close_connection();
+    void refuse_requests();
+    void close_readers();
+    void close_readers_later();
+    std::vector<std::shared_ptr<server_session>> open_session_list() const;
     void sweep();
 
     boost::asio::ip::tcp::acceptor acceptor;
     boost::asio::steady_timer timer;
+    boost::asio::steady_timer accept_timer;
     std::shared_ptr<server_state> state;
     std::list<std::weak_ptr<server_session>> sessions;
     bool stopped = false;
+    bool will_close_readers = false;
 };
 
 } // namespace foxtailvale::net
--- a/libs/net/src/server_session.cpp
+++ b/libs/net/src/server_session.cpp
@@ -12,6 +12,8 @@
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
+#include <algorithm>
+#include <array>
 #include <cerrno>
 #include <cstdio>
 #include <utility>
@@ -29,15 +31,27 @@
 // not added to it. A response that is passed at once may be larger.
 constexpr std::size_t max_unsent_bytes = 8UL * 1024 * 1024;
 
-// Input buffered beyond the current request; a client that pipelines more is
-// not read until the request is answered.
-constexpr std::size_t max_buffered_bytes = 64UL * 1024;
+// Input buffered beyond the request that is being handled; a client that
+// pipelines more is not read until the request is answered.
+constexpr std::size_t max_pipelined_bytes = 8UL * 1024;
+
+// Most bytes that are taken from the system at once.
+constexpr std::size_t bytes_per_read = 16UL * 1024;
+
+// What the process holds for a request that is handled, beside its bytes: its
+// record and its connection to an endpoint.
+constexpr std::size_t bytes_per_handled_request = 12UL * 1024;
 
 // Most bytes that are passed to the system at once.
 constexpr std::size_t bytes_per_write = 64UL * 1024;
 
-// Time that a client has to close the connection after the last response.
+// Time that a client has to close the connection after the last response: since
+// its last byte, and in all.
 constexpr std::chrono::seconds linger_time{2};
+constexpr std::chrono::seconds max_linger_time{10};
+
+// An empty input buffer of a larger capacity is given back.
+constexpr std::size_t kept_input_bytes = 16UL * 1024;
 
 read_fault fault_of(boost::system::error_code error)
 {
@@ -52,20 +66,55 @@
     return read_fault::malformed;
 }
 
-request to_request(http::request<http::string_body>& message)
+field_list fields_of(http::request<http::string_body> const& message)
 {
-    request taken;
-    taken.method = std::string(message.method_string());
-    taken.target = std::string(message.target());
+    field_list fields;
     for (auto const& entry : message)
     {
-        taken.fields.push_back(
+        fields.push_back(
             {std::string(entry.name_string()), std::string(entry.value())});
     }
+    return fields;
+}
+
+request to_request(http::request<http::string_body>& message)
+{
+    request taken;
+    taken.method = std::string(message.method_string());
+    taken.target = std::string(message.target());
+    taken.fields = fields_of(message);
     taken.body = std::move(message.body());
     return taken;
 }
 
+// Bytes that a text holds outside of its own object.
+std::size_t held_bytes(std::string const& text)
+{
+    return text.capacity() > std::string().capacity() ? text.capacity() : 0;
+}
+
+void release(std::string& text)
+{
+    std::string().swap(text);
+}
+
+std::chrono::milliseconds
+elapsed(clock::time_point since, clock::time_point now)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now - since);
+}
+
+// Adds a session's bytes to a total, in place of those counted before.
+void recount(std::size_t& total, std::size_t before, std::size_t now)
+{
+    total = total - before + now;
+}
+
+std::size_t large_part(std::size_t bytes)
+{
+    return bytes >= large_request_bytes ? bytes : 0;
+}
+
 } // namespace
 
 class server_session::reader
@@ -78,23 +127,41 @@
         this->parser.eager(true);
     }
 
+    // Bytes that the request holds so far. A head is held twice, as text and
+    // in the parser's list of fields.
+    std::size_t held() const
+    {
+        return 2 * this->head_bytes + held_bytes(this->parser.get().body());
+    }
+
     http::request_parser<http::string_body> parser;
+    std::size_t head_bytes = 0;
     bool continue_sent = false;
+    bool is_time_known = false;
+    // The client's own time for its request, from its first byte on.
+    std::optional<std::chrono::milliseconds> time;
 };
 
 server_session::server_session(
     boost::asio::ip::tcp::socket accepted, std::shared_ptr<server_state> common)
     : socket(std::move(accepted)), state(std::move(common)),
-      last_byte(clock::now()), request_began(this->last_byte)
+      last_byte(clock::now()), last_written(this->last_byte),
+      request_began(this->last_byte), linger_began(this->last_byte)
 {
     boost::system::error_code ignored;
     this->socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+    this->socket.non_blocking(true, ignored);
     this->remote = this->socket.remote_endpoint(ignored);
     ++this->state->open_sessions;
+    ++this->state->load.connections;
 }
 
 server_session::~server_session()
 {
+    this->close();
+    this->handled_bytes = 0;
+    release(this->writing);
+    this->update_load();
     --this->state->open_sessions;
     if (this->busy)
     {
@@ -149,27 +216,42 @@
 
 void server_session::read()
 {
-    if (this->reading || this->closed)
+    // The parser takes a head out of the input only when it is whole.
+    auto const wanted = this->busy
+                            ? max_pipelined_bytes
+                            : this->state->limits.head_bytes + bytes_per_read;
+    if (this->reading || this->closed || this->input.size() >= wanted)
     {
         return;
     }
     this->reading = true;
-    this->socket.async_read_some(
-        boost::asio::buffer(this->read_buffer),
-        [self = this->shared_from_this()](
-            boost::system::error_code error, std::size_t count)
+    // Waits without a buffer, so that an idle connection holds none.
+    this->socket.async_wait(
+        boost::asio::ip::tcp::socket::wait_read,
+        [self = this->shared_from_this()](boost::system::error_code error)
         {
             self->reading = false;
-            self->on_read(error, count);
+            self->on_readable(error);
         });
 }
 
-void server_session::on_read(boost::system::error_code error, std::size_t count)
+void server_session::on_readable(boost::system::error_code error)
 {
     if (this->closed)
     {
         return;
     }
+    std::array<char, bytes_per_read> block;
+    std::size_t count = 0;
+    if (!error)
+    {
+        count = this->socket.read_some(boost::asio::buffer(block), error);
+    }
+    if (error == boost::asio::error::would_block)
+    {
+        this->read();
+        return;
+    }
     if (error)
     {
         this->on_client_lost();
@@ -185,15 +267,21 @@
     {
         this->request_began = this->last_byte;
     }
-    this->input.append(this->read_buffer.data(), count);
+    this->input.append(block.data(), count);
     if (!this->busy)
     {
         this->parse_input();
     }
-    if (this->input.size() < max_buffered_bytes)
+    if (this->input.empty() && this->input.capacity() > kept_input_bytes)
     {
-        this->read();
+        release(this->input);
+    }
+    this->update_load();
+    if (exceeds_requests(this->state->load, this->state->capacity))
+    {
+        this->state->refuse_requests();
     }
+    this->read();
 }
 
 void server_session::parse_input()
@@ -207,8 +295,15 @@
         }
         auto& message = this->parser->parser;
         boost::system::error_code error;
+        auto const was_in_head = !message.is_header_done();
         auto const used = message.put(boost::asio::buffer(this->input), error);
         this->input.erase(0, used);
+        if (was_in_head)
+        {
+            this->parser->head_bytes = std::min<std::size_t>(
+                this->parser->head_bytes + used,
+                this->state->limits.head_bytes);
+        }
         if (error && error != http::error::need_more)
         {
             this->fail(fault_of(error));
@@ -221,9 +316,14 @@
                 this->on_client_lost();
                 return;
             }
+            if (!this->has_room())
+            {
+                return;
+            }
             this->dispatch();
             continue;
         }
+        this->note_request_time();
         if (message.is_header_done() && !this->parser->continue_sent &&
             equal_names(
                 std::string(message.get()[http::field::expect]),
@@ -239,6 +339,19 @@
     }
 }
 
+void server_session::note_request_time()
+{
+    auto& current = *this->parser;
+    if (!current.parser.is_header_done() ||
+        std::exchange(current.is_time_known, true) ||
+        !this->state->handlers.request_time)
+    {
+        return;
+    }
+    current.time =
+        this->state->handlers.request_time(fields_of(current.parser.get()));
+}
+
 std::chrono::milliseconds server_session::time_since_last_byte()
 {
     tcp_info known{};
@@ -267,14 +380,31 @@
     return this->socket.available(ignored) > 0;
 }
 
+bool server_session::has_room()
+{
+    this->update_load();
+    auto& common = *this->state;
+    common.load.request_bytes += bytes_per_handled_request;
+    if (exceeds_requests(common.load, common.capacity))
+    {
+        common.refuse_requests();
+    }
+    common.load.request_bytes -= bytes_per_handled_request;
+    return this->parser != nullptr;
+}
+
 void server_session::dispatch()
 {
     auto message = this->parser->parser.release();
     this->client_keeps_alive = message.keep_alive();
+    this->handled_bytes = bytes_per_handled_request +
+                          2 * this->parser->head_bytes +
+                          held_bytes(message.body());
     this->parser.reset();
     this->busy = true;
     this->streaming = false;
     ++this->state->running_requests;
+    this->update_load();
     this->state->handlers.on_request(
         this->shared_from_this(), to_request(message));
 }
@@ -282,7 +412,8 @@
 void server_session::fail(read_fault fault)
 {
     this->parser.reset();
-    this->input.clear();
+    release(this->input);
+    this->update_load();
     this->client_keeps_alive = false;
     this->busy = true;
     ++this->state->running_requests;
@@ -302,10 +433,8 @@
     {
         fields.push_back({"Connection", "close"});
     }
-    auto bytes = serialize_head(status, fields);
-    bytes.append(body);
     this->finish_answer();
-    this->write(bytes);
+    this->write(serialize_head(status, fields), body);
 }
 
 void server_session::begin_stream(unsigned status, field_list fields)
@@ -368,15 +497,19 @@
 {
     this->disconnect_handler = {};
     this->busy = false;
+    this->has_answered = true;
+    this->handled_bytes = 0;
     --this->state->running_requests;
     if (this->last_answer)
     {
         this->lingering = true;
-        this->input.clear();
+        this->linger_began = clock::now();
+        release(this->input);
     }
+    this->update_load();
 }
 
-void server_session::write(std::string_view bytes)
+void server_session::write(std::string_view bytes, std::string_view more)
 {
     if (this->closed)
     {
@@ -387,11 +520,65 @@
         this->on_client_lost();
         return;
     }
-    this->pending.append(bytes);
+    this->pending.reserve(this->pending.size() + bytes.size() + more.size());
+    this->pending.append(bytes).append(more);
     if (this->writing.empty())
     {
+        this->last_written = clock::now();
         this->write_next();
     }
+    this->update_load();
+    if (this->state->load.unsent_bytes > this->state->capacity.unsent_bytes)
+    {
+        this->state->close_readers_later();
+    }
+}
+
+void server_session::update_load()
+{
+    auto const requests = held_bytes(this->input) + this->handled_bytes +
+                          (this->parser ? this->parser->held() : 0);
+    auto const unsent = held_bytes(this->writing) + held_bytes(this->pending);
+    auto& load = this->state->load;
+    recount(load.request_bytes, this->counted_request_bytes, requests);
+    recount(
+        load.large_request_bytes, large_part(this->counted_request_bytes),
+        large_part(requests));
+    recount(load.unsent_bytes, this->counted_unsent_bytes, unsent);
+    this->counted_request_bytes = requests;
+    this->counted_unsent_bytes = unsent;
+}
+
+session_load server_session::current_load(clock::time_point now) const
+{
+    session_load load;
+    load.state = this->current_state();
+    if (load.state == session_state::writing && this->parser)
+    {
+        // The next request comes behind an answer that is being written.
+        load.state = session_state::reading;
+    }
+    load.request_bytes = this->counted_request_bytes;
+    load.unsent_bytes = this->writing.empty() ? 0 : this->counted_unsent_bytes;
+    load.request_age = elapsed(this->request_began, now);
+    load.unsent_age = elapsed(this->last_written, now);
+    load.quiet_time = elapsed(this->last_byte, now);
+    load.has_answered = this->has_answered;
+    return load;
+}
+
+void server_session::refuse_for_capacity()
+{
+    this->fail(read_fault::capacity_exceeded);
+}
+
+void server_session::close_for(close_reason reason)
+{
+    if (this->state->handlers.on_close)
+    {
+        this->state->handlers.on_close(*this, reason);
+    }
+    this->on_client_lost();
 }
 
 void server_session::write_next()
@@ -404,12 +591,14 @@
         {
             // The client has read a part of a large answer.
             self->last_byte = clock::now();
+            self->last_written = self->last_byte;
             return error ? 0 : bytes_per_write;
         },
         [self = this->shared_from_this()](
             boost::system::error_code error, std::size_t)
         {
-            self->writing.clear();
+            release(self->writing);
+            self->update_load();
             if (self->closed)
             {
                 return;
@@ -450,6 +639,7 @@
             {
                 self->request_began = self->last_byte;
                 self->parse_input();
+                self->update_load();
                 self->read();
             }
         });
@@ -475,6 +665,11 @@
     this->written_handler = {};
     boost::system::error_code ignored;
     this->socket.close(ignored);
+    --this->state->load.connections;
+    this->parser.reset();
+    release(this->input);
+    release(this->pending);
+    this->update_load();
 }
 
 bool server_session::is_all_received()
@@ -522,8 +717,27 @@
 
 void server_session::enforce_limits(clock::time_point now)
 {
-    if (this->closed || this->busy)
+    if (this->closed)
+    {
+        return;
+    }
+    // After a stall of this process the client may have taken what the system
+    // had for it.
+    if (!this->writing.empty() &&
+        now - this->last_written > this->state->limits.idle_time &&
+        !this->is_all_received())
     {
+        this->close_for(close_reason::reader_stalled);
+        return;
+    }
+    if (this->busy)
+    {
+        return;
+    }
+    if (this->lingering && this->writing.empty() &&
+        now - this->linger_began > max_linger_time)
+    {
+        this->close();
         return;
     }
     auto const quiet = now - this->last_byte;
@@ -543,6 +757,12 @@
         this->fail(read_fault::head_timed_out);
         return;
     }
+    if (this->parser && this->parser->time &&
+        now - this->request_began > *this->parser->time)
+    {
+        this->fail(read_fault::body_timed_out);
+        return;
+    }
     if (quiet > this->state->limits.idle_time)
     {
         this->close();
