Own interface: bodies are bounded together, and slow ones free their workers

Callers saw: with 1,200 callers that send a part of a body and a byte now and then, nobody was answered, and the entry held 1 GB. Cause: a request holds a worker from its first byte, its time limit is for one wait, and memory is workers times the limit of a body. With no descriptor left a failed accept was tried again at once.

A ledger counts the bodies of all requests (most_bodies_bytes, 64 MiB): beyond it, the request that has held most for the longest time is refused as not run. While requests wait for a worker, those that are read for over a second are ended in the same order. A further connection closes the longest idle one, and there are no more than half of the descriptors that the system allows.

--- a/libs/http/include/http/parking_server.hpp
+++ b/libs/http/include/http/parking_server.hpp
@@ -6,6 +6,7 @@
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/StreamSocket.h>
 #include <http/http_server.hpp>
+#include <http/request_ledger.hpp>
 
 #include <atomic>
 #include <chrono>
@@ -30,13 +31,16 @@
     // Limit of requests handled at once; each holds a thread from its first
     // byte to the last byte of its response.
     std::size_t max_workers = 1024;
-    // Limit of open connections; further ones are closed on arrival.
+    // Limit of open connections; for a further one, the longest idle one is
+    // closed. No more than half of the descriptors that the system allows.
     std::size_t max_connections = 16'384;
     // Longest wait for a byte from a caller in the middle of a request, or for
     // a slow reader to accept one.
     std::chrono::milliseconds stall_limit{10'000};
     // An idle connection is closed after this long.
     std::chrono::milliseconds idle_limit{300'000};
+    // What all requests may hold; without a limit if it is not set.
+    std::shared_ptr<request_ledger> ledger;
 };
 
 // One caller's connection, kept alive between requests.
@@ -85,6 +89,11 @@
     void close_drained();
     void abort();
     void park(connection const& idle);
+    // Closes the connection that has been idle for the longest time; returns
+    // false if all have a request.
+    bool close_longest_idle();
+    // Ends requests that hold their workers while others wait for one.
+    void free_workers();
     void work_loop();
     void serve(connection const& active);
 
--- a/libs/http/src/parking_server.cpp
+++ b/libs/http/src/parking_server.cpp
@@ -5,9 +5,11 @@
 #include <Poco/Net/HTTPServerResponseImpl.h>
 #include <Poco/Net/SocketAddress.h>
 #include <http/parking_server.hpp>
+#include <sys/resource.h>
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <cerrno>
 
 namespace foxtailvale::http
 {
@@ -20,6 +22,12 @@
 
 constexpr milliseconds poll_interval{200};
 constexpr int listen_backlog = 1024;
+// While requests wait for a worker, one that is read may hold its own for so
+// long.
+constexpr milliseconds longest_reading{1000};
+// Until the next try to accept a connection for which the system had no
+// descriptor.
+constexpr milliseconds accept_pause{50};
 // How long a drain awaits the next request of a caller that was not told that
 // its connection closes.
 constexpr milliseconds closing_wait{1000};
@@ -43,6 +51,47 @@
     return made;
 }
 
+std::size_t connections_allowed(std::size_t asked)
+{
+    rlimit of_system{};
+    if (::getrlimit(RLIMIT_NOFILE, &of_system) != 0 ||
+        of_system.rlim_cur == RLIM_INFINITY)
+    {
+        return asked;
+    }
+    return std::min(asked, static_cast<std::size_t>(of_system.rlim_cur) / 2);
+}
+
+// Counts a request in the ledger while it is read and answered.
+class ledger_entry
+{
+public:
+    ledger_entry(
+        std::shared_ptr<request_ledger> owner, Poco::Net::StreamSocket& socket)
+        : ledger(std::move(owner)), connection(socket.impl()->sockfd())
+    {
+        if (this->ledger)
+        {
+            this->ledger->begin(this->connection);
+        }
+    }
+
+    ~ledger_entry()
+    {
+        if (this->ledger)
+        {
+            this->ledger->end(this->connection);
+        }
+    }
+
+    ledger_entry(ledger_entry const&) = delete;
+    ledger_entry& operator=(ledger_entry const&) = delete;
+
+private:
+    std::shared_ptr<request_ledger> ledger;
+    int connection;
+};
+
 } // namespace
 
 class parked_connection
@@ -88,6 +137,8 @@
       listener(message_server_socket(
           Poco::Net::SocketAddress(how.address, how.port), listen_backlog))
 {
+    this->options.max_connections =
+        connections_allowed(this->options.max_connections);
     this->listener.setBlocking(false);
     this->polled.add(this->listener, Poco::Net::PollSet::POLL_READ);
     this->poller = std::thread(
@@ -205,6 +256,7 @@
                 this->on_readable(socket);
             }
         }
+        this->free_workers();
         if (steady::now() - last_sweep > std::chrono::seconds(1))
         {
             last_sweep = steady::now();
@@ -221,7 +273,8 @@
         {
             Poco::Net::SocketAddress address;
             auto peer = this->listener.acceptConnection(address);
-            if (this->open_connections >= this->options.max_connections)
+            if (this->open_connections >= this->options.max_connections &&
+                !this->close_longest_idle())
             {
                 continue;
             }
@@ -233,10 +286,52 @@
                 peer, address, this->parameters, this->open_connections));
         }
     }
-    catch (Poco::Exception const&)
+    catch (Poco::Exception const& fault)
     {
-        // No more connections are pending.
-        return;
+        // Otherwise no more connections are pending.
+        if (fault.code() == EMFILE || fault.code() == ENFILE)
+        {
+            this->close_longest_idle();
+            std::this_thread::sleep_for(accept_pause);
+        }
+    }
+}
+
+bool parking_server::close_longest_idle()
+{
+    std::lock_guard const lock(this->mutex);
+    auto const oldest = std::ranges::min_element(
+        this->parked, {},
+        [](auto const& entry)
+        {
+            return entry.second->parked_at;
+        });
+    if (oldest == this->parked.end())
+    {
+        return false;
+    }
+    this->polled.remove(oldest->first);
+    this->parked.erase(oldest);
+    return true;
+}
+
+// Failure: callers that send a byte now and then held all workers, and no other
+// caller was answered.
+void parking_server::free_workers()
+{
+    std::size_t needed = 0;
+    {
+        std::lock_guard const lock(this->mutex);
+        needed = this->waiting.size() -
+                 std::min(this->waiting.size(), this->idle_workers);
+        if (this->workers.size() < this->options.max_workers)
+        {
+            return;
+        }
+    }
+    if (needed > 0 && this->options.ledger)
+    {
+        this->options.ledger->revoke(needed, longest_reading);
     }
 }
 
@@ -366,6 +461,7 @@
         auto keep_open = true;
         while (keep_open && !this->stopping && session.hasMoreRequests())
         {
+            ledger_entry const counted(this->options.ledger, active->socket);
             keep_open = answer_one(session, active->socket, exchange);
         }
         if (!keep_open)
--- a/libs/node/include/node/caller_server.hpp
+++ b/libs/node/include/node/caller_server.hpp
@@ -91,6 +91,7 @@
     std::map<entry_core::caller_handle, std::shared_ptr<caller_session>>
         sessions;
     entry_core::caller_handle last_caller = 0;
+    std::shared_ptr<http::request_ledger> ledger;
     std::unique_ptr<http::parking_server> listener;
 };
 
--- a/libs/node/src/caller_server.cpp
+++ b/libs/node/src/caller_server.cpp
@@ -292,11 +292,14 @@
     fault_handler report,
     model_list list)
     : loop(owner), settings(options), receiver(std::move(receive)),
-      reporter(std::move(report)), models(std::move(list))
+      reporter(std::move(report)), models(std::move(list)),
+      ledger(std::make_shared<http::request_ledger>(options.max_bodies_bytes))
 {
     this->listener = std::make_unique<http::parking_server>(
         http::parking_options{
-            .address = options.node.address, .port = options.caller_port},
+            .address = options.node.address,
+            .port = options.caller_port,
+            .ledger = this->ledger},
         [this](
             Poco::Net::HTTPServerRequest& request,
             Poco::Net::HTTPServerResponse& response)
@@ -391,7 +394,18 @@
     }
     auto const caller = host_of(request);
     auto raw = read_raw(request);
-    if (!http::read_body(request, this->settings.most_body_bytes, raw.body))
+    auto const end = this->ledger->read_body(
+        request, this->settings.most_body_bytes, raw.body);
+    if (end == http::body_end::refused)
+    {
+        response.setKeepAlive(false);
+        this->refuse(
+            response,
+            {base::error_kind::entry_overloaded, "bodies take all memory"},
+            caller);
+        return;
+    }
+    if (end == http::body_end::too_large)
     {
         response.setKeepAlive(false);
         auto const limit = std::to_string(this->settings.most_body_bytes);
--- a/libs/release/include/release/settings.hpp
+++ b/libs/release/include/release/settings.hpp
@@ -46,6 +46,8 @@
     std::uint32_t max_requests = 2048;
     // Maximum size of a caller's request body, in bytes.
     std::uint64_t most_body_bytes = 0;
+    // Maximum size of the bodies of all requests together, in bytes.
+    std::uint64_t max_bodies_bytes = 64UL * 1024 * 1024;
     // Deadline of requests that specify none.
     std::chrono::milliseconds default_deadline{0};
     // Longest deadline accepted; it bounds the duration of a planned stop.
--- a/libs/release/src/settings.cpp
+++ b/libs/release/src/settings.cpp
@@ -1,6 +1,8 @@
 #include <release/object_reader.hpp>
 #include <release/settings.hpp>
 
+#include <algorithm>
+
 namespace foxtailvale::release
 {
 
@@ -18,6 +20,7 @@
 constexpr milliseconds default_agent_stop_grace{1000};
 constexpr milliseconds max_stop_grace{60'000};
 constexpr std::uint64_t mebibyte = 1024U * 1024U;
+constexpr std::uint64_t max_bodies_bytes = 16384 * mebibyte;
 
 std::uint16_t read_port(object_reader& reader, std::string_view key)
 {
@@ -69,6 +72,12 @@
         reader.number_or("most_requests", settings.max_requests, 1, 100'000));
     settings.most_body_bytes =
         reader.number_or("most_body_bytes", mebibyte, 1024, 64 * mebibyte);
+    // The text of a body grows by doubling.
+    auto const least_bodies_bytes = 2 * settings.most_body_bytes;
+    settings.max_bodies_bytes = reader.number_or(
+        "most_bodies_bytes",
+        std::max(settings.max_bodies_bytes, least_bodies_bytes),
+        least_bodies_bytes, max_bodies_bytes);
     settings.default_deadline = reader.milliseconds_or(
         "default_deadline_ms", milliseconds(30'000), milliseconds(10),
         milliseconds(3'600'000));
