--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -4,4 +4,4 @@
 # not run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/cases-2 ] && [ -x target/bin/foxtailvale-entry ] || exit 2
-exec target/review/cases-2 unreadable-entry "$PWD" review/6/record.txt
+exec target/review/cases-2 named-page "$PWD" review/6/record.txt
--- a/review/cases-2.cpp
+++ b/review/cases-2.cpp
@@ -165,88 +165,77 @@
     }
 }
 
-// DRAIN: another writer's entry in the list of workers cannot be read.
-int unreadable_entry(record& lines, std::string const& repository)
+// Sends ten idempotent requests a second and returns how many were served.
+int ask_for(
+    deployment const& small, record& lines, milliseconds time, int& sent)
 {
-    constexpr milliseconds drain{2000};
+    auto served = 0;
+    client held(small.callers());
+    auto const until = steady::now() + time;
+    while (steady::now() < until)
+    {
+        auto const next = steady::now() + milliseconds(100);
+        auto const answered =
+            held.ask(text_of({"GET", "/status/1", fresh_id()}), patience);
+        ++sent;
+        served += status_of(answered) == "200" ? 1 : 0;
+        lines.line("request: " + status_of(answered));
+        std::this_thread::sleep_until(next);
+    }
+    return served;
+}
+
+// RECOVER: a page of the list of workers ends with a name that has "&" in it.
+int named_page(record& lines, std::string const& repository)
+{
+    constexpr milliseconds recover{12000};
+    constexpr milliseconds down{1200};
+    constexpr std::size_t note_bytes = 1000000;
     deployment small(repository, lines);
-    worker leaving(small.ip(11), "i-a", milliseconds(60));
-    worker staying(small.ip(12), "i-b", milliseconds(60));
+    worker one(small.ip(11), "i-a", milliseconds(15));
+    worker other(small.ip(12), "i-b", milliseconds(15));
     auto& platform = small.platform();
-    auto const list = [&](worker const& one, std::string const& state, int beat)
-    {
-        return platform.put(
-            "servers", one.name(),
-            worker_entry("plain", one.address(), state, beat));
-    };
     platform.put("config", "main", configuration(7, one_tenant));
-    list(leaving, "ready", 0);
-    list(staying, "ready", 0);
-    if (!small.start(milliseconds(20000)))
+    for (auto* const each : {&one, &other})
     {
-        return not_run(lines, "the entry is not ready");
+        platform.put(
+            "servers", each->name(),
+            worker_entry("plain", each->address(), "ready", 0));
     }
-    order_counts counts;
-    std::atomic<bool> stop = false;
-    std::vector<std::thread> callers;
-    for (auto number = 0; number < 4; ++number)
+    if (!small.start(milliseconds(20000)))
     {
-        callers.emplace_back(
-            [&]
-            {
-                send_orders(small, lines, counts, stop);
-            });
+        return not_run(lines, "the entry is not ready");
     }
-    sleep_for(milliseconds(1000));
-    // The text of the second entry holds a byte that no JSON text may hold.
+    auto sent_before = 0;
+    auto const before = ask_for(small, lines, milliseconds(3000), sent_before);
+    // With TROUBLE=0 the same entry, under a name without the sign.
     platform.put(
-        "servers", "notes",
-        with_trouble() ? "{\"service\":\"plain\",\"note\":\"by hand\x01\"}"
-                       : "{\"service\":\"plain\",\"note\":\"by hand\"}");
+        "servers", with_trouble() ? "crews&tablets" : "crews-tablets",
+        R"({"note":")" + std::string(note_bytes, 'n') + R"("})");
     lines.line("another writer's entry is in the list");
-    sleep_for(milliseconds(4000));
-    auto const acknowledged = list(leaving, "draining", 1);
-    lines.line("i-a is draining, acknowledged");
-    sleep_for(milliseconds(7000));
-    leaving.end();
-    platform.remove("servers", leaving.name());
-    lines.line("i-a has ended");
-    sleep_for(milliseconds(2000));
-    stop = true;
-    for (auto& one : callers)
-    {
-        one.join();
-    }
-    auto late = 0;
-    for (auto const& one : leaving.runs())
-    {
-        if (one.at > acknowledged + drain)
-        {
-            ++late;
-            lines.line(
-                "order " + one.attempt + " reached i-a " +
-                std::to_string(lines.ms(one.at) - lines.ms(acknowledged)) +
-                " ms after the acknowledgement");
-        }
-    }
-    auto const ran = leaving.runs().size() + staying.runs().size();
-    if (ran < 50)
+    sleep_for(milliseconds(1000));
+    small.kill();
+    sleep_for(down);
+    auto const back = steady::now();
+    auto const listed = platform.listings();
+    auto const is_ready = small.start(recover);
+    std::this_thread::sleep_until(back + recover);
+    lines.line(
+        std::to_string(platform.listings() - listed) + " lists asked for in " +
+        std::to_string(recover.count()) + " ms");
+    auto sent = 0;
+    auto const served = ask_for(small, lines, milliseconds(5000), sent);
+    if (sent_before == 0 || before * 4 < sent_before || sent == 0)
     {
-        return not_run(lines, "hardly any order ran");
+        return not_run(lines, "less than a quarter was served before");
     }
-    lines.line(
-        std::to_string(counts.answered) + " orders answered, " +
-        std::to_string(counts.refused) + " refused, " +
-        std::to_string(counts.lost) + " without an answer or with 502 or 504");
-    // Not judged: what a restart adds.
-    small.kill();
-    small.start(milliseconds(15000));
     return judge(
-        lines, late > 0,
-        std::to_string(late) +
-            " orders reached i-a later than drain_ms after the store had "
-            "acknowledged that it was draining; " +
-            std::to_string(counts.lost) + " orders lost");
+        lines, served * 4 < sent,
+        std::to_string(served) + " of " + std::to_string(sent) +
+            " requests served that were sent later than recover_s after the "
+            "processes were back (" +
+            std::to_string(before) + " of " + std::to_string(sent_before) +
+            " before), the entry is " + (is_ready ? "ready" : "not ready"));
 }
 
 // UNASKED: a request in the body of another one.
@@ -636,7 +625,7 @@
         record lines(words[3]);
         std::map<std::string, int (*)(record&, std::string const&)> const cases{
             {"removed-tenant", removed_tenant},
-            {"unreadable-entry", unreadable_entry},
+            {"named-page", named_page},
             {"dark-request", dark_request},
             {"half-answer", half_answer},
             {"smuggled-request", smuggled_request},
--- a/review/standin-2.cpp
+++ b/review/standin-2.cpp
@@ -104,6 +104,31 @@
                      target.c_str() + found + key.size() + 1, nullptr, 10);
 }
 
+// A field of a query, which "&" ends, with its "%" escapes undone.
+std::string text_in(std::string const& target, std::string const& key)
+{
+    auto const found = target.find(key + "=");
+    if (found == std::string::npos)
+    {
+        return "";
+    }
+    auto const from = found + key.size() + 1;
+    auto const text = target.substr(from, target.find('&', from) - from);
+    std::string plain;
+    for (std::size_t at = 0; at < text.size(); ++at)
+    {
+        if (text[at] != '%' || at + 2 >= text.size())
+        {
+            plain.push_back(text[at]);
+            continue;
+        }
+        plain.push_back(static_cast<char>(
+            std::strtoul(text.substr(at + 1, 2).c_str(), nullptr, 16)));
+        at += 2;
+    }
+    return plain;
+}
+
 } // namespace
 
 record::record(std::string const& path) : file(std::fopen(path.c_str(), "w"))
@@ -400,16 +425,41 @@
            object.spec + R"(,"status":null})";
 }
 
-std::string store::list(std::string const& kind)
+int store::listings() const
 {
+    return this->listed;
+}
+
+bool store::is_within_rate()
+{
+    constexpr int reads_per_s = 2000;
+    std::lock_guard const held(this->guard);
+    auto const now = std::chrono::duration_cast<std::chrono::seconds>(
+                         steady::now().time_since_epoch())
+                         .count();
+    this->calls = now == this->second ? this->calls + 1 : 1;
+    this->second = now;
+    return this->calls <= reads_per_s;
+}
+
+std::string store::list(std::string const& kind, std::string const& after)
+{
+    constexpr std::size_t most_objects = 500;
+    constexpr std::size_t most_bytes = 1000000;
+    ++this->listed;
     std::lock_guard const held(this->guard);
     std::string items;
-    for (auto const& [name, object] : this->objects[kind])
+    std::size_t count = 0;
+    auto const& all = this->objects[kind];
+    auto next = after.empty() ? all.begin() : all.upper_bound(after);
+    for (;
+         next != all.end() && count < most_objects && items.size() < most_bytes;
+         ++next, ++count)
     {
-        items += (items.empty() ? "" : ",") + text_of(object);
+        items += (items.empty() ? "" : ",") + text_of(next->second);
     }
-    return R"({"items":[)" + items +
-           R"(],"truncated":false,"store_revision":)" +
+    return R"({"items":[)" + items + R"(],"truncated":)" +
+           (next == all.end() ? "false" : "true") + R"(,"store_revision":)" +
            std::to_string(this->revision) + "}";
 }
 
@@ -451,9 +501,14 @@
         auto const rest = target.substr(std::min(root.size(), target.size()));
         auto const kind = rest.substr(0, rest.find('?'));
         auto const after = number_in(target, "watch", 0);
+        if (!this->is_within_rate())
+        {
+            client.write(response(429, ""));
+            continue;
+        }
         client.write(response(
             200, after == 0
-                     ? this->list(kind)
+                     ? this->list(kind, text_in(target, "after_revision"))
                      : this->watch(
                            kind, after,
                            milliseconds(number_in(target, "wait_ms", 0)))));
--- a/review/standin-2.hpp
+++ b/review/standin-2.hpp
@@ -120,6 +120,8 @@
     steady::time_point
     put(std::string const& kind, std::string const& name, std::string spec);
     steady::time_point remove(std::string const& kind, std::string const& name);
+    // Lists that were asked for.
+    int listings() const;
 
 private:
     struct change
@@ -132,7 +134,10 @@
     };
 
     void serve(stream& client);
-    std::string list(std::string const& kind);
+    // One page: 500 objects or 1 MB at most, after this name.
+    std::string list(std::string const& kind, std::string const& after);
+    // Whether the calls of this second stay below reads_per_s.
+    bool is_within_rate();
     std::string
     watch(std::string const& kind, std::uint64_t after, milliseconds wait);
     static std::string text_of(change const& object);
@@ -142,6 +147,9 @@
     std::uint64_t revision = 100;
     std::map<std::string, std::map<std::string, change>> objects;
     std::vector<change> history;
+    std::atomic<int> listed = 0;
+    std::int64_t second = 0;
+    int calls = 0;
     server listening;
 };
 
