--- a/review/cases-2.cpp
+++ b/review/cases-2.cpp
@@ -417,7 +417,7 @@
     auto comes = 0;
     {
         fragile_workers workers(small, lines, with_trouble());
-        for (auto number = 1; number <= 4; ++number)
+        for (auto number = 1; number <= 8; ++number)
         {
             workers.start(number);
         }
@@ -432,7 +432,7 @@
                 send_orders(small, lines, counts, stop);
             });
         sleep_for(milliseconds(3500));
-        auto const until = steady::now() + std::chrono::seconds(30);
+        auto const until = steady::now() + std::chrono::seconds(36);
         while (steady::now() < until)
         {
             client held(small.callers());
@@ -442,7 +442,8 @@
             lines.line(
                 "boom " + asked.id + ": " +
                 status_of(held.ask(text_of(asked), 2 * deadline)));
-            sleep_for(milliseconds(1200));
+            // Later than the worker's return: one is down at a time.
+            sleep_for(milliseconds(2400));
         }
         stop = true;
         others.join();
--- a/review/standin-2.cpp
+++ b/review/standin-2.cpp
@@ -600,6 +600,14 @@
                  asked->body, asked->field("tenant")});
         }
         sleep_for(this->work);
+        while (this->is_dark && !this->has_ended())
+        {
+            sleep_for(milliseconds(20));
+        }
+        if (this->has_ended())
+        {
+            return;
+        }
         if (this->respond)
         {
             this->respond(client, *asked);
