--- a/libs/gateway/src/peer_weights_server.cpp
+++ b/libs/gateway/src/peer_weights_server.cpp
@@ -1,5 +1,7 @@
 #include "peer_weights_server.hpp"
 
+#include <base/percent_encoding.hpp>
+
 #include <algorithm>
 #include <charconv>
 #include <cstdio>
@@ -53,8 +55,8 @@
 peer_manifest_request(std::string const& model, std::uint64_t version)
 {
     return peer_request(
-        std::string(path_prefix) + model + "/" + std::to_string(version) +
-        "/manifest");
+        std::string(path_prefix) + base::percent_encode(model) + "/" +
+        std::to_string(version) + "/manifest");
 }
 
 net::request peer_chunk_ready_request(
@@ -73,15 +75,15 @@
     std::string const& model, std::uint64_t version, std::uint32_t index)
 {
     return peer_request(
-        std::string(path_prefix) + model + "/" + std::to_string(version) + "/" +
-        std::to_string(index));
+        std::string(path_prefix) + base::percent_encode(model) + "/" +
+        std::to_string(version) + "/" + std::to_string(index));
 }
 
 net::request peer_check_request(std::string const& model, std::uint64_t version)
 {
     return peer_request(
-        std::string(path_prefix) + model + "/" + std::to_string(version) +
-        "/check");
+        std::string(path_prefix) + base::percent_encode(model) + "/" +
+        std::to_string(version) + "/check");
 }
 
 // Parses "/weights/MODEL/VERSION/INDEX". "manifest" or "check" may stand in
@@ -110,7 +112,12 @@
     {
         return std::nullopt;
     }
-    read.model = std::string(target.substr(0, middle));
+    auto model = base::percent_decode(std::string(target.substr(0, middle)));
+    if (!model)
+    {
+        return std::nullopt;
+    }
+    read.model = std::move(*model);
     auto const version = target.substr(middle + 1, last - middle - 1);
     auto const what = target.substr(last + 1);
     if (what == "manifest")
