A page that does not get further is an error with a pause

A store that sent a page again was asked for it again at once, without an error or a log line; where it refused a later page, the first one was read again every 60 ms, since each page that arrived reset the pause. A truncated page without a name counted as the last one. Cause: entries and agents had a loop each that went on as long as the store said "truncated".

Both use add_page() now, which requires a new name at the end of each page that is not the last. Only a complete listing or a change resets the pause. platform_lost names the request, and agents log a failed listing.

--- a/libs/gateway/include/gateway/store_watch.hpp
+++ b/libs/gateway/include/gateway/store_watch.hpp
@@ -4,6 +4,7 @@
 #include <base/boot_clock.hpp>
 #include <base/ids.hpp>
 #include <base/random.hpp>
+#include <gateway/listing.hpp>
 #include <net/client_connection.hpp>
 #include <platform/objects.hpp>
 
@@ -95,7 +96,10 @@
     bool accept_era();
     void handle_list(platform::store_reply reply);
     void handle_changes(platform::store_reply const& reply);
-    void succeed();
+    // A watch was answered, or a listing is complete. Single pages do not
+    // count: a listing whose later page is refused would be repeated without a
+    // pause.
+    void note_recovery();
     // Handles a failed request; the store may have been unreachable since
     // `since`.
     void fail(std::string const& why, base::boot_time since);
@@ -115,10 +119,11 @@
     unsigned status = 0;
     // Era of the answer being read; zero if it gives none.
     std::uint64_t answer_era = 0;
+    // Of the last request.
+    std::string target;
     std::string body;
     base::time_point last_data;
-    std::vector<platform::store_object> listed;
-    std::uint64_t listed_revision = 0;
+    listing pages;
     base::boot_time began;
     base::boot_time list_began;
     std::uint32_t failures = 0;
--- a/libs/gateway/src/store_list.cpp
+++ b/libs/gateway/src/store_list.cpp
@@ -2,6 +2,9 @@
 
 #include "fetch.hpp"
 
+#include <gateway/listing.hpp>
+#include <kernel/events.hpp>
+
 namespace foxtailvale::gateway
 {
 
@@ -23,13 +26,12 @@
     {
     }
 
-    void request_next_page()
+    void request_page(std::string const& after)
     {
-        auto const after =
-            this->objects.empty() ? std::string() : this->objects.back().name;
+        auto const request = platform::list_request(this->kind, after, true);
+        this->target = request.target;
         fetch(
-            this->loop, this->pool, this->store,
-            platform::list_request(this->kind, after, true), page_timeout,
+            this->loop, this->pool, this->store, request, page_timeout,
             [self = this->shared_from_this()](std::optional<fetched> response)
             {
                 self->handle_response(response);
@@ -38,33 +40,48 @@
 
     void handle_response(std::optional<fetched> const& response)
     {
-        auto reply = response && response->status == 200
-                         ? platform::read_store_reply(response->body)
-                         : base::fail(base::error_kind::platform_unavailable);
-        if (reply.has_error())
+        auto const next = this->take_page(response);
+        if (next.has_error())
         {
+            kernel::log_error(
+                next.error(), {{"request", abbreviate_target(this->target)}});
             this->done(std::nullopt);
             return;
         }
-        auto const more =
-            reply.value().truncated && !reply.value().objects.empty();
-        for (auto& object : reply.value().objects)
+        if (next.value())
+        {
+            this->request_page(*next.value());
+            return;
+        }
+        this->done(std::move(this->pages.objects));
+    }
+
+    // Returns the name after which to request the next page, if there is one.
+    base::result<std::optional<std::string>>
+    take_page(std::optional<fetched> const& response)
+    {
+        if (!response || response->status != 200)
         {
-            this->objects.push_back(std::move(object));
+            auto const status = response ? response->status : 0;
+            return base::fail(
+                base::error_kind::platform_unavailable,
+                "status " + std::to_string(status));
         }
-        if (more)
+        auto reply = platform::read_store_reply(response->body);
+        if (reply.has_error())
         {
-            this->request_next_page();
-            return;
+            return reply.error();
         }
-        this->done(std::move(this->objects));
+        return add_page(this->pages, std::move(reply.value()));
     }
 
     boost::asio::io_context& loop;
     connection_pool& pool;
     std::string store;
     platform::object_kind kind;
-    std::vector<platform::store_object> objects;
+    // Of the last request.
+    std::string target;
+    listing pages;
     std::function<void(std::optional<std::vector<platform::store_object>>)>
         done;
 };
@@ -82,7 +99,7 @@
     auto const operation =
         std::make_shared<list_operation>(loop, pool, store, kind);
     operation->done = std::move(done);
-    operation->request_next_page();
+    operation->request_page({});
 }
 
 } // namespace foxtailvale::gateway
--- a/libs/gateway/src/store_watch.cpp
+++ b/libs/gateway/src/store_watch.cpp
@@ -69,7 +69,7 @@
     this->watching = false;
     if (after.empty())
     {
-        this->listed.clear();
+        this->pages = {};
         this->list_began = base::boot_now();
     }
     this->send(
@@ -90,6 +90,7 @@
     net::request const& request, std::chrono::milliseconds limit)
 {
     this->delay_pending = false;
+    this->target = request.target;
     this->began = base::boot_now();
     this->status = 0;
     this->answer_era = 0;
@@ -180,7 +181,7 @@
         return true;
     }
     // The changes in the answer may start in the previous era.
-    this->succeed();
+    this->handlers.on_request_end(true, this->began);
     this->list({});
     return false;
 }
@@ -192,9 +193,9 @@
     {
         return;
     }
-    if (this->status == history_gone)
+    if (this->status == history_gone && this->watching)
     {
-        this->succeed();
+        this->handlers.on_request_end(true, this->began);
         this->list({});
         return;
     }
@@ -214,9 +215,10 @@
         this->fail(reply.error().detail, this->began);
         return;
     }
-    this->succeed();
+    this->handlers.on_request_end(true, this->began);
     if (this->watching)
     {
+        this->note_recovery();
         this->handle_changes(reply.value());
         return;
     }
@@ -225,32 +227,28 @@
 
 void store_watch::handle_list(platform::store_reply reply)
 {
-    if (this->listed.empty())
-    {
-        // Later pages may belong to a later revision; watching from the first
-        // page's revision delivers the changes made between them.
-        this->listed_revision = reply.revision;
-    }
-    for (auto& object : reply.objects)
+    auto const next = add_page(this->pages, std::move(reply));
+    if (next.has_error())
     {
-        this->listed.push_back(std::move(object));
+        this->fail(next.error().detail, this->began);
+        return;
     }
-    if (reply.truncated && !this->listed.empty())
+    if (next.value())
     {
-        this->list(std::string(this->listed.back().name));
+        this->list(*next.value());
         return;
     }
-    if (this->listed_revision < this->position.revision)
+    if (this->pages.revision < this->position.revision)
     {
         // A listing older than what was already seen would revert what has been
         // adopted.
-        this->listed.clear();
         this->fail("listing is older than the known revision", this->began);
         return;
     }
-    this->position.revision = this->listed_revision;
-    this->handlers.on_list(this->listed, this->was_lost());
-    this->listed.clear();
+    this->note_recovery();
+    this->position.revision = this->pages.revision;
+    this->handlers.on_list(this->pages.objects, this->was_lost());
+    this->pages = {};
     this->handlers.on_confirmed(this->list_began);
     this->watch();
 }
@@ -272,10 +270,9 @@
     this->watch();
 }
 
-void store_watch::succeed()
+void store_watch::note_recovery()
 {
     this->failures = 0;
-    this->handlers.on_request_end(true, this->began);
     if (this->lost_since)
     {
         auto const now = base::boot_now();
@@ -294,7 +291,8 @@
     if (!this->lost_since)
     {
         this->lost_since = since;
-        this->handlers.on_lost(true, why);
+        this->handlers.on_lost(
+            true, why + ": GET " + abbreviate_target(this->target));
     }
     auto const pause = std::min(
         min_retry_delay * (1 << std::min(this->failures, 5U)), max_retry_delay);
