A configuration with an empty list of workspaces lets nobody in

Cause: an empty list was read like an absent one, which means that no key is needed. The member's presence decides now, whatever it holds.

--- a/libs/routing/include/routing/configuration.hpp
+++ b/libs/routing/include/routing/configuration.hpp
@@ -134,8 +134,8 @@
     // Routes by host, longest prefix first.
     std::map<std::string, std::vector<route>> routes;
     std::map<std::string, service> services;
-    // Whether any workspace is configured; if not, no request needs a key.
-    bool has_workspaces = false;
+    // Whether requests need a key, except on open routes.
+    bool needs_keys = false;
     std::map<std::string, workspace> workspaces;
     // Workspace name by key.
     std::map<std::string, std::string> keys;
--- a/libs/routing/src/routes.cpp
+++ b/libs/routing/src/routes.cpp
@@ -60,7 +60,7 @@
         .owner = nullptr,
         .priority = chosen.priority,
         .regions = chosen.regions};
-    if (!current.has_workspaces || chosen.open)
+    if (!current.needs_keys || chosen.open)
     {
         return allowed;
     }
--- a/libs/routing/tests/routes_tests.cpp
+++ b/libs/routing/tests/routes_tests.cpp
@@ -29,7 +29,7 @@
     made.version = 7;
     made.routes["a.example"] = {
         route_to("/x/", "short"), route_to("/x/y/", "long")};
-    made.has_workspaces = true;
+    made.needs_keys = true;
     made.workspaces["w"] = {.name = "w", .priority = 1, .regions = {}};
     made.keys["k"] = "w";
     sort_routes(made);
