An answer whose status is outside of 100 to 599 is no answer

Cause: the parser takes any three digits for a status, and nothing checked it. The reader of heads refuses it now, so that the exchange ends as not HTTP: 502, or another endpoint where the request may be repeated.

Measured: statuses 000, 099, 600 and 999, whole answers before, refused now; at an entry passed on before, 502 and one run now, or the answer of another endpoint.

--- a/libs/net/src/response_reader.cpp
+++ b/libs/net/src/response_reader.cpp
@@ -12,6 +12,12 @@
 // so that a faulty server cannot exhaust the memory.
 constexpr std::uint32_t max_head_bytes = 16 * 1024;
 
+// The parser accepts any three digits.
+bool is_status(int status)
+{
+    return status >= 100 && status <= 599;
+}
+
 } // namespace
 
 response_reader::response_reader(
@@ -39,7 +45,8 @@
 
 void response_reader::on_response_impl(int status, text, int, error_code& error)
 {
-    error = {};
+    error = is_status(status) ? error_code()
+                              : boost::beast::http::error::bad_status;
     this->received_head.status = static_cast<unsigned>(status);
 }
 
