An answer with a transfer coding other than chunked is no answer

Its bytes were passed on as the worker's own, still coded, as the parser ignores codings that it does not know. The reader of heads refuses each coding but one "chunked".

--- a/libs/net/src/response_reader.cpp
+++ b/libs/net/src/response_reader.cpp
@@ -51,9 +51,20 @@
 }
 
 void response_reader::on_field_impl(
-    boost::beast::http::field, text name, text value, error_code& error)
+    boost::beast::http::field name_id, text name, text value, error_code& error)
 {
     error = {};
+    if (name_id == boost::beast::http::field::transfer_encoding)
+    {
+        // The parser passes on the bytes of every other coding as they are.
+        auto const is_known =
+            equal_names({value.data(), value.size()}, "chunked") &&
+            !find_field(this->received_head.fields, "transfer-encoding");
+        if (!is_known)
+        {
+            error = boost::beast::http::error::bad_transfer_encoding;
+        }
+    }
     this->received_head.fields.push_back(
         {std::string(name), std::string(value)});
 }
--- a/libs/net/tests/odd_answer_tests.cpp
+++ b/libs/net/tests/odd_answer_tests.cpp
@@ -97,4 +97,25 @@
     EXPECT_EQ(end_of(with_line("Name: x y\tz")), exchange_end::whole);
 }
 
+// Guards against a coded body that is passed on as the server's own bytes.
+TEST(odd_answer, a_transfer_coding_other_than_chunked_is_no_answer)
+{
+    auto const coded = [](std::string const& coding)
+    {
+        return end_of(
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: " + coding +
+            "\r\n\r\n2\r\nab\r\n0\r\n\r\n");
+    };
+    for (auto const* coding :
+         {"gzip", "gzip, chunked", "chunked, gzip", "chunked, chunked",
+          "chunked\r\nTransfer-Encoding: chunked",
+          "gzip\r\nTransfer-Encoding: chunked", "identity", "xchunked",
+          "\"chunked\"", ""})
+    {
+        EXPECT_EQ(coded(coding), exchange_end::not_http) << coding;
+    }
+    EXPECT_EQ(coded("chunked"), exchange_end::whole);
+    EXPECT_EQ(coded("Chunked "), exchange_end::whole);
+}
+
 } // namespace foxtailvale::net
