An early answer that a reset cuts is not whole

Cause: the system reports a reset once; where the writing met it, the reading saw an orderly end, which is the end of such a body. The exchange keeps that a write failed, and such an answer is cut. Answers complete by length or chunks stay whole.

--- a/libs/net/include/net/client_connection.hpp
+++ b/libs/net/include/net/client_connection.hpp
@@ -201,6 +201,8 @@
     bool paused = false;
     // Bytes came in the running exchange.
     bool response_begun = false;
+    // Writing the running exchange's request met the end of the connection.
+    bool write_failed = false;
     bool keeps_alive = true;
     // Of the socket that is open.
     std::size_t exchanges = 0;
--- a/libs/net/src/client_connection.cpp
+++ b/libs/net/src/client_connection.cpp
@@ -102,6 +102,7 @@
     this->running = true;
     this->result = {};
     this->response_begun = false;
+    this->write_failed = false;
     this->untaken_bytes = 0;
     this->body_bytes = 0;
     this->reader.reset();
@@ -275,8 +276,10 @@
         if (error)
         {
             // The pending read reports the close, after any response that the
-            // server may still have sent.
+            // server may still have sent. It would report a reset as an orderly
+            // end, since the system reports an error once.
             this->keeps_alive = false;
+            this->write_failed = true;
             return;
         }
     }
@@ -496,7 +499,7 @@
         return;
     }
     this->keeps_alive = false;
-    if (orderly && this->reader && !this->skipping)
+    if (orderly && !this->write_failed && this->reader && !this->skipping)
     {
         boost::system::error_code error;
         this->reader->put_eof(error);
