The own interface reads answers as the platform's client does

http::call() and http::stream() read with net::response_reader, through answer_reader, which also bounds bodies, events and all else that comes; chunked_body goes. A connection on which something came between two answers is not used again.

--- a/libs/http/include/http/http_client.hpp
+++ b/libs/http/include/http/http_client.hpp
@@ -4,6 +4,7 @@
 #include <base/error.hpp>
 
 #include <chrono>
+#include <cstddef>
 #include <functional>
 #include <map>
 #include <memory>
@@ -34,6 +35,22 @@
 
 class idle_connection_pool;
 
+// Bytes that the bodies of several calls may hold together while they are read.
+// Safe from any thread.
+class body_budget
+{
+public:
+    explicit body_budget(std::size_t bytes);
+
+    // Returns false, and takes nothing, when fewer bytes are left.
+    bool take(std::size_t bytes);
+    void give_back(std::size_t bytes);
+
+private:
+    std::mutex mutex;
+    std::size_t left;
+};
+
 // Creates a pool of connections that are kept open between calls to one
 // address. May be shared by several threads.
 std::shared_ptr<idle_connection_pool> make_idle_connection_pool();
@@ -47,7 +64,14 @@
     std::map<std::string, std::string> headers;
     std::string content_type;
     std::string body;
+    // Limits the connecting, the time until the head of the answer, and each
+    // wait for more of its body.
     std::chrono::milliseconds timeout{1000};
+    // A larger body, or a larger event of a stream, ends the call.
+    std::size_t max_body_bytes = 64UL * 1024 * 1024;
+    std::size_t max_event_bytes = 1024UL * 1024;
+    // Set for calls whose bodies are bounded together.
+    std::shared_ptr<body_budget> budget;
     // Set for a call that may be cancelled.
     std::shared_ptr<call_control> control;
     // Set for a call that may use a connection left open by an earlier call.
@@ -66,7 +90,8 @@
 };
 
 // Makes one call and reads the complete response; peer_unreachable when no
-// connection was made, endpoint_lost when it broke after that.
+// connection was made, endpoint_lost when it broke after that, or when what
+// came is no HTTP response or exceeds a limit.
 base::result<response> call(request const& call_request);
 
 // Called with the head of the response and each part of its body. Returning
--- a/libs/http/src/http_client.cpp
+++ b/libs/http/src/http_client.cpp
@@ -1,19 +1,16 @@
-#include "chunked_body.hpp"
-#include "message_socket.hpp"
+#include "answer_reader.hpp"
 
-#include <Poco/Net/HTTPRequest.h>
-#include <Poco/Net/HTTPResponse.h>
-#include <Poco/Net/NetException.h>
+#include <net/message.hpp>
+
+#include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocket.h>
 #include <http/http_client.hpp>
 
+#include <array>
 #include <atomic>
-#include <istream>
-#include <iterator>
 #include <memory>
 #include <optional>
-#include <ostream>
 #include <vector>
 
 namespace foxtailvale::http
@@ -22,7 +19,10 @@
 namespace
 {
 
+using clock = std::chrono::steady_clock;
+
 constexpr std::string_view scheme = "http://";
+constexpr std::size_t bytes_per_read = 16UL * 1024;
 
 Poco::Timespan timespan(std::chrono::milliseconds time)
 {
@@ -30,110 +30,94 @@
         std::chrono::duration_cast<std::chrono::microseconds>(time).count());
 }
 
-// Opens a connection for a call. Nagle's algorithm is off: head and body are
-// sent in two writes, and the second would wait for an acknowledgement.
+// Opens a connection for a call. Nagle's algorithm is off: the last part of a
+// long request would wait for an acknowledgement.
 Poco::Net::StreamSocket open_socket(request const& call_request)
 {
     Poco::Net::SocketAddress const address(
         call_request.base.substr(scheme.size()));
-    auto socket = make_message_socket();
+    Poco::Net::StreamSocket socket;
     socket.connect(address, timespan(call_request.timeout));
     socket.setNoDelay(true);
-    socket.setReceiveTimeout(timespan(call_request.timeout));
-    socket.setSendTimeout(timespan(call_request.timeout));
     return socket;
 }
 
-void send_request(client_session& session, request const& call_request)
+std::string serialize(request const& call_request)
 {
-    Poco::Net::HTTPRequest head(
-        call_request.method, call_request.path,
-        Poco::Net::HTTPMessage::HTTP_1_1);
-    head.set("Host", call_request.base.substr(scheme.size()));
+    net::request message;
+    message.method = call_request.method;
+    message.target = call_request.path;
+    message.fields.push_back({"Host", call_request.base.substr(scheme.size())});
     for (auto const& [name, value] : call_request.headers)
     {
-        head.set(name, value);
+        message.fields.push_back({name, value});
     }
     if (!call_request.content_type.empty())
     {
-        head.setContentType(call_request.content_type);
+        message.fields.push_back({"Content-Type", call_request.content_type});
     }
-    head.setContentLength(
-        static_cast<std::streamsize>(call_request.body.size()));
-    session.sendRequest(head) << call_request.body << std::flush;
-}
-
-response read_head(Poco::Net::HTTPResponse const& from)
-{
-    response head;
-    head.status = static_cast<std::uint32_t>(from.getStatus());
-    head.content_type = from.getContentType();
-    for (auto const& [name, value] : from)
+    if (!call_request.idle_pool)
     {
-        head.headers.emplace(name, value);
+        message.fields.push_back({"Connection", "close"});
     }
-    return head;
+    return net::serialize_head(message, call_request.body.size()) +
+           call_request.body;
 }
 
-std::string read_all(std::istream& body)
+bool is_cancelled(request const& call_request)
 {
-    return {std::istreambuf_iterator<char>(body), {}};
+    return call_request.control && call_request.control->is_cancelled();
 }
 
-// Delivers a stream of server-sent events one by one, until it ends or the
-// handler aborts. Only complete events are delivered: when the stream is cut
-// off within an event, the partial event would merge with the error event that
-// follows it.
-void relay_events(
-    std::istream& body, response const& head, piece_handler const& handle)
+// Limits the next read. Interim answers do not extend the time until the head.
+void limit_read(
+    Poco::Net::StreamSocket& socket,
+    request const& call_request,
+    std::optional<clock::time_point> head_until)
 {
-    std::string event;
-    std::string line;
-    while (std::getline(body, line))
+    auto time = call_request.timeout;
+    if (head_until)
     {
-        event += line + "\n";
-        auto const ends = line.empty() || line == "\r";
-        if (ends && !handle(head, std::exchange(event, {})))
+        time = std::chrono::duration_cast<std::chrono::milliseconds>(
+            *head_until - clock::now());
+        if (time.count() <= 0)
         {
-            return;
+            throw Poco::TimeoutException("no answer in time");
         }
     }
+    socket.setReceiveTimeout(timespan(time));
 }
 
-base::result<response>
-read_answer(client_session& session, piece_handler const& handle)
+// Reads until the answer is done or the connection ends. Throws
+// Poco::Exception when the connection breaks or nothing comes in time.
+void read_answer(
+    Poco::Net::StreamSocket& socket,
+    request const& call_request,
+    answer_reader& answer)
 {
-    Poco::Net::HTTPResponse answer;
-    allow_end_of_input(session.socket(), false);
-    auto& body = session.receiveResponse(answer);
-    // POCO's parser goes on where the head was cut within its last line.
-    if (session.networkException() != nullptr)
+    std::optional head_until = clock::now() + call_request.timeout;
+    limit_read(socket, call_request, head_until);
+    std::array<char, bytes_per_read> block{};
+    while (!answer.is_done())
     {
-        session.networkException()->rethrow();
-    }
-    auto const head = read_head(answer);
-    auto const has_end =
-        answer.hasContentLength() || answer.getChunkedTransferEncoding();
-    allow_end_of_input(session.socket(), !has_end);
-    session.setKeepAlive(answer.getKeepAlive());
-    if (head.content_type.starts_with("text/event-stream"))
-    {
-        relay_events(body, head, handle);
-        if (body.bad())
+        auto const count =
+            socket.receiveBytes(block.data(), static_cast<int>(block.size()));
+        if (count <= 0)
         {
-            return base::fail(base::error_kind::endpoint_lost, "short stream");
+            // A cancelled call sees the end of its input, too.
+            if (!is_cancelled(call_request))
+            {
+                answer.put_end();
+            }
+            return;
+        }
+        answer.put({block.data(), static_cast<std::size_t>(count)});
+        if (head_until)
+        {
+            head_until = answer.has_head() ? std::nullopt : head_until;
+            limit_read(socket, call_request, head_until);
         }
-        return head;
-    }
-    auto text = answer.getChunkedTransferEncoding()
-                    ? read_chunks(session)
-                    : std::optional(read_all(body));
-    if (!text)
-    {
-        return base::fail(base::error_kind::endpoint_lost, "short body");
     }
-    handle(head, std::move(*text));
-    return head;
 }
 
 // Attaches a call to its control for as long as its connection is open.
@@ -198,106 +182,106 @@
 
 } // namespace
 
-// Idle sessions ordered by age, the newest last.
+// Idle connections ordered by age, the newest last.
 class idle_connection_pool
 {
 public:
-    std::unique_ptr<client_session> take()
+    std::optional<Poco::Net::StreamSocket> take()
     {
         std::lock_guard const lock(this->mutex);
         if (this->idle.empty() ||
             clock::now() - this->idle.back().since > max_idle_time)
         {
             this->idle.clear();
-            return nullptr;
+            return std::nullopt;
         }
-        auto session = std::move(this->idle.back().session);
+        auto socket = std::move(this->idle.back().socket);
         this->idle.pop_back();
-        return session;
+        return socket;
     }
 
-    void give_back(std::unique_ptr<client_session> session)
+    void give_back(Poco::Net::StreamSocket const& socket)
     {
         std::lock_guard const lock(this->mutex);
-        if (this->idle.size() < max_idle_sessions)
+        if (this->idle.size() < max_idle_connections)
         {
-            this->idle.push_back({std::move(session), clock::now()});
+            this->idle.push_back({socket, clock::now()});
         }
     }
 
 private:
-    using clock = std::chrono::steady_clock;
-
     // Well below the time after which servers close idle connections.
     static constexpr std::chrono::milliseconds max_idle_time{2000};
-    static constexpr std::size_t max_idle_sessions = 64;
+    static constexpr std::size_t max_idle_connections = 64;
 
-    struct idle_session
+    struct idle_connection
     {
-        std::unique_ptr<client_session> session;
+        Poco::Net::StreamSocket socket;
         clock::time_point since;
     };
 
     std::mutex mutex;
-    std::vector<idle_session> idle;
+    std::vector<idle_connection> idle;
 };
 
 namespace
 {
 
-bool is_cancelled(request const& call_request)
+// Whether the server sent something, or closed, since the last answer: what
+// came then belongs to no call.
+bool has_input(Poco::Net::StreamSocket const& socket)
 {
-    return call_request.control && call_request.control->is_cancelled();
+    try
+    {
+        return socket.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ);
+    }
+    catch (Poco::Exception const&)
+    {
+        // A broken connection carries no call either.
+        return true;
+    }
 }
 
 // Sets whether closing the connection sends a reset, which tells the server
 // that the call was aborted and makes the system drop what it still buffers of
-// it. Set before the call, as the session closes itself when the call fails.
-// With an orderly close, a stalled server that resumes would be handed calls
-// that timed out meanwhile, each complete and followed by a normal end of
+// it. With an orderly close, a stalled server that resumes would be handed
+// calls that timed out meanwhile, each complete and followed by a normal end of
 // stream, and would execute them.
-void set_reset_on_close(client_session& session, bool resets)
+void set_reset_on_close(Poco::Net::StreamSocket& socket, bool resets)
 {
-    session.socket().setLinger(resets, 0);
+    socket.setLinger(resets, 0);
 }
 
 // Makes the call over an open connection, which is kept afterwards if the
 // response was read completely and both sides agree.
 base::result<response> run_call(
     request const& call_request,
-    std::unique_ptr<client_session> session,
+    Poco::Net::StreamSocket socket,
     piece_handler const& handle)
 {
-    controlled_call const controlled(call_request, session->socket());
+    controlled_call const controlled(call_request, socket);
     if (!controlled.may_run)
     {
         return base::fail(base::error_kind::peer_unreachable, "cancelled");
     }
     try
     {
-        set_reset_on_close(*session, true);
-        session->setTimeout(timespan(call_request.timeout));
-        session->setKeepAlive(call_request.idle_pool != nullptr);
-        send_request(*session, call_request);
+        set_reset_on_close(socket, true);
+        socket.setSendTimeout(timespan(call_request.timeout));
+        auto const bytes = serialize(call_request);
+        socket.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
         *controlled.sent = true;
-        auto completed = true;
-        auto answer = read_answer(
-            *session,
-            [&](response const& head, std::string piece)
-            {
-                completed = handle(head, std::move(piece));
-                return completed;
-            });
-        if (answer && completed)
+        answer_reader answer(call_request, handle);
+        read_answer(socket, call_request, answer);
+        if (answer.is_whole())
         {
-            set_reset_on_close(*session, false);
+            set_reset_on_close(socket, false);
         }
-        if (answer && completed && call_request.idle_pool &&
-            session->getKeepAlive())
+        if (answer.keeps_connection() && call_request.idle_pool)
         {
-            call_request.idle_pool->give_back(std::move(session));
+            call_request.idle_pool->give_back(socket);
         }
-        return answer;
+        return answer.result();
     }
     catch (Poco::Exception const& fault)
     {
@@ -311,6 +295,27 @@
 
 } // namespace
 
+body_budget::body_budget(std::size_t bytes) : left(bytes)
+{
+}
+
+bool body_budget::take(std::size_t bytes)
+{
+    std::lock_guard const lock(this->mutex);
+    if (bytes > this->left)
+    {
+        return false;
+    }
+    this->left -= bytes;
+    return true;
+}
+
+void body_budget::give_back(std::size_t bytes)
+{
+    std::lock_guard const lock(this->mutex);
+    this->left += bytes;
+}
+
 void call_control::cancel()
 {
     std::lock_guard const lock(this->mutex);
@@ -348,9 +353,9 @@
 base::result<response>
 stream(request const& call_request, piece_handler const& on_piece)
 {
-    auto reused =
-        call_request.idle_pool ? call_request.idle_pool->take() : nullptr;
-    if (reused)
+    auto const reused =
+        call_request.idle_pool ? call_request.idle_pool->take() : std::nullopt;
+    if (reused && !has_input(*reused))
     {
         auto begun = false;
         auto const watch = [&](response const& head, std::string piece)
@@ -358,7 +363,7 @@
             begun = true;
             return on_piece(head, std::move(piece));
         };
-        auto answer = run_call(call_request, std::move(reused), watch);
+        auto answer = run_call(call_request, *reused, watch);
         if (answer || begun || is_cancelled(call_request))
         {
             return answer;
@@ -366,9 +371,7 @@
     }
     try
     {
-        auto fresh =
-            std::make_unique<client_session>(open_socket(call_request));
-        return run_call(call_request, std::move(fresh), on_piece);
+        return run_call(call_request, open_socket(call_request), on_piece);
     }
     catch (Poco::Exception const& fault)
     {
--- a/libs/http/src/message_socket.cpp
+++ b/libs/http/src/message_socket.cpp
@@ -62,11 +62,6 @@
 
 } // namespace
 
-Poco::Net::StreamSocket make_message_socket()
-{
-    return {new message_socket_impl};
-}
-
 void allow_end_of_input(Poco::Net::StreamSocket& socket, bool allowed)
 {
     if (auto* const own = dynamic_cast<message_socket_impl*>(socket.impl()))
--- a/libs/http/src/message_socket.hpp
+++ b/libs/http/src/message_socket.hpp
@@ -6,22 +6,18 @@
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/StreamSocket.h>
 
-// Sockets on which a message cannot end by accident. POCO takes the end of
-// input for the empty line after a head, for the end of a body with a length
-// and for the last chunk. A connection that closed within a message would pass
-// for a whole one: an answer with status 200 and an empty body, or a request
-// that is carried out with half of its body.
+// Sockets of a server on which a request cannot end by accident. POCO takes the
+// end of input for the empty line after a head, for the end of a body with a
+// length and for the last chunk. A connection that closed within a request
+// would pass for a whole one, which is carried out with half of its body.
 namespace foxtailvale::http
 {
 
 // A peer closed its connection within a message.
 POCO_DECLARE_EXCEPTION(, cut_message, Poco::Net::NetException)
 
-// Makes a socket for one side of HTTP: reading the end of its input throws
-// cut_message while that is not allowed, as at first.
-Poco::Net::StreamSocket make_message_socket();
-
-// Sets whether the input may end, for a body that ends with its connection.
+// Sets whether the input of a message socket may end. While it must not, as at
+// first, reading the end throws cut_message.
 void allow_end_of_input(Poco::Net::StreamSocket& socket, bool allowed);
 
 // A listening socket whose connections are message sockets.
--- a/libs/net/src/response_reader.hpp
+++ b/libs/net/include/net/response_reader.hpp
@@ -12,7 +12,10 @@
 {
 
 // Parses responses with Beast and passes the head and the body data to
-// callbacks as they arrive.
+// callbacks as they arrive. Everything that reads responses uses it, so that
+// all refuse the same ones: those with a status outside of 100 to 599, a
+// malformed field, contradicting lengths, a transfer coding other than chunked
+// or a head over 16 KiB.
 class response_reader : public boost::beast::http::basic_parser<false>
 {
 public:
--- a/libs/net/src/client_connection.cpp
+++ b/libs/net/src/client_connection.cpp
@@ -1,6 +1,5 @@
-#include "response_reader.hpp"
-
 #include <net/client_connection.hpp>
+#include <net/response_reader.hpp>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
--- a/libs/net/src/response_reader.cpp
+++ b/libs/net/src/response_reader.cpp
@@ -1,4 +1,4 @@
-#include "response_reader.hpp"
+#include <net/response_reader.hpp>
 
 #include <limits>
 
