Answers without end are bounded at the own interface

Cause: the client read until the end and its time limit began anew with each byte. answer_reader bounds each answer; an agent's calls share a budget of 256 MiB for the bodies that they read at one time.

--- a/libs/node/include/node/endpoint_client.hpp
+++ b/libs/node/include/node/endpoint_client.hpp
@@ -59,6 +59,7 @@
     std::map<base::attempt_id, std::shared_ptr<http::call_control>> active;
     std::set<base::attempt_id> cancelled;
     std::shared_ptr<http::idle_connection_pool> idle_pool;
+    std::shared_ptr<http::body_budget> budget;
     worker_pool work_pool;
     worker_pool transfer_pool;
     worker_pool poll_pool;
--- a/libs/node/src/endpoint_client.cpp
+++ b/libs/node/src/endpoint_client.cpp
@@ -17,6 +17,10 @@
 constexpr std::size_t max_work_threads = 256;
 constexpr std::size_t max_transfer_threads = 8;
 
+// Bodies of answers that are being read at one time. One answer may have a
+// quarter of them.
+constexpr std::size_t max_bodies_bytes = 256UL * 1024 * 1024;
+
 constexpr milliseconds order_timeout{10'000};
 constexpr milliseconds poll_timeout{1000};
 constexpr milliseconds origin_timeout{5000};
@@ -87,8 +91,10 @@
 endpoint_client::endpoint_client(
     event_loop& owner, endpoint_addresses where, handler receive)
     : loop(owner), addresses(std::move(where)), receiver(std::move(receive)),
-      idle_pool(http::make_idle_connection_pool()), work_pool(max_work_threads),
-      transfer_pool(max_transfer_threads), poll_pool(1)
+      idle_pool(http::make_idle_connection_pool()),
+      budget(std::make_shared<http::body_budget>(max_bodies_bytes)),
+      work_pool(max_work_threads), transfer_pool(max_transfer_threads),
+      poll_pool(1)
 {
 }
 
@@ -151,6 +157,7 @@
         std::lock_guard const lock(this->mutex);
         request.control = this->active.at(attempt);
     }
+    request.budget = this->budget;
     if (work.run.token() == 0)
     {
         request.idle_pool = this->idle_pool;
@@ -177,6 +184,7 @@
         {
             auto const load = order.kind == agent_core::order_kind::load;
             http::request request;
+            request.budget = this->budget;
             request.base = this->addresses.endpoint;
             request.method = "POST";
             request.path = "/orders";
@@ -203,6 +211,7 @@
         [this, digest = std::move(fetch.digest)]
         {
             http::request request;
+            request.budget = this->budget;
             request.base = this->addresses.origin;
             request.path = "/weights/" + digest + "/manifest";
             request.timeout = origin_timeout;
@@ -219,6 +228,7 @@
         [this, fetch = std::move(fetch)]
         {
             http::request request;
+            request.budget = this->budget;
             request.base = this->addresses.origin;
             request.path = "/weights/" + fetch.digest + "/chunks/" +
                            std::to_string(fetch.index);
@@ -237,6 +247,7 @@
         [this]
         {
             http::request request;
+            request.budget = this->budget;
             request.base = this->addresses.endpoint;
             request.path = "/state";
             request.timeout = poll_timeout;
