A request with an unknown transfer coding is refused

Cause: Beast and POCO ignore codings that they do not know and take the request for one without a body. Both servers answer 400 to every coding but one "chunked" and read nothing behind it.

--- a/libs/http/src/exchange.cpp
+++ b/libs/http/src/exchange.cpp
@@ -57,6 +57,24 @@
            nullptr;
 }
 
+// Whether the body is sent with a length or in chunks. POCO ignores every other
+// coding: the bytes of such a body would be read as the next request.
+bool is_coding_known(Poco::Net::HTTPRequest const& request)
+{
+    auto codings = 0;
+    auto known = true;
+    for (auto const& [name, value] : request)
+    {
+        if (Poco::icompare(name, Poco::Net::HTTPMessage::TRANSFER_ENCODING) ==
+            0)
+        {
+            ++codings;
+            known = known && Poco::icompare(value, "chunked") == 0;
+        }
+    }
+    return known && codings <= 1;
+}
+
 // Whether a request begins before the caller closes the connection.
 bool has_input(server_session& session)
 {
@@ -109,6 +127,11 @@
             session, socket, context, session.networkException()->message());
         return false;
     }
+    if (!is_coding_known(*request))
+    {
+        answer_bad_request(session, socket, context, "unknown transfer coding");
+        return false;
+    }
     response.setDate(Poco::Timestamp());
     response.setVersion(request->getVersion());
     response.setKeepAlive(
--- a/libs/http/tests/cut_request_tests.cpp
+++ b/libs/http/tests/cut_request_tests.cpp
@@ -202,4 +202,29 @@
     EXPECT_EQ(server.handled, 1U);
 }
 
+// Guards against a request that nobody sent: the body of another one, whose
+// coding the server does not know.
+TEST(coded_request, of_an_unknown_coding_is_refused_with_its_body)
+{
+    auto const expect_refused = [](auto& server)
+    {
+        for (auto const* coding :
+             {"xchunked", "identity", "chunked, gzip",
+              "chunked\r\nTransfer-Encoding: chunked"})
+        {
+            auto const answer = server.send(
+                std::string("POST /book HTTP/1.1\r\nHost: entry\r\n"
+                            "Transfer-Encoding: ") +
+                    coding + "\r\n\r\n" + request_with_length,
+                ending::close);
+            EXPECT_EQ(answer.substr(0, 12), "HTTP/1.1 400") << coding;
+        }
+        EXPECT_EQ(server.handled, 0U);
+    };
+    plain_server plain(plain_port);
+    expect_refused(plain);
+    shared_server shared(shared_port);
+    expect_refused(shared);
+}
+
 } // namespace foxtailvale::http
--- a/libs/net/src/server_session.cpp
+++ b/libs/net/src/server_session.cpp
@@ -16,6 +16,7 @@
 #include <array>
 #include <cerrno>
 #include <cstdio>
+#include <iterator>
 #include <utility>
 
 namespace foxtailvale::net
@@ -66,6 +67,21 @@
     return read_fault::malformed;
 }
 
+// Whether the body is sent with a length or in chunks. The parser ignores every
+// other coding: the bytes of such a body would be read as the next request.
+bool is_coding_known(http::request<http::string_body> const& message)
+{
+    auto const [first, last] =
+        message.equal_range(http::field::transfer_encoding);
+    if (first == last)
+    {
+        return true;
+    }
+    auto const value = first->value();
+    return std::next(first) == last &&
+           equal_names({value.data(), value.size()}, "chunked");
+}
+
 field_list fields_of(http::request<http::string_body> const& message)
 {
     field_list fields;
@@ -309,6 +325,12 @@
             this->fail(fault_of(error));
             return;
         }
+        if (was_in_head && message.is_header_done() &&
+            !is_coding_known(message.get()))
+        {
+            this->fail(read_fault::malformed);
+            return;
+        }
         if (message.is_done())
         {
             if (this->has_client_closed())
