--- a/libs/http/src/http_client.cpp
+++ b/libs/http/src/http_client.cpp
@@ -195,7 +195,7 @@
             this->idle.clear();
             return std::nullopt;
         }
-        auto socket = std::move(this->idle.back().socket);
+        auto socket = this->idle.back().socket;
         this->idle.pop_back();
         return socket;
     }
