A request that is incomplete at the end of a stop gets an answer

A caller whose body was still coming when a stopping process ended saw its connection closed without an answer. Cause: the stop answers requests that were handed on, and one that is being read is none of them. It gets 503 entry_stopping now, as not run, with a line.

--- a/libs/gateway/src/entry.cpp
+++ b/libs/gateway/src/entry.cpp
@@ -43,6 +43,8 @@
         return base::error_kind::body_timed_out;
     case net::read_fault::capacity_exceeded:
         return base::error_kind::entry_overloaded;
+    case net::read_fault::process_ends:
+        return base::error_kind::entry_stopping;
     case net::read_fault::malformed:
         break;
     }
--- a/libs/gateway/src/graceful_stop.cpp
+++ b/libs/gateway/src/graceful_stop.cpp
@@ -198,6 +198,7 @@
     {
         left->end_by_stop();
     }
+    this->caller_server->refuse_unfinished();
     this->caller_server->close_idle(milliseconds(0));
     this->await_written();
 }
--- a/libs/net/include/net/http_server.hpp
+++ b/libs/net/include/net/http_server.hpp
@@ -45,6 +45,8 @@
     body_timed_out,
     // The server's clients hold more than its capacity, and this request most.
     capacity_exceeded,
+    // The process ends before the rest of the request has come.
+    process_ends,
 };
 
 // Why a connection was closed without an answer, or in the middle of one.
@@ -191,6 +193,10 @@
     // Refuses the request that is being read.
     void refuse_for_capacity();
 
+    // Refuses the request of which a part has come, if there is one, as the
+    // process ends.
+    void refuse_unfinished();
+
     // Closes the connection as if the client had closed it.
     void close_for(close_reason reason);
 
@@ -293,6 +299,9 @@
     // received for this long.
     void close_idle(std::chrono::milliseconds quiet_time);
 
+    // Refuses all requests of which only a part has come.
+    void refuse_unfinished();
+
     // Stops accepting connections. Those that clients have made already get
     // their sessions.
     void stop_accepting();
--- a/libs/net/src/http_server.cpp
+++ b/libs/net/src/http_server.cpp
@@ -134,6 +134,14 @@
     }
 }
 
+void http_server::refuse_unfinished()
+{
+    for (auto const& session : this->open_session_list())
+    {
+        session->refuse_unfinished();
+    }
+}
+
 void http_server::stop_accepting()
 {
     this->accept_waiting();
--- a/libs/net/src/server_session.cpp
+++ b/libs/net/src/server_session.cpp
@@ -594,6 +594,14 @@
     this->fail(read_fault::capacity_exceeded);
 }
 
+void server_session::refuse_unfinished()
+{
+    if (this->parser && this->current_state() == session_state::reading)
+    {
+        this->fail(read_fault::process_ends);
+    }
+}
+
 void server_session::close_for(close_reason reason)
 {
     if (this->state->handlers.on_close)
