The loop of a test's server outlives it

net_tests ended by AddressSanitizer in the teardown of late_loop and slow_reader: the members' order destroyed the loop before the server, whose timer belongs to it. Only the tests' server had the fault.

--- a/libs/net/tests/slow_reader.hpp
+++ b/libs/net/tests/slow_reader.hpp
@@ -78,10 +78,13 @@
 
     tcp_endpoint address;
     std::size_t requests = 0;
-    std::shared_ptr<http_server> server;
 
 private:
+    // Outlives the server, whose timer belongs to it.
     boost::asio::io_context loop;
+
+public:
+    std::shared_ptr<http_server> server;
 };
 
 class slow_client
